--- a/include/walnutmill/record.hpp
+++ b/include/walnutmill/record.hpp
@@ -36,7 +36,15 @@
     std::uint64_t units = 0;
 };
 
-/// A call that may not be repeated is about to be sent.
+/// Unused units went back to the budget; only with nothing in flight.
+struct slice_returned
+{
+    program_id root;
+    std::uint64_t units = 0;
+};
+
+/// A call that may not be repeated is about to be sent; with an empty target
+/// it was not sent after all and is taken back.
 struct call_intent
 {
     program_id program;
@@ -97,8 +105,8 @@
 };
 
 using record_body = std::variant<
-    program_created, slice_drawn, call_intent, call_outcome, hold_taken,
-    hold_released, program_ended>;
+    program_created, slice_drawn, slice_returned, call_intent, call_outcome,
+    hold_taken, hold_released, program_ended>;
 
 /// A record with the shard it belongs to and the epoch of that ownership.
 struct journal_record
--- a/include/walnutmill/bounded_ring.hpp
+++ b/src/bounded_ring.hpp
@@ -1,5 +1,5 @@
-#ifndef WALNUTMILL_BOUNDED_RING_HPP
-#define WALNUTMILL_BOUNDED_RING_HPP
+#ifndef WALNUTMILL_SRC_BOUNDED_RING_HPP
+#define WALNUTMILL_SRC_BOUNDED_RING_HPP
 
 /// \file
 /// The ring that joins two duties' threads: Boost.CircularBuffer
--- /dev/null
+++ b/src/program_owner_calls.cpp
@@ -0,0 +1,616 @@
+// The life of a call: turn, units, queue, attempts, outcome, delivery.
+
+#include "program_owner.hpp"
+
+#include <walnutmill/hash.hpp>
+
+#include <algorithm>
+
+namespace walnutmill
+{
+namespace
+{
+
+constexpr std::chrono::minutes default_deadline{6};
+/// Bits of an event's id that number the tokens of one stream.
+constexpr int token_bits = 20;
+/// Bits that count the restarts of a stream under one owner.
+constexpr int restart_bits = 12;
+
+} // namespace
+
+void program_owner::call(
+    call_request const& r, answer_sink sink, time_point now)
+{
+    auto const found = visible(r.program, r.workspace);
+    if (!found)
+        return sink.done(found.error());
+    auto const& program = *found.value();
+    auto const hash = body_hash(r);
+    if (answer_again(r, hash, program, sink))
+        return;
+    if (auto why = check_call(r, program))
+        return sink.done(*why);
+    active_call call;
+    call.handle = ++last_id_;
+    call.spec = r;
+    call.hash = hash;
+    call.service = *find_service(*config_, r.service);
+    call.repeatable = r.repeatable.value_or(call.service.repeatable);
+    call.accepted = now;
+    call.deadline = now + (r.deadline.count() > 0 ? duration(r.deadline)
+                                                  : duration(default_deadline));
+    auto const handle = call.handle;
+    by_program_[r.program][r.number] = handle;
+    timers_.insert({call.deadline, handle});
+    auto const paused = last_activity_.find(r.program);
+    auto const tool = next_tool_.find(r.program);
+    if (paused != last_activity_.end() && tool != next_tool_.end())
+        hooks_.paused(tool->second, now - paused->second);
+    last_activity_[r.program] = now;
+    last_activity_[program.created.root] = now;
+    auto& added = calls_.emplace(handle, std::move(call)).first->second;
+    attach(added, std::move(sink), r.stream, 0);
+    if (r.number == program.next_number())
+        start_turn(r.program, now);
+}
+
+void program_owner::attach(
+    active_call& call, answer_sink sink, bool stream, std::uint64_t after)
+{
+    waiter added{std::move(sink), stream, 0};
+    if (stream && after != 0)
+    {
+        auto const id = stream_id(call);
+        // Events of another stream say nothing about this one's tokens.
+        if (after >> token_bits == id >> token_bits)
+            added.seen = static_cast<std::uint32_t>(after - id);
+        else
+            added.sink.event({true, 0, {}});
+    }
+    stream_tokens(call, added);
+    call.waiters.push_back(std::move(added));
+}
+
+std::uint64_t program_owner::stream_id(active_call const& call) const
+{
+    auto const owned =
+        owned_.find(shard_of(root_of(call.spec.program), shards_));
+    auto const epoch = owned == owned_.end() ? 0 : owned->second.epoch;
+    return ((epoch << restart_bits) + call.restarts) << token_bits;
+}
+
+void program_owner::stream_tokens(active_call& call, waiter& to)
+{
+    if (!to.stream)
+        return;
+    auto const id = stream_id(call);
+    for (; to.seen < call.tokens.size(); ++to.seen)
+        to.sink.event({false, id + to.seen + 1, call.tokens[to.seen]});
+}
+
+void program_owner::restart_stream(active_call& call)
+{
+    bool const begun = !call.tokens.empty();
+    call.tokens.clear();
+    ++call.restarts;
+    for (auto& waiter : call.waiters)
+    {
+        waiter.seen = 0;
+        if (waiter.stream && begun)
+            waiter.sink.event({true, 0, {}});
+    }
+}
+
+void program_owner::start_turn(program_id const& program, time_point now)
+{
+    auto const* state = book_.find(program);
+    if (state == nullptr || state->ended || ending_.count(program) != 0)
+        return;
+    auto* call = find_call(program, state->next_number());
+    if (call != nullptr && call->stage == call_stage::waits_turn)
+        draw(*call, now);
+}
+
+void program_owner::draw(active_call& call, time_point now)
+{
+    auto const& program = *book_.find(call.spec.program);
+    auto* ledger = book_.find_ledger(program.created.root);
+    call.work = call.service.kind == target_kind::engine
+                    ? prompt_tokens(program, call.spec) + call.spec.max_tokens
+                    : call.service.call_cost;
+    if (!ledger->can_afford(call.work))
+    {
+        refusal why;
+        why.code = errc::budget_exhausted;
+        why.message = "the call may cost " + std::to_string(call.work) +
+                      " units; the budget does not hold as many";
+        // A program that cannot go on needs no cache.
+        release_holds(program);
+        if (call.wasted > 0)
+            return refuse_outcome(call, why.code, certainty::ran, 0, now);
+        return give_up(call, why);
+    }
+    auto const units =
+        ledger->draw_for(call.work, config_->limits.budget_slice);
+    if (units == 0)
+    {
+        ledger->reserve(call.work);
+        call.reserved = call.work;
+        return enqueue(call, now);
+    }
+    call.stage = call_stage::drawing;
+    append(
+        program.shard, {slice_drawn{program.created.root, units}},
+        [this, handle = call.handle](time_point at)
+        {
+            auto* drawn = find_call(handle);
+            // A sub-agent may have reserved the units meanwhile: draw again.
+            if (drawn != nullptr && drawn->stage == call_stage::drawing)
+                draw(*drawn, at);
+        });
+}
+
+void program_owner::enqueue(active_call& call, time_point now)
+{
+    call.stage = call_stage::queued;
+    waiting_call waiting;
+    waiting.call = call.handle;
+    waiting.service = call.service.name;
+    waiting.workspace = book_.find(call.spec.program)->created.workspace;
+    waiting.root = root_of(call.spec.program);
+    waiting.work = call.work;
+    waiting.enqueued = now;
+    waiting.deadline = call.deadline;
+    hooks_.enqueue(waiting);
+}
+
+bool program_owner::dispatch(call_handle handle, time_point now)
+{
+    auto* call = find_call(handle);
+    if (call == nullptr || call->stage != call_stage::queued)
+        return true;
+    auto const& program = *book_.find(call->spec.program);
+    placement_query query;
+    query.program = call->spec.program;
+    query.service = call->service.name;
+    query.prompt_tokens = call->work - call->spec.max_tokens;
+    query.holding.assign(program.holds.begin(), program.holds.end());
+    query.avoid = call->failed_at;
+    auto choice = hooks_.place(query, now);
+    if (!choice)
+        return false;
+    call->target = choice->target;
+    hooks_.sent(call->target, now);
+    call->sent_at = now;
+    explain(
+        call->spec.program, call->spec.number,
+        "sent to " + choice->target.str(), choice->reason);
+    if (call->repeatable)
+    {
+        send(*call, now);
+        return true;
+    }
+    call->stage = call_stage::intending;
+    append(
+        program.shard,
+        {call_intent{
+            call->spec.program, call->spec.number, call->spec.request,
+            call->hash, call->target, call->reserved}},
+        [this, handle](time_point at)
+        {
+            if (auto* intended = find_call(handle))
+                send(*intended, at);
+        });
+    return true;
+}
+
+model_effect program_owner::model_send(active_call const& call) const
+{
+    auto const& program = *book_.find(call.spec.program);
+    model_effect effect;
+    effect.attempt = call.attempt;
+    effect.target = call.target;
+    effect.program = call.spec.program;
+    effect.request = call.spec.request;
+    effect.epoch = owned_.at(program.shard).epoch;
+    effect.model = call.service.model;
+    for (auto const& outcome : program.outcomes)
+    {
+        if (!outcome.in_history)
+            continue;
+        effect.turns.push_back({"user", outcome.input});
+        effect.turns.push_back({"assistant", outcome.output});
+    }
+    effect.turns.push_back({"user", call.spec.input});
+    effect.max_tokens = call.spec.max_tokens;
+    effect.timeout = call.service.call_timeout;
+    effect.deadline = call.deadline;
+    effect.hold = hooks_.hold_for(
+        {call.spec.program, call.service.name, call.spec.next_tool, call.work});
+    return effect;
+}
+
+void program_owner::send(active_call& call, time_point now)
+{
+    auto const* target = find_target(*config_, call.target);
+    bool const in_service =
+        target != nullptr && target->policy == target_policy::in_service;
+    call.stage = call_stage::in_flight;
+    call.attempt = ++last_id_;
+    attempts_[call.attempt] = call.handle;
+    ++call.attempts;
+    if (!in_service || now >= call.deadline)
+    {
+        refusal why;
+        why.code = in_service ? errc::deadline_exceeded : errc::unavailable;
+        why.message = in_service ? "the deadline passed before the send"
+                                 : "the target left service";
+        on_failure(call.attempt, why, now);
+        return;
+    }
+    if (call.service.kind == target_kind::engine)
+    {
+        effects_.push_back(model_send(call));
+        return;
+    }
+    effects_.push_back(plain_effect{
+        call.attempt, call.target, call.spec.program, call.spec.number,
+        call.spec.request, call.spec.input, call.repeatable,
+        call.service.call_timeout, call.deadline});
+}
+
+void program_owner::end_attempt(
+    active_call& call, bool failed, std::uint64_t tokens, time_point now)
+{
+    attempts_.erase(call.attempt);
+    if (call.querying)
+        return;
+    hooks_.ended(
+        {call.target, call.service.name, failed, now - call.sent_at, tokens},
+        now);
+}
+
+void program_owner::on_token(
+    attempt_id attempt, std::uint32_t index, std::string_view text, time_point)
+{
+    auto* call = find_attempt(attempt);
+    if (call == nullptr || index != call->tokens.size() + 1)
+        return;
+    call->tokens.emplace_back(text);
+    for (auto& waiter : call->waiters)
+        stream_tokens(*call, waiter);
+}
+
+void program_owner::on_restart(attempt_id attempt)
+{
+    if (auto* call = find_attempt(attempt))
+        restart_stream(*call);
+}
+
+void program_owner::on_answer(
+    attempt_id attempt, attempt_answer const& answer, time_point now)
+{
+    auto* call = find_attempt(attempt);
+    if (call == nullptr)
+        return;
+    end_attempt(*call, false, answer.tokens, now);
+    call_outcome outcome;
+    outcome.output = answer.output;
+    bool const engine = call->service.kind == target_kind::engine;
+    auto const cost =
+        engine ? answer.prompt_tokens + answer.tokens : call->service.call_cost;
+    outcome.cost = std::min(cost, call->reserved) + call->wasted;
+    outcome.in_history = engine && !call->querying;
+    finish(*call, std::move(outcome), now);
+}
+
+void program_owner::refuse_outcome(
+    active_call& call, errc code, certainty ran, std::uint64_t cost,
+    time_point now)
+{
+    call_outcome outcome;
+    outcome.refused = true;
+    outcome.code = code;
+    outcome.ran = ran;
+    outcome.cost = cost + call.wasted;
+    finish(call, std::move(outcome), now);
+}
+
+void program_owner::finish(active_call& call, call_outcome outcome, time_point)
+{
+    outcome.program = call.spec.program;
+    outcome.number = call.spec.number;
+    outcome.request = call.spec.request;
+    outcome.body_hash = call.hash;
+    outcome.service = call.service.name;
+    outcome.target = call.target;
+    outcome.input = call.spec.input;
+    call.stage = call_stage::committing;
+    call.outcome = outcome;
+    auto const& program = *book_.find(call.spec.program);
+    std::vector<record_body> records{outcome};
+    bool const may_hold = call.service.kind == target_kind::engine &&
+                          !call.target.empty() &&
+                          program.holds.count(call.target) == 0;
+    if (may_hold)
+        records.push_back(hold_taken{call.spec.program, call.target});
+    append(
+        program.shard, std::move(records),
+        [this, handle = call.handle](time_point at)
+        {
+            if (auto* done = find_call(handle))
+                deliver(*done, at);
+        });
+}
+
+void program_owner::deliver(active_call& call, time_point now)
+{
+    auto const program = call.spec.program;
+    auto const answer = stored_answer(call.outcome);
+    auto waiters = std::move(call.waiters);
+    auto const* state = book_.find(program);
+    hooks_.charge(
+        state->created.workspace, state->created.root, call.outcome.cost);
+    last_activity_[program] = now;
+    next_tool_[program] = call.spec.next_tool;
+    erase_call(call.handle);
+    for (auto& waiter : waiters)
+        waiter.sink.done(answer);
+    start_turn(program, now);
+}
+
+void program_owner::give_up(active_call& call, refusal why)
+{
+    auto waiters = std::move(call.waiters);
+    if (call.stage == call_stage::queued)
+        hooks_.remove(call.handle);
+    if (auto* ledger = book_.find_ledger(root_of(call.spec.program)))
+        ledger->cancel(call.reserved + call.wasted);
+    explain(
+        call.spec.program, call.spec.number,
+        "refused " + std::string(to_string(why.code)), why.message);
+    erase_call(call.handle);
+    for (auto& waiter : waiters)
+        waiter.sink.done(why);
+}
+
+void program_owner::withdraw(active_call& call, refusal why)
+{
+    // An intent without a target takes the committed one back: the call
+    // truly did not run, and its number is free again.
+    call.stage = call_stage::committing;
+    append(
+        book_.find(call.spec.program)->shard,
+        {call_intent{
+            call.spec.program, call.spec.number, call.spec.request, call.hash,
+            target_name(), 0}},
+        [this, handle = call.handle, why = std::move(why)](time_point)
+        {
+            if (auto* withdrawn = find_call(handle))
+                give_up(*withdrawn, why);
+        });
+}
+
+void program_owner::on_failure(
+    attempt_id attempt, refusal const& why, time_point now)
+{
+    auto* call = find_attempt(attempt);
+    if (call == nullptr)
+        return;
+    end_attempt(*call, why.code != errc::canceled, 0, now);
+    if (call->querying)
+    {
+        // Also where the target knows nothing of it: a send that was frozen
+        // before it left may still arrive.
+        return refuse_outcome(
+            *call, errc::outcome_unknown, certainty::outcome_unknown,
+            call->reserved, now);
+    }
+    call->failed_at.push_back(call->target);
+    restart_stream(*call);
+    retry_or_end(*call, why, now);
+}
+
+void program_owner::retry_or_end(
+    active_call& call, refusal const& why, time_point now)
+{
+    bool const not_run = why.ran == certainty::not_run;
+    if (!call.repeatable && !not_run)
+    {
+        auto const* target = find_target(*config_, call.target);
+        if (why.ran == certainty::ran)
+        {
+            return refuse_outcome(
+                call, errc::target_failed, certainty::ran, call.reserved, now);
+        }
+        if (target == nullptr || !target->answers_outcome_queries)
+        {
+            return refuse_outcome(
+                call, errc::outcome_unknown, certainty::outcome_unknown,
+                call.reserved, now);
+        }
+        call.querying = true;
+        call.attempt = ++last_id_;
+        attempts_[call.attempt] = call.handle;
+        effects_.push_back(query_effect{
+            call.attempt, call.target, call.spec.program, call.spec.request});
+        return;
+    }
+    if (!not_run)
+    {
+        // Nobody knows what the attempt cost, so it counts in full.
+        call.may_have_run = true;
+        call.wasted += std::exchange(call.reserved, 0);
+    }
+    auto const wait = hooks_.retry(
+        {root_of(call.spec.program), call.target, call.repeatable, why.ran,
+         call.attempts, now, call.deadline, why.retry_after});
+    if (wait && now + *wait < call.deadline)
+    {
+        call.stage = call_stage::backing_off;
+        call.retry_at = now + *wait;
+        timers_.insert({call.retry_at, call.handle});
+        return;
+    }
+    if (call.may_have_run)
+    {
+        return refuse_outcome(
+            call, why.code, certainty::outcome_unknown, 0, now);
+    }
+    if (!call.repeatable)
+        return withdraw(call, why);
+    give_up(call, why);
+}
+
+void program_owner::expire(active_call& call, time_point now)
+{
+    refusal why;
+    why.code = errc::deadline_exceeded;
+    why.message = "the call's deadline passed";
+    switch (call.stage)
+    {
+    case call_stage::committing:
+    case call_stage::intending:
+        return;
+    case call_stage::in_flight:
+        effects_.push_back(cancel_effect{
+            call.attempt, call.target, call.spec.program, call.spec.request});
+        end_attempt(call, true, 0, now);
+        return refuse_outcome(
+            call, why.code, certainty::outcome_unknown, call.reserved, now);
+    case call_stage::waits_turn:
+    case call_stage::drawing:
+    case call_stage::queued:
+    case call_stage::backing_off:
+        break;
+    }
+    if (call.may_have_run)
+    {
+        return refuse_outcome(
+            call, why.code, certainty::outcome_unknown, 0, now);
+    }
+    auto const* program = book_.find(call.spec.program);
+    bool const intended = program->open_intent &&
+                          program->open_intent->request == call.spec.request;
+    if (intended)
+        return withdraw(call, why);
+    give_up(call, why);
+}
+
+void program_owner::drop_calls(
+    program_id const& program, errc code, time_point now)
+{
+    refusal why;
+    why.code = code;
+    why.message = "the program was ended";
+    auto const found = by_program_.find(program);
+    if (found == by_program_.end())
+        return;
+    auto const calls = found->second;
+    for (auto const& entry : calls)
+    {
+        auto& call = calls_.at(entry.second);
+        if (call.stage == call_stage::committing)
+            continue;
+        bool const sent = call.stage == call_stage::in_flight;
+        if (sent)
+        {
+            effects_.push_back(cancel_effect{
+                call.attempt, call.target, call.spec.program,
+                call.spec.request});
+            end_attempt(call, false, 0, now);
+        }
+        if (call.stage == call_stage::intending)
+            hooks_.ended(
+                {call.target, call.service.name, false, duration(0), 0}, now);
+        if (sent || call.may_have_run)
+        {
+            if (call.stage == call_stage::queued)
+                hooks_.remove(call.handle);
+            refuse_outcome(
+                call, code, certainty::outcome_unknown, call.reserved, now);
+        }
+        else
+            give_up(call, why);
+    }
+}
+
+void program_owner::check_timers(time_point now)
+{
+    while (!timers_.empty() && timers_.begin()->first <= now)
+    {
+        auto const handle = timers_.begin()->second;
+        timers_.erase(timers_.begin());
+        auto* call = find_call(handle);
+        if (call == nullptr)
+            continue;
+        if (now >= call->deadline)
+        {
+            if (call->stage == call_stage::queued)
+                hooks_.remove(handle);
+            expire(*call, now);
+        }
+        else if (
+            call->stage == call_stage::backing_off && now >= call->retry_at)
+        {
+            if (call->reserved == 0)
+                draw(*call, now);
+            else
+                enqueue(*call, now);
+        }
+    }
+}
+
+void program_owner::tick(time_point now)
+{
+    if (fenced_)
+        return;
+    check_timers(now);
+    check_abandoned(now);
+    release_unconfirmed(now);
+    hooks_.offer(
+        now, [this, now](call_handle handle) { return dispatch(handle, now); });
+}
+
+program_owner::active_call* program_owner::find_call(call_handle handle)
+{
+    auto const found = calls_.find(handle);
+    return found == calls_.end() ? nullptr : &found->second;
+}
+
+program_owner::active_call*
+program_owner::find_call(program_id const& program, std::uint32_t number)
+{
+    auto const found = by_program_.find(program);
+    if (found == by_program_.end())
+        return nullptr;
+    auto const call = found->second.find(number);
+    return call == found->second.end() ? nullptr : find_call(call->second);
+}
+
+program_owner::active_call* program_owner::find_attempt(attempt_id attempt)
+{
+    auto const found = attempts_.find(attempt);
+    return found == attempts_.end() ? nullptr : find_call(found->second);
+}
+
+void program_owner::erase_call(call_handle handle)
+{
+    auto const found = calls_.find(handle);
+    if (found == calls_.end())
+        return;
+    auto const& call = found->second;
+    timers_.erase({call.deadline, handle});
+    timers_.erase({call.retry_at, handle});
+    auto const program = by_program_.find(call.spec.program);
+    if (program != by_program_.end())
+    {
+        program->second.erase(call.spec.number);
+        if (program->second.empty())
+            by_program_.erase(program);
+    }
+    calls_.erase(found);
+}
+
+} // namespace walnutmill
--- a/src/record.cpp
+++ b/src/record.cpp
@@ -22,6 +22,10 @@
     {
         return {{"k", "slice"}, {"p", r.root.str()}, {"units", r.units}};
     }
+    json operator()(slice_returned const& r) const
+    {
+        return {{"k", "unslice"}, {"p", r.root.str()}, {"units", r.units}};
+    }
     json operator()(call_intent const& r) const
     {
         return {{"k", "intent"},         {"p", r.program.str()},
@@ -114,6 +118,8 @@
     }
     if (kind == "slice")
         return slice_drawn{id_at<program_id>(j, "p"), j.at("units")};
+    if (kind == "unslice")
+        return slice_returned{id_at<program_id>(j, "p"), j.at("units")};
     if (kind == "intent")
     {
         return call_intent{id_at<program_id>(j, "p"),       j.at("n"),
--- a/test/record-test.cpp
+++ b/test/record-test.cpp
@@ -42,7 +42,7 @@
     auto const after = decode_records(bytes);
     REQUIRE(after);
     CHECK(encode_records(after.value()) == bytes);
-    auto const& outcome = std::get<call_outcome>(after.value()[3].body);
+    auto const& outcome = std::get<call_outcome>(after.value()[4].body);
     CHECK(outcome.output == std::string("\0\xff text", 7));
     CHECK(outcome.body_hash == ~std::uint64_t(0));
     CHECK(outcome.ran == certainty::outcome_unknown);
