--- a/include/walnutmill/configuration.hpp
+++ b/include/walnutmill/configuration.hpp
@@ -43,6 +43,11 @@
     std::vector<std::string> models;
     /// Adapters an engine is to have loaded.
     std::vector<std::string> adapters;
+    /// Role an engine is to have; empty leaves it as it is.
+    std::string role;
+    /// The operator's word that a stop may cut off running work; it is cleared
+    /// when the policy leaves stop and expunged.
+    bool stop_now = false;
     /// Whether it refuses an order with an old fencing number.
     bool checks_fencing = false;
     /// Whether it can be asked for the outcome of an idempotency key.
@@ -105,6 +110,9 @@
     std::uint32_t max_queued_calls = 4'096;
     std::uint64_t max_input_bytes = 1 << 20;
     std::uint64_t budget_slice = 20'000;
+    /// Loads from the rate-limited weight store that may run at a time, over
+    /// all nodes.
+    std::uint32_t weight_loads = 2;
     std::chrono::milliseconds program_abandoned_after{1'800'000};
 };
 
