--- a/include/walnutmill/admission.hpp
+++ b/include/walnutmill/admission.hpp
@@ -112,6 +112,9 @@
     /// takes; the greatest keeps a recovered system from standing idle.
     std::chrono::milliseconds least_retry_after{1'000};
     std::chrono::milliseconds greatest_retry_after{60'000};
+    /// How long a program takes, to tell how soon places become free where
+    /// none has ended yet.
+    duration usual_program_time = std::chrono::seconds(60);
     std::uint32_t max_programs = 20'000;
     std::uint32_t max_queued_calls = 4'096;
 };
@@ -154,7 +157,7 @@
     workspace_state& touch(workspace_name const& name, double weight);
     void forget_idle(time_point now);
     double share_of(workspace_state const& workspace) const;
-    double least_rate() const;
+    double free_rate(workspace_state const& workspace) const;
     admission_decision judge(workspace_state const& workspace) const;
     std::chrono::milliseconds next_return(
         workspace_state& workspace, time_point now, random_fn const& random);
--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -59,6 +59,8 @@
     service_name service;
     /// Needed of every target; empty for a plain service.
     std::string model;
+    /// Needed besides the model; may be empty.
+    std::string adapter;
     std::vector<target_name> targets;
 };
 
@@ -72,8 +74,6 @@
 struct placement_request
 {
     service_name service;
-    /// Needed besides the service's model; may be empty.
-    std::string adapter;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_tokens = 0;
     /// Where the program's history and its shared prefix lie. Each is
@@ -188,11 +188,13 @@
     placement(placement const&) = delete;
     placement& operator=(placement const&) = delete;
 
-    /// Sets or replaces the targets of a service. Targets without a report
-    /// are left out until one arrives.
+    /// Sets or replaces the targets of a service: O(targets), for changes of
+    /// the configuration. Targets without a report are left out until one
+    /// arrives.
     void set_pool(placement_pool pool);
     void erase_pool(service_name const& service);
-    /// Takes in a target's configuration and report, as of `now`.
+    /// Takes in a target's configuration and report, as of `now`; also when
+    /// only its policy has changed.
     void on_report(target_view const& view, time_point now);
     /// How many calls the other nodes send for each of this one, from the
     /// rates that they tell each other. What they sent since a report is
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -125,9 +125,7 @@
 std::chrono::milliseconds admission::next_return(
     workspace_state& workspace, time_point now, random_fn const& random)
 {
-    // Places become free at end_rate_; the workspace gets its share of them.
-    double rate = std::max(end_rate_ * share_of(workspace), least_rate());
-    auto step = std::chrono::duration<double>(1.0 / rate);
+    auto step = std::chrono::duration<double>(1.0 / free_rate(workspace));
     workspace.line_end = std::max(workspace.line_end, now);
     workspace.line_end += std::chrono::duration_cast<duration>(step);
     workspace.line_end =
@@ -140,9 +138,12 @@
     return std::max(rounded, options_.least_retry_after);
 }
 
-double admission::least_rate() const
+double admission::free_rate(workspace_state const& workspace) const
 {
-    return 1.0 / seconds_of(options_.greatest_retry_after);
+    // By Little's law, as long as no program has ended.
+    double expected =
+        std::max(1.0, limit_) / seconds_of(options_.usual_program_time);
+    return std::max(end_rate_, expected) * share_of(workspace);
 }
 
 admission_decision admission::decide(
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -202,13 +202,7 @@
 {
     auto const& view = target.state.view();
     auto const& avoid = request.avoid;
-    if (std::find(avoid.begin(), avoid.end(), view.name) != avoid.end())
-        return false;
-    if (request.adapter.empty())
-        return true;
-    auto const& loaded = view.adapters;
-    return std::find(loaded.begin(), loaded.end(), request.adapter) !=
-           loaded.end();
+    return std::find(avoid.begin(), avoid.end(), view.name) == avoid.end();
 }
 
 std::vector<pooled_target*> placement::implementation::candidates(
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -60,7 +60,7 @@
     pooled_target& target, pool_place& place, double peer_ratio)
 {
     leave(target, place);
-    place.available = target.state.available(config_.model);
+    place.available = target.state.available(config_);
     if (!place.available)
         return;
     ++available_;
--- a/src/target_state.cpp
+++ b/src/target_state.cpp
@@ -11,9 +11,11 @@
 
 constexpr std::size_t overdue_calls = 3;
 
-bool contains(std::vector<std::string> const& names, std::string const& name)
+/// Whether the name is loaded, if one is needed at all.
+bool has(std::vector<std::string> const& loaded, std::string const& name)
 {
-    return std::find(names.begin(), names.end(), name) != names.end();
+    return name.empty() ||
+           std::find(loaded.begin(), loaded.end(), name) != loaded.end();
 }
 
 } // namespace
@@ -43,11 +45,12 @@
     }
 }
 
-bool target_state::available(std::string const& model) const
+bool target_state::available(placement_pool const& pool) const
 {
     bool serves = reported_ && !view_.loading &&
                   view_.policy == target_policy::in_service;
-    return serves && (model.empty() || contains(view_.models, model));
+    return serves && has(view_.models, pool.model) &&
+           has(view_.adapters, pool.adapter);
 }
 
 double target_state::load(double peer_ratio) const
--- a/src/target_state.hpp
+++ b/src/target_state.hpp
@@ -35,8 +35,8 @@
     target_view const& view() const noexcept { return view_; }
     bool reported() const noexcept { return reported_; }
 
-    /// Whether it takes calls that need the model (empty: any).
-    bool available(std::string const& model) const;
+    /// Whether it is in service with the model and adapter of the pool.
+    bool available(placement_pool const& pool) const;
     /// Whether a slot is free, as far as is known.
     bool has_room(double peer_ratio) const;
     /// Calls there: the report, own ones, and what others sent since.
