--- /dev/null
+++ b/support/workload.py
@@ -0,0 +1,116 @@
+"""What agent programs do in the proofs."""
+
+import random
+import threading
+import time
+
+import callers
+
+
+def model_call(rng, text="quote the sofa", **options):
+    return callers.call("quote-agents", f"{text} {rng.randrange(1000)}",
+                        model=True, **options)
+
+
+def look_up(rng):
+    return callers.call("depot-app", f"look up crew {rng.randrange(1000)}")
+
+
+def booking(rng):
+    """A call that may not be repeated."""
+    return callers.call("depot-app", f"book crew {rng.randrange(1000)}",
+                        repeatable=False)
+
+
+def mixed_call(rng):
+    kind = rng.random()
+    if kind < 0.5:
+        return model_call(rng, stream=rng.random() < 0.5)
+    return booking(rng) if kind < 0.75 else look_up(rng)
+
+
+def chain(agent, rng, calls=6, pick=mixed_call, pause=0.1):
+    """A chain of calls with tool pauses between them."""
+    agent.create()
+    for _ in range(calls):
+        agent.make(pick(rng))
+        time.sleep(rng.uniform(0.0, pause))
+    agent.end()
+
+
+def with_sub_agent(agent, rng, calls=4, pick=mixed_call):
+    """A chain whose sub-agent does a chain of its own in the middle."""
+    agent.create()
+    agent.make(pick(rng))
+    sub = callers.agent(agent.nodes, agent.record, random.Random(rng.random()),
+                        budget=agent.budget, name=agent.name + "-sub",
+                        patience=agent.patience)
+    sub.create(parent=agent)
+    for _ in range(calls):
+        sub.make(pick(rng))
+    sub.end()
+    agent.make(pick(rng))
+    agent.end()
+
+
+def ahead(agent, rng, rounds=2, burst=4):
+    """Hands in several calls at once, in any order, through any node."""
+    agent.create()
+    for _ in range(rounds):
+        numbers = [agent.next_number() for _ in range(burst)]
+        rng.shuffle(numbers)
+        threads = [threading.Thread(
+            target=agent.make, args=(mixed_call(rng), number))
+            for number in numbers]
+        for thread in threads:
+            thread.start()
+            time.sleep(rng.uniform(0.0, 0.02))
+        for thread in threads:
+            thread.join()
+    agent.end()
+
+
+def endless(agent, rng, most=200):
+    """A program that loops until its budget refuses it, with sub-agents."""
+    agent.create()
+    sub = callers.agent(agent.nodes, agent.record, random.Random(rng.random()),
+                        budget=agent.budget, name=agent.name + "-sub",
+                        patience=agent.patience)
+    sub.create(parent=agent)
+    threads = [threading.Thread(target=loop, args=(each, rng, most))
+               for each in (agent, sub)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def loop(agent, rng, most):
+    for _ in range(most):
+        last = agent.make(model_call(rng, "go on"))
+        if last["result"] != "answer":
+            return
+
+
+class crowd:
+    """Agents that work at the same time; what went wrong is kept."""
+
+    def __init__(self):
+        self.errors = []
+        self.threads = []
+
+    def add(self, script, agent, rng, **options):
+        thread = threading.Thread(
+            target=self.run, args=(script, agent, rng, options))
+        self.threads.append(thread)
+        thread.start()
+
+    def run(self, script, agent, rng, options):
+        try:
+            script(agent, rng, **options)
+        except Exception as error:  # the proof reports it
+            self.errors.append(f"{agent.name}: {error!r}")
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
