--- a/support/callers.py
+++ b/support/callers.py
@@ -182,6 +182,70 @@
         return self.ask("GET", f"/v1/programs/{self.program}", None)
 
 
+class visitor:
+    """Makes plain calls that belong to no program, through every node."""
+
+    def __init__(self, nodes, record, name, service="depot-app",
+                 workspace="corrib", token=harness.CALLER_TOKEN):
+        self.nodes = nodes
+        self.record = record
+        self.name = name
+        self.service = service
+        self.workspace = workspace
+        self.token = token
+        self.count = 0
+
+    def visit(self):
+        """Asks each node once."""
+        for node in self.nodes:
+            self.ask(node)
+
+    def ask(self, node):
+        self.count += 1
+        body = {"request_id": f"{self.name}-{self.count}",
+                "workspace": self.workspace, "input": f"visit {self.count}",
+                "deadline_ms": 3_000}
+        sent = harness.now_us()
+        got = wire.request(node.port, "POST",
+                           f"/v1/services/{self.service}/call", body,
+                           self.token, 5)
+        result, answer = outcome_of(got)
+        self.record.add_attempt({
+            "program": "", "number": 0, "request_id": body["request_id"],
+            "service": self.service, "input": body["input"], "model": False,
+            "repeatable": True, "node": node.name, "sent_us": sent,
+            "ended_us": harness.now_us(), "result": result,
+            "status": got.status, "body": answer, "broken": got.broken,
+            "events": [], "final": True})
+
+
+class operator:
+    """Gives orders through any node until their outcome is known."""
+
+    def __init__(self, nodes, rng, name, patience=PATIENCE):
+        self.nodes = nodes
+        self.rng = rng
+        self.name = name
+        self.patience = patience
+        self.count = 0
+
+    def order(self, text):
+        """Returns (whether it was accepted, when, the last reply)."""
+        self.count += 1
+        body = {"text": text, "command_id": f"{self.name}-{self.count}"}
+        end = time.monotonic() + self.patience
+        while time.monotonic() < end:
+            node = self.rng.choice(self.nodes)
+            got = wire.request(node.port, "POST", "/v1/operate", body,
+                               harness.OPERATOR_TOKEN, 20)
+            if got.status == 200:
+                return True, harness.now_us(), got
+            if got.status and is_final(got):
+                return False, harness.now_us(), got
+            time.sleep(0.1)
+        raise lost(f"order {text!r}")
+
+
 def outcome_of(got):
     """Returns ("answer" | "refusal" | "broken", body)."""
     for event in got.events:
--- a/support/checkers.py
+++ b/support/checkers.py
@@ -308,6 +308,21 @@
             if results.count("accepted") != 1]
 
 
+def gaps_after(attempts, kills):
+    """Seconds from each kill to the next answered call of each program that
+    had calls before and after it."""
+    ends = collections.defaultdict(list)
+    for attempt in answers_of(attempts):
+        ends[attempt["program"]].append(attempt["ended_us"])
+    gaps = []
+    for kill in kills:
+        for times in ends.values():
+            later = [t for t in times if t > kill]
+            if later and min(times) < kill:
+                gaps.append((min(later) - kill) / 1e6)
+    return gaps
+
+
 def median_and_worst(times):
     """Returns (median, worst) of a list, (None, None) when it is empty."""
     if not times:
--- a/support/proofs.py
+++ b/support/proofs.py
@@ -288,6 +288,132 @@
         return everything_holds(running, done, errors)
 
 
+def leaving_target(seed):
+    """A leaving target gets no new work after the stated bound."""
+    rng = random.Random(seed)
+    seconds = LEAVING_BOUND + 6.0
+    with world(engines=3) as running:
+        group = workload.crowd()
+        for i in range(6):
+            own = random.Random(rng.random())
+            group.add(workload.busy, running.agent(own, f"a{i + 1}"), own,
+                      seconds=seconds, pick=pausing)
+        struck = [faults.kill, faults.freeze, faults.table_slow,
+                  faults.cut_table]
+        with faults.injector(running, random.Random(rng.random()), struck,
+                             rounds=2) as harm:
+            time.sleep(rng.uniform(0.3, 1.0))
+            ordered = callers.operator(running.nodes, rng, "operator")
+            accepted, at, got = ordered.order('drain e1 reason "proof"')
+            harm.thread.join()
+        group.join()
+        seen = running.executions()
+        wrong = checkers.leaving_target(seen, "e1", at,
+                                        LEAVING_BOUND * 1_000_000)
+        wrong += checkers.complete(running.record.attempts)
+        if not accepted:
+            wrong.append(f"the order was refused: {got.body}")
+        mine = [e["at_us"] for e in seen
+                if e["target"] == "e1" and e["kind"] == "generate"]
+        if not mine:
+            wrong.append("e1 had no work before: nothing was tested")
+        last = max([0.0] + [(start - at) / 1e6 for start in mine])
+        return verdict(harm.done + ["drain"],
+                       f"last start {last:.2f} s after the order, "
+                       + counted(running, seen), group.errors + wrong)
+
+
+def race(running, rng, version, targets):
+    """Two operators change the same version at once, through any node.
+
+    Returns [(accepted, at_us, target)] of both.
+    """
+    results = []
+
+    def change(target):
+        ordered = callers.operator(running.nodes, random.Random(target),
+                                   f"operator-{target}")
+        accepted, at, _ = ordered.order(
+            f"alter service depot-app set targets={target} "
+            f"at version {version}")
+        results.append((accepted, at, target))
+    threads = [threading.Thread(target=change, args=(t,)) for t in targets]
+    rng.shuffle(threads)
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def configuration(seed):
+    """An accepted configuration is in force everywhere and never reverts."""
+    rng = random.Random(seed)
+    with world(services=5, one_service_each=True) as running:
+        group = workload.crowd()
+        for i in range(2):
+            own = random.Random(rng.random())
+            guest = callers.visitor(running.nodes, running.record, f"v{i + 1}")
+            group.add(workload.visiting, guest, own,
+                      seconds=2 * CONFIGURATION_BOUND + 6)
+        accepted, outcomes = [(0, "s1")], {}
+        struck = [faults.kill, faults.freeze, faults.table_loses_answers,
+                  faults.cut_table]
+        with faults.injector(running, random.Random(rng.random()), struck,
+                             rounds=3) as harm:
+            for version, pair in ((1, ("s2", "s3")), (2, ("s4", "s5"))):
+                results = race(running, rng, version, pair)
+                outcomes[version] = ["accepted" if r[0] else "refused"
+                                     for r in results]
+                accepted += [(at, target) for won, at, target in results
+                             if won]
+                time.sleep(CONFIGURATION_BOUND + 1.0)
+            harm.thread.join()
+        group.join()
+        seen = running.executions()
+        wrong = checkers.one_winner(outcomes)
+        wrong += checkers.configuration(seen, accepted,
+                                        CONFIGURATION_BOUND * 1_000_000)
+        runs = sum(e["kind"] == "run" for e in seen)
+        return verdict(harm.done + ["racing operators"],
+                       f"{runs} plain calls, {len(accepted) - 1} changes",
+                       group.errors + wrong)
+
+
+def recovery(seed):
+    """Times from a kill to the next answered call of each program."""
+    rng = random.Random(seed)
+    with world() as running:
+        lease = running.node_options["lease_ms"] / 1_000
+        group = workload.crowd()
+        for i in range(24):
+            own = random.Random(rng.random())
+            group.add(workload.chain, running.agent(own, f"a{i + 1}"), own,
+                      calls=120, pause=0.2, pick=workload.look_up)
+        kills = []
+        for _ in range(3):
+            time.sleep(rng.uniform(1.0, 2.0))
+            struck = rng.choice(running.nodes)
+            struck.process.kill()
+            kills.append(harness.now_us())
+            time.sleep(2.5 * lease)
+            struck.start()
+            struck.wait_ready()
+        group.join()
+        gaps = checkers.gaps_after(running.record.attempts, kills)
+        hit = [g for g in gaps if g > lease / 2]
+        middle, worst = checkers.median_and_worst(hit)
+        wrong = checkers.complete(running.record.attempts)
+        if not hit:
+            return verdict(["kill"] * 3, "nothing",
+                           wrong + ["no program lost its owner"])
+        return verdict(
+            ["kill"] * 3,
+            f"lease {lease:.1f} s, {len(hit)} of {len(gaps)} waits longer "
+            f"than half a lease: median {middle:.2f} s, worst {worst:.2f} s",
+            group.errors + wrong)
+
+
 def everything_holds(running, done, errors, allowed=UNKNOWN):
     """All checks that need no staging of their own."""
     seen = running.executions()
@@ -307,5 +433,6 @@
     "order": order, "history": history, "at-most-once": at_most_once,
     "not-run": not_run, "whole-answer": whole_answer, "budget": budget,
     "holds-released": holds_released, "planned-stop": planned_stop,
+    "leaving-target": leaving_target, "configuration": configuration,
     "rolling": rolling, "zone": zone, "outage": outage,
-    "everything": everything}
+    "everything": everything, "recovery": recovery}
--- a/support/workload.py
+++ b/support/workload.py
@@ -92,6 +92,25 @@
             return
 
 
+def busy(agent, rng, seconds, pick=mixed_call, pause=0.02):
+    """Programs one after the other until the time is up."""
+    end = time.monotonic() + seconds
+    name = agent.name
+    count = 0
+    while time.monotonic() < end:
+        count += 1
+        agent.name, agent.number = f"{name}-{count}", 0
+        chain(agent, rng, pick=pick, pause=pause)
+
+
+def visiting(visitor, rng, seconds):
+    """Plain calls through every node until the time is up."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        visitor.visit()
+        time.sleep(rng.uniform(0.0, 0.1))
+
+
 class crowd:
     """Agents that work at the same time; what went wrong is kept."""
 
--- a/test/checkers_test.py
+++ b/test/checkers_test.py
@@ -282,5 +282,14 @@
         self.bad(checkers.one_winner({2: ["refused"] * 2}), "0 accepted")
 
 
+class recovery_test(checker_case):
+    def test_gap_runs_from_kill_to_next_answer(self):
+        tries = [attempt(1), attempt(2, 1_000_000), attempt(3, 3_000_000)]
+        gaps = checkers.gaps_after(tries, [500_000])
+        self.assertEqual(gaps, [0.50005])
+        self.assertEqual(checkers.median_and_worst([3, 1, 2]), (2, 3))
+        self.assertEqual(checkers.median_and_worst([]), (None, None))
+
+
 if __name__ == "__main__":
     unittest.main()
