--- a/src/journal_duty.cpp
+++ b/src/journal_duty.cpp
@@ -99,6 +99,10 @@
         if (!stopping_ && time_to_wait(log).count() == 0)
             step(log);
     }
+    // What was handed in too late hears that it is lost, too.
+    ring_.close();
+    for (auto& work : ring_.take_all(duration(0)))
+        work(log);
     for (auto& entry : promises_)
         entry.second->set_value(exclusive_status::lost);
     promises_.clear();
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -166,6 +166,13 @@
         append(shard, std::move(records), [](time_point) {});
 }
 
+void program_owner::set_moving(shard_number shard, bool moving)
+{
+    auto const found = owned_.find(shard);
+    if (found != owned_.end())
+        found->second.moving = moving;
+}
+
 bool program_owner::owns(shard_number shard) const
 {
     return owned_.count(shard) != 0;
@@ -184,6 +191,12 @@
     return true;
 }
 
+std::size_t program_owner::records_since_load(shard_number shard) const
+{
+    auto const found = owned_.find(shard);
+    return found == owned_.end() ? 0 : found->second.records;
+}
+
 std::vector<journal_record>
 program_owner::snapshot(shard_number shard, time_point now) const
 {
@@ -227,7 +240,7 @@
     caller_request const& request, answer_sink sink, time_point now)
 {
     auto const shard = shard_of(root_of(program_of(request)), shards_);
-    if (fenced_ || !owns(shard))
+    if (fenced_ || !owns(shard) || owned_.at(shard).moving)
         return sink.done(come_back(errc::unavailable, "the program is moving"));
     if (auto const* r = std::get_if<create_request>(&request))
         return create(*r, std::move(sink), now);
@@ -683,6 +696,7 @@
     if (shard == owned_.end())
         return;
     --shard->second.commits;
+    shard->second.records += pending.records.size();
     for (auto const& record : pending.records)
     {
         if (auto const* outcome = std::get_if<call_outcome>(&record.body))
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -155,9 +155,13 @@
     void drop_shard(shard_number shard, time_point now);
     /// Returns unused units to the budgets of a shard, before a hand-over.
     void return_slices(shard_number shard);
+    /// While a shard moves, its new requests are told to come back.
+    void set_moving(shard_number shard, bool moving);
     bool owns(shard_number shard) const;
     /// No calls of the shard are under way and nothing waits for a commit.
     bool quiet(shard_number shard) const;
+    /// Records committed for the shard since it was loaded.
+    std::size_t records_since_load(shard_number shard) const;
     /// Records that rebuild the shard as committed now.
     std::vector<journal_record>
     snapshot(shard_number shard, time_point now) const;
@@ -249,7 +253,10 @@
     struct shard_entry
     {
         epoch_number epoch = 0;
+        /// Appends that wait for the table.
         std::size_t commits = 0;
+        std::size_t records = 0;
+        bool moving = false;
     };
 
     /// A release that the target has not confirmed yet.
--- a/test/record-test.cpp
+++ b/test/record-test.cpp
@@ -24,6 +24,7 @@
              program_id("p1"), program_id(), program_id("p1"),
              workspace_name("bern"), 900, request_id("r0")}},
         {1, 2, slice_drawn{program_id("p1"), 50}},
+        {1, 2, slice_returned{program_id("p1"), 9}},
         {1, 2,
          call_intent{
              program_id("p1"), 3, request_id("r3"), 7, target_name("van"), 20}},
