Name calls towards targets by program and request id

Callers choose request ids per program, yet engines and services were given the bare id as the idempotency key: four programs whose first call was named call-1 shared one generation, and an outcome query could tell another program's outcome.

--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -112,7 +112,8 @@
     attempts_[added.attempt] = handle;
     timers_.insert({added.deadline, handle});
     effects_.push_back(query_effect{
-        added.attempt, intent.target, intent.program, intent.request});
+        added.attempt, intent.target, intent.program,
+        target_key(intent.program, intent.request)});
 }
 
 void program_owner::drop_shard(shard_number shard, time_point now)
@@ -136,7 +137,7 @@
         {
             effects_.push_back(cancel_effect{
                 call.attempt, call.target, call.spec.program,
-                call.spec.request});
+                target_key(call.spec.program, call.spec.request)});
             end_attempt(call, false, 0, now);
         }
         give_up(call, why);
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -34,6 +34,10 @@
 namespace walnutmill
 {
 
+/// What names a call towards targets. Callers number their requests per
+/// program, so a request id alone would mix two programs up.
+request_id target_key(program_id const& program, request_id const& request);
+
 /// Names one attempt of a call at a target.
 using attempt_id = std::uint64_t;
 
--- a/src/program_owner_calls.cpp
+++ b/src/program_owner_calls.cpp
@@ -19,6 +19,11 @@
 
 } // namespace
 
+request_id target_key(program_id const& program, request_id const& request)
+{
+    return request_id(program.str() + '/' + request.str());
+}
+
 void program_owner::call(
     call_request const& r, answer_sink sink, time_point now)
 {
@@ -212,7 +217,7 @@
     effect.attempt = call.attempt;
     effect.target = call.target;
     effect.program = call.spec.program;
-    effect.request = call.spec.request;
+    effect.request = target_key(call.spec.program, call.spec.request);
     effect.epoch = owned_.at(program.shard).epoch;
     effect.model = call.service.model;
     for (auto const& outcome : program.outcomes)
@@ -256,8 +261,8 @@
     }
     effects_.push_back(plain_effect{
         call.attempt, call.target, call.spec.program, call.spec.number,
-        call.spec.request, call.spec.input, call.repeatable,
-        call.service.call_timeout, call.deadline});
+        target_key(call.spec.program, call.spec.request), call.spec.input,
+        call.repeatable, call.service.call_timeout, call.deadline});
 }
 
 void program_owner::end_attempt(
@@ -434,7 +439,8 @@
         call.attempt = ++last_id_;
         attempts_[call.attempt] = call.handle;
         effects_.push_back(query_effect{
-            call.attempt, call.target, call.spec.program, call.spec.request});
+            call.attempt, call.target, call.spec.program,
+            target_key(call.spec.program, call.spec.request)});
         return;
     }
     if (!not_run)
@@ -475,7 +481,8 @@
         return;
     case call_stage::in_flight:
         effects_.push_back(cancel_effect{
-            call.attempt, call.target, call.spec.program, call.spec.request});
+            call.attempt, call.target, call.spec.program,
+            target_key(call.spec.program, call.spec.request)});
         end_attempt(call, true, 0, now);
         return refuse_outcome(
             call, why.code, certainty::outcome_unknown, call.reserved, now);
@@ -518,7 +525,7 @@
         {
             effects_.push_back(cancel_effect{
                 call.attempt, call.target, call.spec.program,
-                call.spec.request});
+                target_key(call.spec.program, call.spec.request)});
             end_attempt(call, false, 0, now);
         }
         if (call.stage == call_stage::intending)
