--- a/support/world.py
+++ b/support/world.py
@@ -86,8 +86,7 @@
         path = harness.write_json(
             self.directory / "configuration.json", self.configuration())
         subprocess.run(
-            [harness.NODE, "init", "--table-url", self.table.url,
-             "--object-url", self.objects.url, path],
+            [harness.NODE, "init", "--table-url", self.table.url, path],
             check=True, stdout=subprocess.DEVNULL)
 
     def configuration(self):
