Run programs until all faults have struck, keep failed histories

Each thread now runs programs until the faults are over, and a failed proof keeps its logs and recorded history.

--- a/support/callers.py
+++ b/support/callers.py
@@ -158,7 +158,9 @@
             got = wire.request(node.port, "POST", path, body, self.token,
                                ATTEMPT_TIMEOUT)
         result, answer = outcome_of(got)
-        unknown = result == "refusal" and got.status == 404 and bool(events)
+        # The new owner does not know the call: it has to be made again.
+        unknown = (result == "refusal" and bool(events) and
+                   answer["error"]["code"] == "not_found")
         return {
             "program": self.program, "number": number,
             "request_id": body["request_id"], "service": wanted.service,
@@ -167,7 +169,6 @@
             "sent_us": sent, "ended_us": harness.now_us(),
             "result": result, "status": got.status, "body": answer,
             "broken": got.broken, "pause": pause_of(got),
-            # The call is not known there: it has to be made again.
             "events": [] if unknown else events + got.events,
             "final": not unknown and (result == "answer" or (
                 result == "refusal" and not retry_after_ms(got)))}
--- a/support/demo.py
+++ b/support/demo.py
@@ -1,6 +1,7 @@
 """The programs of support/demo and the count at their end."""
 
 import random
+import shutil
 import sys
 import threading
 import time
@@ -139,7 +140,10 @@
             shown.script.say("machine", f"node {node.name} in {node.zone} "
                              f"serves on port {node.port}")
         shown.run()
-        return 0 if shown.count() else 1
+        passed = shown.count()
+    if passed:
+        shutil.rmtree(running.directory, ignore_errors=True)
+    return 0 if passed else 1
 
 
 if __name__ == "__main__":
--- a/support/faults.py
+++ b/support/faults.py
@@ -158,6 +158,10 @@
         self.stopping.set()
         self.thread.join()
 
+    def over(self):
+        """Whether all faults have struck and are healed."""
+        return not self.thread.is_alive()
+
     def run(self):
         try:
             for _ in range(self.rounds):
--- a/support/proofs.py
+++ b/support/proofs.py
@@ -33,16 +33,16 @@
 
 def storm(running, rng, script, struck, agents=6, rounds=3, pairs=False,
           budget=100_000, **options):
-    """Runs agents while faults strike. Returns (faults injected, errors)."""
+    """Runs programs, one after the other in each of some threads, until all
+    faults have struck. Returns (faults injected, errors)."""
     group = workload.crowd()
     with faults.injector(running, random.Random(rng.random()), struck,
                          rounds, pairs=pairs) as harm:
         for i in range(agents):
             own = random.Random(rng.random())
-            agent = running.agent(own, f"a{i + 1}", budget=budget)
-            group.add(script, agent, own, **options)
-        # All faults strike, also when the agents are quick.
-        harm.thread.join()
+            group.add(workload.until_over, running, own, name=f"a{i + 1}",
+                      script=script, over=harm.over, budget=budget,
+                      options=options)
         group.join()
     errors = list(group.errors)
     if harm.error:
@@ -291,13 +291,17 @@
 def leaving_target(seed):
     """A leaving target gets no new work after the stated bound."""
     rng = random.Random(seed)
-    seconds = LEAVING_BOUND + 6.0
+    end = time.monotonic() + LEAVING_BOUND + 8.0
+
+    def over():
+        return time.monotonic() > end
     with world(engines=3) as running:
         group = workload.crowd()
         for i in range(6):
             own = random.Random(rng.random())
-            group.add(workload.busy, running.agent(own, f"a{i + 1}"), own,
-                      seconds=seconds, pick=pausing)
+            group.add(workload.until_over, running, own, name=f"a{i + 1}",
+                      script=workload.chain, over=over, budget=100_000,
+                      options={"pick": pausing, "pause": 0.02})
         struck = [faults.kill, faults.freeze, faults.table_slow,
                   faults.cut_table]
         with faults.injector(running, random.Random(rng.random()), struck,
--- a/support/workload.py
+++ b/support/workload.py
@@ -92,15 +92,13 @@
             return
 
 
-def busy(agent, rng, seconds, pick=mixed_call, pause=0.02):
-    """Programs one after the other until the time is up."""
-    end = time.monotonic() + seconds
-    name = agent.name
+def until_over(running, rng, name, script, over, budget, options):
+    """Runs programs one after the other, at least one, until it is over."""
     count = 0
-    while time.monotonic() < end:
+    while count == 0 or not over():
         count += 1
-        agent.name, agent.number = f"{name}-{count}", 0
-        chain(agent, rng, pick=pick, pause=pause)
+        agent = running.agent(rng, f"{name}-{count}", budget=budget)
+        script(agent, rng, **options)
 
 
 def visiting(visitor, rng, seconds):
@@ -118,17 +116,17 @@
         self.errors = []
         self.threads = []
 
-    def add(self, script, agent, rng, **options):
+    def add(self, task, actor, rng, **options):
         thread = threading.Thread(
-            target=self.run, args=(script, agent, rng, options))
+            target=self.run, args=(task, actor, rng, options))
         self.threads.append(thread)
         thread.start()
 
-    def run(self, script, agent, rng, options):
+    def run(self, task, actor, rng, options):
         try:
-            script(agent, rng, **options)
+            task(actor, rng, **options)
         except Exception as error:  # the proof reports it
-            self.errors.append(f"{agent.name}: {error!r}")
+            self.errors.append(repr(error))
 
     def join(self):
         for thread in self.threads:
--- a/support/world.py
+++ b/support/world.py
@@ -17,6 +17,10 @@
     "gossip_interval_ms": 100, "log_level": "info"}
 
 
+# Of all worlds that this process made.
+DIRECTORIES = []
+
+
 class world:
     """Nodes n1.., engines e1.., services s1.., and the platform.
 
@@ -26,9 +30,10 @@
 
     def __init__(self, nodes=3, engines=2, services=1, engine_options=(),
                  service_options=(), limits=None, node_options=None,
-                 one_service_each=False, kept_log=None):
-        self.directory = pathlib.Path(
-            kept_log or tempfile.mkdtemp(prefix="walnutmill-"))
+                 one_service_each=False):
+        # Logs and the recorded history; the caller removes it if it likes.
+        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="walnutmill-"))
+        DIRECTORIES.append(self.directory)
         self.counts = (nodes, engines, services)
         self.engine_options = list(engine_options)
         self.service_options = list(service_options)
@@ -49,7 +54,17 @@
         return self
 
     def __exit__(self, *_):
-        self.stop()
+        try:
+            self.write_history()
+        finally:
+            self.stop()
+
+    def write_history(self):
+        """Keeps what was recorded beside the logs, to read after a failure."""
+        harness.write_json(self.directory / "history.json", {
+            "attempts": self.record.attempts,
+            "programs": self.record.programs,
+            "executions": self.executions()})
 
     def start(self):
         nodes, engines, services = self.counts
