Let the last node stop, and mend what the linter found

Cause: a planned stop waited its whole limit (60 s) when no node was left to take the shards; seen by stopping three nodes in turn. Change: shards without a taker stay, once no call is under way and every record is committed; parameters by reference where the linter asked for it.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -17,7 +17,6 @@
 using web::http::http_response;
 using web::http::status_codes;
 using web::http::experimental::listener::http_listener;
-using web::http::experimental::listener::http_listener_config;
 using path_parts = std::vector<std::string>;
 
 constexpr std::size_t derived_id_digits = 32;
@@ -83,7 +82,8 @@
     {
     }
 
-    void start(http_request const& request, std::function<void()> finished)
+    void
+    start(http_request const& request, std::function<void()> const& finished)
     {
         http_response response(status_codes::OK);
         response.headers().set_content_type("text/event-stream");
@@ -165,8 +165,8 @@
             "http://" + options_.address + ":" + std::to_string(options_.port);
         listener_ = std::make_unique<http_listener>(address);
         auto const self = shared_from_this();
-        listener_->support([self](http_request request)
-                           { self->handle(std::move(request)); });
+        listener_->support([self](http_request const& request)
+                           { self->handle(request); });
         try
         {
             listener_->open().get();
@@ -209,7 +209,7 @@
     };
     using guard_ptr = std::shared_ptr<guard>;
 
-    void handle(http_request request)
+    void handle(http_request const& request)
     {
         counters_.count("walnutmill_http_requests_total");
         auto const open = std::make_shared<guard>(*this);
@@ -275,7 +275,7 @@
         return true;
     }
 
-    result<principal> authorize(http_request const& request)
+    result<principal> authorize(http_request const& request) const
     {
         constexpr std::string_view scheme = "Bearer ";
         auto const header = request.headers().find("Authorization");
@@ -486,22 +486,21 @@
 
     void send(
         http_request const& request, guard_ptr const& open,
-        http_response response)
+        http_response const& response)
     {
-        request.reply(std::move(response))
-            .then(
-                [open](pplx::task<void> const& sent)
+        request.reply(response).then(
+            [open](pplx::task<void> const& sent)
+            {
+                try
                 {
-                    try
-                    {
-                        sent.get();
-                    }
-                    catch (std::exception const&)
-                    {
-                        // The caller went away; it can fetch the answer.
-                        return;
-                    }
-                });
+                    sent.get();
+                }
+                catch (std::exception const&)
+                {
+                    // The caller went away; it can fetch the answer.
+                    return;
+                }
+            });
     }
 
     caller_server_options options_;
--- a/src/caller_types.cpp
+++ b/src/caller_types.cpp
@@ -161,13 +161,18 @@
 
 json answer_json(call_answer const& a)
 {
-    return {
-        {"program", a.program.str()},
-        {"number", a.number},
+    json j = {
         {"request_id", a.request.str()},
         {"output", a.output},
         {"cost", a.cost},
         {"target", a.target.str()}};
+    // A direct call belongs to no program.
+    if (!a.program.empty())
+    {
+        j["program"] = a.program.str();
+        j["number"] = a.number;
+    }
+    return j;
 }
 
 json answer_json(program_view const& v)
--- a/src/direct_call.cpp
+++ b/src/direct_call.cpp
@@ -130,7 +130,7 @@
             { failed(call, why, now); });
     };
     auto const* to = find_target(*call->config, target);
-    targets_.run(to->address, work, std::move(hooks));
+    targets_.run(to->address, work, hooks);
 }
 
 void direct_caller::failed(attempt_ptr const& call, refusal why, time_point now)
--- a/src/forwarding.cpp
+++ b/src/forwarding.cpp
@@ -193,7 +193,7 @@
     }
 }
 
-void forwarding::serve(std::string_view body, peer_responder responder)
+void forwarding::serve(std::string_view body, peer_responder const& responder)
 {
     auto request = decode_request(body);
     forward_reply refused;
--- a/src/forwarding.hpp
+++ b/src/forwarding.hpp
@@ -47,7 +47,7 @@
     /// Takes a request from a caller of this node.
     void submit(caller_request request, answer_sink sink);
     /// Takes a request that another node forwarded.
-    void serve(std::string_view body, peer_responder responder);
+    void serve(std::string_view body, peer_responder const& responder);
 
 private:
     struct journey
--- a/src/journal.hpp
+++ b/src/journal.hpp
@@ -56,7 +56,7 @@
 public:
     /// Largest number of record bytes in one commit, encoded; more wait for
     /// the next. Rows of table services are commonly bounded near this.
-    static constexpr std::size_t max_batch_bytes = 256 * 1024;
+    static constexpr std::size_t max_batch_bytes = 256 * std::size_t(1024);
 
     /// \param opened the session's row as it stands in the table
     explicit journal(session_state opened);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -88,7 +88,7 @@
             [this](std::string_view body, peer_responder responder)
             {
                 if (auto* forward = forwarding_ptr_.load())
-                    return forward->serve(body, std::move(responder));
+                    return forward->serve(body, responder);
                 responder.reply(encode_reply({true, refusal{}}));
             });
         hub_.on_note(
@@ -277,9 +277,7 @@
         auto const until = clock_() + duration(settings_.stop_limit);
         for (;;)
         {
-            bool const done =
-                ownership_->owned() == 0 && server_->in_flight() == 0;
-            if (done)
+            if (handed_over() && server_->in_flight() == 0)
                 break;
             if (clock_() > until || stop_signals > 1 || journal_->fenced())
                 return cut_off();
@@ -290,6 +288,19 @@
         return session_end::stopped;
     }
 
+    /// Whether this node owes nobody anything: its shards went to others, or
+    /// nobody is left to take them and nothing is under way.
+    bool handed_over()
+    {
+        if (ownership_->owned() == 0)
+            return true;
+        if (!serving_sessions(routes_.get()->sessions).empty())
+            return false;
+        return owner_->ask([](program_owner& owner)
+                           { return owner.figures().calls == 0; }) &&
+               journal_->backlog() == 0;
+    }
+
     session_end cut_off()
     {
         auto const figures = owner_->figures();
@@ -302,7 +313,7 @@
     }
 
     /// Fences the own session, so that nobody has to wait for its lease.
-    void close_session()
+    void close_session() const
     {
         auto const key = session_key(session_.id);
         auto const row = table_.read({key});
--- a/src/owner_duty.cpp
+++ b/src/owner_duty.cpp
@@ -67,7 +67,8 @@
     done(why);
 }
 
-void owner_duty::set_configuration(std::shared_ptr<configuration const> config)
+void owner_duty::set_configuration(
+    std::shared_ptr<configuration const> const& config)
 {
     post(
         [this, config](program_owner& owner, time_point)
@@ -158,7 +159,7 @@
     return find_target(*config_, name);
 }
 
-void owner_duty::fail(attempt_id attempt, refusal why)
+void owner_duty::fail(attempt_id attempt, refusal const& why)
 {
     // On the owner's own thread: the ring may be full, so it is not used.
     owner_.on_failure(attempt, why, options_.clock());
--- a/src/owner_duty.hpp
+++ b/src/owner_duty.hpp
@@ -67,7 +67,7 @@
     /// Hands a caller's request in, or refuses it when the duty is too busy
     /// or the table has been out of reach for too long.
     void submit(caller_request request, answer_sink sink);
-    void set_configuration(std::shared_ptr<configuration const> config);
+    void set_configuration(std::shared_ptr<configuration const> const& config);
     void on_committed(std::vector<committed_append> done);
 
     /// \return the value of `read`, computed on the owner's thread.
@@ -94,7 +94,7 @@
     target_config const* target(target_name const& name) const;
     /// The last check before a send that must not come from a stale owner.
     std::optional<refusal> last_check() const;
-    void fail(attempt_id attempt, refusal why);
+    void fail(attempt_id attempt, refusal const& why);
 
     owner_duty_options options_;
     owner_duty_hooks hooks_;
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -502,7 +502,8 @@
     return found != by_program_.end() && !found->second.empty();
 }
 
-void program_owner::end(end_request const& r, answer_sink sink, time_point now)
+void program_owner::end(
+    end_request const& r, answer_sink const& sink, time_point now)
 {
     auto const found = visible(r.program, r.workspace);
     if (!found)
@@ -514,7 +515,7 @@
         return sink.done(refuse(errc::conflict, "calls are under way"));
     end_program(
         program, r.reason,
-        [this, sink = std::move(sink), id = r.program](time_point)
+        [this, sink, id = r.program](time_point)
         { sink.done(caller_answer(view_of(*book_.find(id)))); },
         now);
 }
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -277,7 +277,7 @@
     void create(create_request const& r, answer_sink sink, time_point now);
     void call(call_request const& r, answer_sink sink, time_point now);
     void fetch(fetch_request const& r, answer_sink sink);
-    void end(end_request const& r, answer_sink sink, time_point now);
+    void end(end_request const& r, answer_sink const& sink, time_point now);
     void view(view_request const& r, answer_sink sink);
 
     std::optional<refusal>
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -14,7 +14,6 @@
 
 using nlohmann::json;
 using web::http::http_exception;
-using web::http::http_request;
 using web::http::http_response;
 using web::http::client::http_client;
 using web::http::client::http_client_config;
@@ -107,8 +106,8 @@
 class event_reader : public std::enable_shared_from_this<event_reader>
 {
 public:
-    event_reader(concurrency::streams::istream body, attempt_hooks hooks)
-        : body_(std::move(body)), hooks_(std::move(hooks))
+    event_reader(concurrency::streams::istream const& body, attempt_hooks hooks)
+        : body_(body), hooks_(std::move(hooks))
     {
     }
 
@@ -143,7 +142,7 @@
         }
     }
 
-    void fail(std::string message)
+    void fail(std::string message) const
     {
         hooks_.failure(failed(
             errc::target_failed, certainty::outcome_unknown,
@@ -231,7 +230,8 @@
 }
 
 void target_client::generate(
-    std::string const& address, model_effect const& work, attempt_hooks hooks)
+    std::string const& address, model_effect const& work,
+    attempt_hooks const& hooks)
 {
     impl_->post(address, "/v1/generate", generate_body(work), work.timeout)
         .then(
@@ -277,7 +277,8 @@
 } // namespace
 
 void target_client::run(
-    std::string const& address, plain_effect const& work, attempt_hooks hooks)
+    std::string const& address, plain_effect const& work,
+    attempt_hooks const& hooks)
 {
     json const body = {
         {"request", work.request.str()},
@@ -290,7 +291,8 @@
 }
 
 void target_client::query(
-    std::string const& address, query_effect const& work, attempt_hooks hooks)
+    std::string const& address, query_effect const& work,
+    attempt_hooks const& hooks)
 {
     auto const path = web::uri::encode_uri("/run/" + work.request.str());
     impl_->client(address, short_timeout)
@@ -322,7 +324,7 @@
 
 void target_client::release(
     std::string const& address, program_id const& program,
-    std::function<void(bool)> done)
+    std::function<void(bool)> const& done)
 {
     impl_
         ->post(
--- a/src/target_client.hpp
+++ b/src/target_client.hpp
@@ -36,20 +36,20 @@
 
     void generate(
         std::string const& address, model_effect const& work,
-        attempt_hooks hooks);
+        attempt_hooks const& hooks);
     void
     run(std::string const& address, plain_effect const& work,
-        attempt_hooks hooks);
+        attempt_hooks const& hooks);
     /// Asks for the outcome of a request; not found is a failure `not_run`.
     void query(
         std::string const& address, query_effect const& work,
-        attempt_hooks hooks);
+        attempt_hooks const& hooks);
     /// Tells an engine to stop; errors are ignored, the deadline ends it too.
     void cancel(std::string const& address, request_id const& request);
     /// Drops a program's memory. \param done told whether it is confirmed
     void release(
         std::string const& address, program_id const& program,
-        std::function<void(bool)> done);
+        std::function<void(bool)> const& done);
 
 private:
     class implementation;
