Let calls wait for the engine that holds their history

Under overload every history was prefilled again and again: placement passed over a full engine and took any other with room, and in a full system that is nearly always so. The test that asked for another engine at once stated what proved wrong; it now asks for the wait, its end, and no wait for a leaving engine.

--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -83,6 +83,8 @@
     std::vector<target_name> avoid;
     /// A call that may not be repeated is not used as a probe.
     bool repeatable = true;
+    /// How long it has waited for a target.
+    duration waited{0};
 };
 
 enum class placement_reason
@@ -96,7 +98,10 @@
     /// No target: the service has none in service with model and adapter.
     none_available,
     /// No target: all that could serve it are full, as far as is known.
-    all_full
+    all_full,
+    /// No target: the one that has its history is full, and waiting for it
+    /// costs less than prefilling elsewhere.
+    awaits_cache
 };
 std::string_view to_string(placement_reason reason);
 
@@ -136,6 +141,10 @@
     double base_seconds = 0.02;
     double prefill_seconds = 0.0002;
     double decode_seconds = 0.02;
+    /// Seconds that a call waits for the target that has its history, for
+    /// each second of prefill that this saves (delay scheduling; Zaharia
+    /// 2010). More than one, since a prefill holds up the whole batch.
+    double affinity_patience = 10.0;
     /// How much a full batch lengthens a call, against an empty engine.
     double batch_slowdown = 0.5;
     /// A target is an outlier when its latency is this many times that of
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -44,6 +44,8 @@
         return "none_available";
     case placement_reason::all_full:
         return "all_full";
+    case placement_reason::awaits_cache:
+        return "awaits_cache";
     }
     return "none_available";
 }
@@ -74,6 +76,8 @@
     void add_cached(
         candidate_list& chosen, target_pool const& pool,
         placement_request const& request) const;
+    bool awaits_cache(
+        target_pool const& pool, placement_request const& request) const;
     double cost_of(
         pooled_target const& target, target_pool const& pool,
         placement_request const& request) const;
@@ -129,6 +133,35 @@
     return chosen;
 }
 
+bool placement::implementation::awaits_cache(
+    target_pool const& pool, placement_request const& request) const
+{
+    double const waited = std::chrono::duration<double>(request.waited).count();
+    bool awaits = false;
+    for (auto const& location : request.cached)
+    {
+        auto const* found = targets_.find(location.target);
+        if (!found)
+            continue;
+        auto const& target = *found;
+        bool const usable = target.state.health() == target_health::healthy &&
+                            target.state.available(pool.config()) &&
+                            fits(target, request);
+        double const saved = location.tokens * options_.prefill_seconds;
+        if (!usable || waited >= options_.affinity_patience * saved)
+            continue;
+        for (auto const& place : target.places)
+        {
+            if (place.pool != &pool)
+                continue;
+            if (place.open_at != pool_place::none)
+                return false;
+            awaits = true;
+        }
+    }
+    return awaits;
+}
+
 double placement::implementation::cost_of(
     pooled_target const& target, target_pool const& pool,
     placement_request const& request) const
@@ -180,6 +213,11 @@
         decision.considered = 1;
         return decision;
     }
+    if (awaits_cache(*pool, request))
+    {
+        decision.reason = placement_reason::awaits_cache;
+        return decision;
+    }
     auto drawn = candidates(*pool, request, now, random);
     if (!drawn.empty())
         return cheapest(drawn, *pool, request);
--- a/support/bench_modules_node.cpp
+++ b/support/bench_modules_node.cpp
@@ -187,6 +187,7 @@
     request.service = service_of(view.on);
     request.prompt_tokens = view.prompt_tokens;
     request.repeatable = view.on == pool::engines;
+    request.waited = now - view.ready;
     request.expected_tokens = static_cast<std::uint32_t>(usual_tokens_);
     if (view.last_engine != no_engine)
         request.cached.push_back(
--- a/test/placement-test.cpp
+++ b/test/placement-test.cpp
@@ -181,6 +181,25 @@
     REQUIRE(decision.reason == placement_reason::affinity);
 
     places.on_report(make_view(3, 16), now);
+    REQUIRE(choose().reason == placement_reason::awaits_cache);
+    REQUIRE(choose().target.empty());
+    // Prefilling 19,000 tokens takes 3.8 s; it waits for ten times that.
+    request.waited = milliseconds(37'999);
+    REQUIRE(choose().reason == placement_reason::awaits_cache);
+    request.waited = seconds(38);
+    REQUIRE(choose().reason == placement_reason::least_cost);
+    REQUIRE(choose().target != make_view(3).name);
+}
+
+TEST_CASE_METHOD(
+    placement_fixture,
+    "placement, cache on a target that leaves, does not wait", "[placement]")
+{
+    request.prompt_tokens = 20'000;
+    request.cached.push_back({make_view(3).name, 19'000});
+    auto leaving = make_view(3, 16);
+    leaving.policy = target_policy::drain;
+    places.on_report(leaving, now);
     REQUIRE(choose().reason == placement_reason::least_cost);
 }
 
