Tell slow targets from full ones, and forget what was before an outage

With four times its peers' latency as the limit, a wait for a prefill in a full batch looked like a slow target: healthy engines went on probation under load and their programs' histories were prefilled elsewhere. After an outage of all engines a third of them stayed on probation for minutes.

--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -163,10 +163,11 @@
     /// Greatest part of a pool on probation: beyond it the cause is not the
     /// target, and the rest could not carry the load.
     double max_probation = 0.34;
-    /// A call is overdue when it takes this many times what its peers' would;
+    /// A call is overdue when it takes this many times what its peers' would:
+    /// far more, since the wait for a prefill in a full batch counts too;
     /// three overdue ones at a time count as a sample each time the target
     /// reports, so that one which hangs is found without any answer.
-    double overdue_ratio = 4.0;
+    double overdue_ratio = 10.0;
     /// Least time after which a call can be overdue.
     duration least_overdue = std::chrono::seconds(1);
     /// Weight of a new latency sample in a target's average: half of it is
--- a/src/target_state.cpp
+++ b/src/target_state.cpp
@@ -33,8 +33,11 @@
 
 void target_state::take_report(target_view const& view, time_point now)
 {
+    bool const was_away = reported_ && !in_service();
     view_ = view;
     reported_ = true;
+    if (was_away && in_service())
+        start_afresh();
     taken_at_ = now - view.report_age;
     own_in_report_ = 0;
     for (auto const& item : flights_)
@@ -45,11 +48,22 @@
     }
 }
 
+bool target_state::in_service() const
+{
+    return !view_.loading && view_.policy == target_policy::in_service;
+}
+
+void target_state::start_afresh()
+{
+    health_ = target_health::healthy;
+    log_ratio_ = 0.0;
+    samples_ = 0;
+    failures_ = 0;
+}
+
 bool target_state::available(placement_pool const& pool) const
 {
-    bool serves = reported_ && !view_.loading &&
-                  view_.policy == target_policy::in_service;
-    return serves && has(view_.models, pool.model) &&
+    return reported_ && in_service() && has(view_.models, pool.model) &&
            has(view_.adapters, pool.adapter);
 }
 
@@ -144,10 +158,7 @@
 {
     if (good && ++good_probes_ >= options_->good_probes)
     {
-        health_ = target_health::healthy;
-        log_ratio_ = 0.0;
-        samples_ = 0;
-        failures_ = 0;
+        start_afresh();
         return true;
     }
     if (!good)
--- a/src/target_state.hpp
+++ b/src/target_state.hpp
@@ -69,6 +69,10 @@
     time_point next_probe() const noexcept { return next_probe_; }
 
 private:
+    bool in_service() const;
+    /// Forgets what was measured; the target may be another one now.
+    void start_afresh();
+
     placement_options const* options_;
     target_view view_;
     bool reported_ = false;
