--- a/test/configuration-test.cpp
+++ b/test/configuration-test.cpp
@@ -118,6 +118,21 @@
     }
 }
 
+TEST_CASE(
+    "configuration, optional members set, survive writing", "[configuration]")
+{
+    auto document = json::parse(example("corrib.json"));
+    document["targets"][0]["role"] = "prefill";
+    document["targets"][0]["stop_now"] = true;
+    document["limits"]["weight_loads"] = 5;
+    auto const parsed = parse_configuration(document.dump());
+    REQUIRE(parsed.problems.empty());
+    auto const again = parse_configuration(to_json_text(parsed.value));
+    CHECK(again.value.targets[0].role == "prefill");
+    CHECK(again.value.targets[0].stop_now);
+    CHECK(again.value.limits.weight_loads == 5);
+}
+
 TEST_CASE(
     "configuration, service without its model anywhere, is a finding",
     "[configuration]")
