--- a/include/walnutmill/configuration.hpp
+++ b/include/walnutmill/configuration.hpp
@@ -53,6 +53,9 @@
     /// Whether it can be asked for the outcome of an idempotency key.
     bool answers_outcome_queries = false;
     target_policy policy = target_policy::in_service;
+    /// Version of the document that last changed the policy; set when a change
+    /// is drafted, so that a stop and a wake in a row are not taken for none.
+    std::uint64_t policy_since = 0;
     /// Calls it serves at a time.
     std::uint32_t slots = 16;
 };
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -90,9 +90,12 @@
     { return [&list](std::string text) { list.push_back(std::move(text)); }; };
     reader.each_text("models", check_text, into(made.models));
     reader.each_text("adapters", check_text, into(made.adapters));
+    reader.text("role", made.role, check_text);
+    reader.flag("stop_now", made.stop_now);
     reader.flag("checks_fencing", made.checks_fencing);
     reader.flag("answers_outcome_queries", made.answers_outcome_queries);
     reader.choice("policy", made.policy, detail::policy_names);
+    reader.number("policy_since", made.policy_since, version_range);
     reader.number("slots", made.slots, slots_range);
     reader.finish();
     return made;
@@ -174,6 +177,7 @@
     reader.number("max_queued_calls", made.max_queued_calls, count_range);
     reader.number("max_input_bytes", made.max_input_bytes, input_range);
     reader.number("budget_slice", made.budget_slice, budget_range);
+    reader.number("weight_loads", made.weight_loads, count_range);
     reader.milliseconds(
         "program_abandoned_after_ms", made.program_abandoned_after,
         timeout_range);
--- a/src/configuration_json.cpp
+++ b/src/configuration_json.cpp
@@ -42,9 +42,15 @@
     made["address"] = one.address;
     made["models"] = one.models;
     made["adapters"] = one.adapters;
+    if (!one.role.empty())
+        made["role"] = one.role;
+    if (one.stop_now)
+        made["stop_now"] = true;
     made["checks_fencing"] = one.checks_fencing;
     made["answers_outcome_queries"] = one.answers_outcome_queries;
     made["policy"] = name_of(policy_names, one.policy);
+    if (one.policy_since != 0)
+        made["policy_since"] = one.policy_since;
     made["slots"] = one.slots;
     return made;
 }
@@ -96,6 +102,7 @@
     made["max_queued_calls"] = limits.max_queued_calls;
     made["max_input_bytes"] = limits.max_input_bytes;
     made["budget_slice"] = limits.budget_slice;
+    made["weight_loads"] = limits.weight_loads;
     made["program_abandoned_after_ms"] = limits.program_abandoned_after.count();
     return made;
 }
