--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -90,12 +90,12 @@
     { return [&list](std::string text) { list.push_back(std::move(text)); }; };
     reader.each_text("models", check_text, into(made.models));
     reader.each_text("adapters", check_text, into(made.adapters));
-    reader.text("role", made.role, check_text);
-    reader.flag("stop_now", made.stop_now);
     reader.flag("checks_fencing", made.checks_fencing);
     reader.flag("answers_outcome_queries", made.answers_outcome_queries);
+    reader.text("role", made.role, check_text);
     reader.choice("policy", made.policy, detail::policy_names);
     reader.number("policy_since", made.policy_since, version_range);
+    reader.flag("stop_now", made.stop_now);
     reader.number("slots", made.slots, slots_range);
     reader.finish();
     return made;
--- a/src/configuration_json.cpp
+++ b/src/configuration_json.cpp
@@ -42,15 +42,14 @@
     made["address"] = one.address;
     made["models"] = one.models;
     made["adapters"] = one.adapters;
-    if (!one.role.empty())
-        made["role"] = one.role;
-    if (one.stop_now)
-        made["stop_now"] = true;
     made["checks_fencing"] = one.checks_fencing;
     made["answers_outcome_queries"] = one.answers_outcome_queries;
+    if (!one.role.empty())
+        made["role"] = one.role;
     made["policy"] = name_of(policy_names, one.policy);
     if (one.policy_since != 0)
         made["policy_since"] = one.policy_since;
+    made["stop_now"] = one.stop_now;
     made["slots"] = one.slots;
     return made;
 }
