--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -94,6 +94,7 @@
     reader.flag("answers_outcome_queries", made.answers_outcome_queries);
     reader.text("role", made.role, check_text);
     reader.choice("policy", made.policy, detail::policy_names);
+    reader.number("policy_since", made.policy_since, version_range);
     reader.flag("stop_now", made.stop_now);
     reader.number("slots", made.slots, slots_range);
     reader.finish();
--- a/src/configuration_json.cpp
+++ b/src/configuration_json.cpp
@@ -47,6 +47,8 @@
     if (!one.role.empty())
         made["role"] = one.role;
     made["policy"] = name_of(policy_names, one.policy);
+    if (one.policy_since != 0)
+        made["policy_since"] = one.policy_since;
     made["stop_now"] = one.stop_now;
     made["slots"] = one.slots;
     return made;
