--- a/support/bench_backends.cpp
+++ b/support/bench_backends.cpp
@@ -212,7 +212,7 @@
 bool backends::in_service(engine_index at) const
 {
     return all_[at].state == power_view::power::serving &&
-           all_[at].model->load().up;
+           all_[at].model->load().up && !all_[at].slow;
 }
 
 } // namespace walnutmill::bench
--- a/support/bench_backends.hpp
+++ b/support/bench_backends.hpp
@@ -55,6 +55,7 @@
     /// \return the reports that nodes see now.
     reports const& seen() const { return history_.front(); }
     engine_load load(engine_index at) const;
+    /// Whether it serves, and at its usual speed.
     bool in_service(engine_index at) const;
 
 private:
--- a/support/bench_measures.cpp
+++ b/support/bench_measures.cpp
@@ -152,6 +152,16 @@
     return count / to_seconds(of.of.length);
 }
 
+double useful_work(measured_run const& of)
+{
+    double work = 0.0;
+    for_each_program(
+        of.run, pool::engines,
+        [&](program_spec const& spec, program_outcome const& outcome)
+        { work += outcome.how == program_end::finished ? spec.work : 0.0; });
+    return work / (to_seconds(of.of.length) * of.of.size.engines);
+}
+
 double latency_p50(measured_run const& of)
 {
     return quantile(latencies(of.run), 0.5);
--- a/support/bench_measures.hpp
+++ b/support/bench_measures.hpp
@@ -25,6 +25,9 @@
 
 /// Programs finished in time per second of arrivals.
 double finished_per_second(measured_run const& of);
+/// Work of the programs finished in time, in seconds alone, per engine and
+/// second of arrivals: how much of a full batch's rate was of use.
+double useful_work(measured_run const& of);
 /// Seconds from first arrival to end, of programs that started and ended;
 /// one that its caller left, or that was refused after it had started, counts
 /// with its caller's whole patience.
--- a/support/bench_modules_node.cpp
+++ b/support/bench_modules_node.cpp
@@ -10,11 +10,9 @@
 
 service_name const engine_service("engines");
 service_name const plain_service("services");
-char const* const model_name = "model";
 // Half of the average is the last some 14 calls.
 constexpr double usual_weight = 0.05;
 constexpr std::uint32_t plain_retries = 3;
-constexpr duration observation = std::chrono::milliseconds(500);
 
 service_name const& service_of(pool on)
 {
@@ -31,22 +29,6 @@
     return (std::uint64_t{program} << 32) + chain;
 }
 
-char const* tool_name(tool_kind tool)
-{
-    switch (tool)
-    {
-    case tool_kind::lookup:
-        return "lookup";
-    case tool_kind::reservation:
-        return "reservation";
-    case tool_kind::person:
-        return "person";
-    case tool_kind::sub_agents:
-        return "sub-agents";
-    }
-    return "";
-}
-
 std::vector<target_name> names_of(cluster_size const& size)
 {
     std::vector<target_name> names;
@@ -342,44 +324,6 @@
     settle(call, now_);
 }
 
-engine_index modules_node::spare_engine(engine_index besides)
-{
-    auto const drawn = static_cast<engine_index>(random_() * size_.engines);
-    bool const usable = drawn != besides && in_service_[drawn];
-    return usable ? drawn : no_engine;
-}
-
-pause_answer modules_node::pause(pause_view const& view)
-{
-    if (off_ == module::retention)
-        return {};
-    auto const other = spare_engine(view.at);
-    retention_request request;
-    request.tool = tool_name(view.tool);
-    request.cached_tokens = view.tokens;
-    request.memory_pressure = pressure_[view.at];
-    request.cache_capacity = size_.engine.cache_tokens;
-    request.target_leaving = !in_service_[view.at];
-    if (other != no_engine)
-    {
-        request.other = targets_[other];
-        request.other_pressure = pressure_[other];
-    }
-    request.latency_weight = size_.latency_weight;
-    request.waste_weight = size_.waste_weight;
-    auto const decision = retention_.decide(request);
-    if (decision.action == retention_action::drop)
-        return {cache_action::drop, duration(0), no_engine};
-    if (decision.action == retention_action::move)
-        return {cache_action::move, decision.hold, other};
-    return {cache_action::hold, decision.hold, no_engine};
-}
-
-void modules_node::resumed(tool_kind tool, duration length)
-{
-    pauses_.observe(tool_name(tool), length);
-}
-
 void modules_node::ended(program_view const& program)
 {
     auto const root = program_of(program.program);
@@ -394,60 +338,4 @@
     ++counts_.programs_ended;
 }
 
-target_view modules_node::view_of(reports const& seen, engine_index at) const
-{
-    auto const& report = seen.engines[at];
-    bool const model = at < size_.engines;
-    target_view view;
-    view.name = targets_[at];
-    view.slots = size_.spec_of(model ? pool::engines : pool::services).slots;
-    view.running = report.load.running;
-    view.queued = report.load.queued;
-    view.report_age = seen.age;
-    view.memory_pressure = pressure_[at];
-    if (model)
-        view.models.emplace_back(model_name);
-    view.loading = !report.in_service;
-    return view;
-}
-
-void modules_node::reported(reports const& seen, time_point now)
-{
-    now_ = now;
-    for (engine_index at = 0; at < seen.engines.size(); ++at)
-    {
-        auto const& load = seen.engines[at].load;
-        auto const size = std::max<std::uint64_t>(1, load.cache_size);
-        pressure_[at] = static_cast<double>(load.cache_used) / size;
-        in_service_[at] = seen.engines[at].in_service;
-        reported_load_[at] = load.running + load.queued;
-        placement_.on_report(view_of(seen, at), now);
-    }
-    if (now - counts_.since >= observation)
-        observe_load(seen, now);
-}
-
-void modules_node::observe_load(reports const& seen, time_point now)
-{
-    auto const length = to_seconds(now - counts_.since);
-    load_snapshot load;
-    load.queued_calls =
-        static_cast<std::uint32_t>(engine_queue_.size() + in_order_[0].size());
-    for (engine_index at = 0; at < size_.engines; ++at)
-    {
-        load.running_calls += placement_.in_flight(targets_[at]);
-        if (seen.engines[at].in_service)
-            load.slots += size_.engine.slots / static_cast<double>(size_.nodes);
-    }
-    load.call_rate = counts_.calls_started / length;
-    if (counts_.waits > 0)
-        load.mean_wait = counts_.waited / counts_.waits;
-    load.program_end_rate = counts_.programs_ended / length;
-    if (auto const oldest = engine_queue_.oldest())
-        load.oldest_wait = now - *oldest;
-    admission_.observe(load, now);
-    counts_ = interval_counts();
-    counts_.since = now;
-}
-
 } // namespace walnutmill::bench
--- a/support/bench_modules_node.hpp
+++ b/support/bench_modules_node.hpp
@@ -20,6 +20,9 @@
 namespace walnutmill::bench
 {
 
+/// The one model that engines have loaded.
+inline constexpr char const* model_name = "model";
+
 class modules_node
 {
 public:
--- a/support/bench_patterns.cpp
+++ b/support/bench_patterns.cpp
@@ -39,6 +39,7 @@
          better::lower,
          {}},
         finished(),
+        {"useful_work_rate", useful_work, better::higher, {}},
         {"refused_share", refused_share, better::lower, {}},
         {"refused_wait_p50_s", refused_wait_p50, better::lower, {}},
         {"work_refused_share", work_refused, better::lower, {}},
