Take back calls without a first token in the benchmarks

The hedge decision was not exercised. Nodes now take a call back when its first token is later than 95 of 100 and another engine has room, and send it anew; a second copy beside it was ruled out, since engines cancel and a copy costs a full batch. With all targets failing, the plain services now fail too: before, their good calls hid part of the amplification.

--- a/support/bench_backends.cpp
+++ b/support/bench_backends.cpp
@@ -125,13 +125,10 @@
         what.kind == kind::engines_down || what.kind == kind::engines_up;
     bool const calls =
         what.kind == kind::calls_fail || what.kind == kind::calls_succeed;
-    for (engine_index i = 0; i < scenario_.size.engines; ++i)
-    {
-        if (power)
-            all_[i].model->set_up(what.kind == kind::engines_up);
-        if (calls)
-            all_[i].model->set_failing(what.kind == kind::calls_fail);
-    }
+    for (engine_index i = 0; power && i < scenario_.size.engines; ++i)
+        all_[i].model->set_up(what.kind == kind::engines_up);
+    for (engine_index i = 0; calls && i < scenario_.size.all(); ++i)
+        all_[i].model->set_failing(what.kind == kind::calls_fail);
 }
 
 void backends::set_state(backend& of, power_view::power state)
--- a/support/bench_calls.cpp
+++ b/support/bench_calls.cpp
@@ -131,6 +131,24 @@
     backends_.send(chosen.to, call);
 }
 
+void simulation::recall(std::uint32_t node)
+{
+    auto const& policy = policy_.nodes[node];
+    if (!policy.recall)
+        return;
+    for (auto const handle : policy.recall(events_.now()))
+    {
+        auto const place = calls_.at(handle);
+        auto& chain = state_of(place);
+        backends_.cancel(chain.at, handle);
+        chain.phase = chain_phase::queued;
+        ++queued_calls_;
+        chain.call.handle = ++next_handle_;
+        calls_[chain.call.handle] = place;
+        policy.submit(chain.call, events_.now());
+    }
+}
+
 void simulation::on_first_token(std::uint64_t id)
 {
     auto const found = calls_.find(id);
--- a/support/bench_modules_load.cpp
+++ b/support/bench_modules_load.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 
+// Enough for a 95th percentile, few enough to follow the load.
+constexpr std::size_t first_tokens_kept = 200;
+constexpr std::size_t first_tokens_least = 40;
 constexpr duration observation = std::chrono::milliseconds(500);
 
 char const* tool_name(tool_kind tool)
@@ -124,4 +127,53 @@
     counts_.since = now;
 }
 
+void modules_node::note_first_token(double seconds)
+{
+    if (first_tokens_.size() < first_tokens_kept)
+        first_tokens_.push_back(seconds);
+    else
+        first_tokens_[next_first_token_] = seconds;
+    next_first_token_ = (next_first_token_ + 1) % first_tokens_kept;
+}
+
+duration modules_node::usual_first_token() const
+{
+    if (first_tokens_.size() < first_tokens_least)
+        return duration::max();
+    auto sorted = first_tokens_;
+    auto const at = sorted.begin() + sorted.size() * 95 / 100;
+    std::nth_element(sorted.begin(), at, sorted.end());
+    return seconds(*at);
+}
+
+bool modules_node::is_slow(live_call const& call, time_point now)
+{
+    if (call.to == no_engine || call.answering || call.view.on != pool::engines)
+        return false;
+    auto const other = spare_engine(call.to);
+    slow_attempt attempt;
+    attempt.root = program_id(std::to_string(call.view.program));
+    attempt.repeatable = true;
+    attempt.sent = call.sent;
+    attempt.deadline = call.view.deadline;
+    attempt.usual = usual_first_token();
+    attempt.spare_room = other != no_engine && engine_queue_.empty() &&
+                         reported_load_[other] < size_.engine.slots;
+    return retry_.hedge(attempt, now).send;
+}
+
+std::vector<call_handle> modules_node::recall(time_point now)
+{
+    std::vector<call_handle> slow;
+    if (off_ == module::hedge)
+        return slow;
+    for (auto const& each : calls_)
+        if (is_slow(each.second, now))
+            slow.push_back(each.first);
+    std::sort(slow.begin(), slow.end());
+    for (auto const handle : slow)
+        withdraw(handle);
+    return slow;
+}
+
 } // namespace walnutmill::bench
--- a/support/bench_modules_node.cpp
+++ b/support/bench_modules_node.cpp
@@ -106,6 +106,7 @@
     live.failed_at = live.to;
     live.view = call;
     live.to = no_engine;
+    live.answering = false;
     if (off_ == module::fair_queue)
     {
         in_order_[static_cast<std::size_t>(call.on)].push_back(call.handle);
@@ -236,10 +237,12 @@
     auto const found = calls_.find(handle);
     if (found == calls_.end())
         return;
-    auto const& call = found->second;
+    auto& call = found->second;
+    call.answering = true;
     placement_.on_first_token(call.ticket, now);
     if (call.view.on != pool::engines)
         return;
+    note_first_token(to_seconds(now - call.sent));
     auto const uncached =
         call.view.prompt_tokens - cached_at(call.view, call.to);
     auto const prefill =
@@ -303,6 +306,8 @@
     attempt.deadline = view.deadline;
     attempt.expected = seconds(expected_work(view));
     auto const decision = retry_.on_failure(attempt, now, random_);
+    if (!decision.send)
+        calls_.erase(found);
     return {decision.send, decision.delay};
 }
 
--- a/support/bench_modules_node.hpp
+++ b/support/bench_modules_node.hpp
@@ -42,6 +42,7 @@
     void resumed(tool_kind tool, duration length);
     void ended(program_view const& program);
     void reported(reports const& seen, time_point now);
+    std::vector<call_handle> recall(time_point now);
 
 private:
     /// A call that waits or is under way.
@@ -53,6 +54,7 @@
         engine_index failed_at = no_engine;
         sent_ticket ticket = 0;
         double charged = 0.0;
+        bool answering = false;
         time_point sent;
     };
     /// What was counted since the last observation of the load.
@@ -78,6 +80,9 @@
     void observe_load(reports const& seen, time_point now);
     target_view view_of(reports const& seen, engine_index at) const;
     engine_index spare_engine(engine_index besides);
+    bool is_slow(live_call const& call, time_point now);
+    duration usual_first_token() const;
+    void note_first_token(double seconds);
 
     cluster_size size_;
     module off_;
@@ -106,6 +111,9 @@
     /// Seconds that calls take, by pool; see expected_work().
     double usual_seconds_[2];
     interval_counts counts_;
+    /// Seconds to the first token of the last calls, in a ring.
+    std::vector<double> first_tokens_;
+    std::size_t next_first_token_ = 0;
     time_point now_;
 };
 
--- a/support/bench_patterns.cpp
+++ b/support/bench_patterns.cpp
@@ -124,7 +124,7 @@
     set_limit(
         made, {"p99_to_run_without_it", latency_p99_to_reference, better::lower,
                at_most(1.3)});
-    made.ablations = {module::placement};
+    made.ablations = {module::placement, module::hedge};
     return made;
 }
 
@@ -156,7 +156,7 @@
             made,
             {"work_refused_share", work_refused, better::lower, at_most(0.02)});
     }
-    made.ablations = {module::admission, module::fair_queue};
+    made.ablations = {module::admission, module::fair_queue, module::hedge};
     return made;
 }
 
@@ -306,6 +306,8 @@
         return "retention";
     case module::retry:
         return "retry";
+    case module::hedge:
+        return "hedge";
     case module::budget_guard:
         return "budget_guard";
     case module::capacity:
--- a/support/bench_policy.hpp
+++ b/support/bench_policy.hpp
@@ -149,6 +149,9 @@
     std::function<void(tool_kind, duration)> resumed;
     std::function<void(program_view const&, time_point)> ended;
     std::function<void(reports const&, time_point)> reported;
+    /// Calls without a first token to take back from their engines and to
+    /// submit again; asked after each report.
+    std::function<std::vector<call_handle>(time_point)> recall;
 
     /// Calls of callers that left are canceled at the engine.
     bool cancels = true;
--- a/support/bench_scenario.hpp
+++ b/support/bench_scenario.hpp
@@ -22,7 +22,7 @@
     /// All engines refuse and what they ran is lost.
     engines_down,
     engines_up,
-    /// All engines refuse from now on, but report as ever.
+    /// All engines and services refuse from now on, but report as ever.
     calls_fail,
     calls_succeed,
     /// The first `index` nodes are lost at once.
--- a/support/bench_simulation.cpp
+++ b/support/bench_simulation.cpp
@@ -278,6 +278,7 @@
     auto const& policy = policy_.nodes[node];
     if (policy.reported)
         policy.reported(backends_.seen(), events_.now());
+    recall(node);
     pump(node);
     // Nodes are not in step.
     boost::random::uniform_int_distribution<duration::rep> jitter(-20, 20);
--- a/support/bench_simulation.hpp
+++ b/support/bench_simulation.hpp
@@ -120,6 +120,7 @@
     void send(dispatch const& chosen);
     void on_first_token(std::uint64_t id);
     void note_wait(call_place place);
+    void recall(std::uint32_t node);
     void on_ended(engine_index at, engine_outcome const& outcome);
     void on_failed(call_place place, call_result const& result);
     void on_done(call_place place, engine_outcome const& outcome);
--- a/support/bench_walnutmill.cpp
+++ b/support/bench_walnutmill.cpp
@@ -104,6 +104,7 @@
     { node->ended(program); };
     policy.reported = [node](reports const& seen, time_point now)
     { node->reported(seen, now); };
+    policy.recall = [node](time_point now) { return node->recall(now); };
     policy.drops_at_end = true;
     return policy;
 }
--- a/support/bench_walnutmill.hpp
+++ b/support/bench_walnutmill.hpp
@@ -23,6 +23,8 @@
     retention,
     /// Off: three further attempts at once.
     retry,
+    /// Off: calls without a first token stay where they are.
+    hedge,
     /// Off: programs that loop go on.
     budget_guard,
     /// Off: all engines stay awake.
