--- /dev/null
+++ b/support/slopes-sections.hpp
@@ -0,0 +1,21 @@
+#ifndef WALNUTMILL_SUPPORT_SLOPES_SECTIONS_HPP
+#define WALNUTMILL_SUPPORT_SLOPES_SECTIONS_HPP
+
+/// \file
+/// The sections of walnutmill-slopes. Each prints a table of what it measured
+/// to standard output.
+
+#include <cstdint>
+
+namespace walnutmill
+{
+namespace slopes
+{
+
+/// Gossip among 13 to 390 nodes in one process under a manual clock.
+void run_members_section(std::uint32_t seed);
+
+} // namespace slopes
+} // namespace walnutmill
+
+#endif
