--- a/support/slopes.cpp
+++ b/support/slopes.cpp
@@ -17,5 +17,6 @@
         return 2;
     }
     walnutmill::slopes::run_decisions_section(seed);
+    walnutmill::slopes::run_members_section(seed);
     return 0;
 }
