Schedule with the decision modules and say where a node is reached

Cause: nodes ran with the plainest policy (first in, first out, targets in turn), and a link between two nodes could not be cut from outside because a node announced only its own port. Moving cache between engines and hedging are not wired.

--- a/include/walnutmill/settings.hpp
+++ b/include/walnutmill/settings.hpp
@@ -29,6 +29,8 @@
     /// Address and port for other nodes.
     std::string peer_address = "127.0.0.1";
     std::uint16_t peer_port = 8081;
+    /// Where other nodes reach this one, when not at its own address.
+    std::string peer_advertise;
     /// Base addresses of the platform's services.
     std::string table_url;
     std::string object_url;
--- a/src/direct_call.cpp
+++ b/src/direct_call.cpp
@@ -29,6 +29,7 @@
     time_point deadline;
     time_point sent;
     target_name target;
+    send_ticket ticket = 0;
     std::uint32_t attempts = 0;
     bool may_have_run = false;
     std::vector<target_name> failed_at;
@@ -88,7 +89,7 @@
             why.ran = certainty::outcome_unknown;
         return call->done(why);
     }
-    hooks_.sent(choice->target, now);
+    call->ticket = hooks_.sent(query, choice->target, now);
     call->sent = now;
     ++call->attempts;
     send(call, choice->target);
@@ -111,9 +112,7 @@
              answer = std::move(answer)](program_owner&, time_point now)
             {
                 hooks_.ended(
-                    {call->target, call->service.name, false, now - call->sent,
-                     0},
-                    now);
+                    {call->ticket, send_end::done, now - call->sent, 0}, now);
                 call->done(call_answer{
                     {},
                     0,
@@ -135,13 +134,13 @@
 
 void direct_caller::failed(attempt_ptr const& call, refusal why, time_point now)
 {
-    hooks_.ended(
-        {call->target, call->service.name, true, now - call->sent, 0}, now);
+    hooks_.ended({call->ticket, send_end::failed, now - call->sent, 0}, now);
     call->failed_at.push_back(call->target);
     call->may_have_run = call->may_have_run || why.ran != certainty::not_run;
     auto const wait = hooks_.retry(
-        {program_id(), call->target, true, why.ran, call->attempts, now,
-         call->deadline, why.retry_after});
+        {program_id(), call->target, why.code, true, why.ran, call->attempts,
+         call->deadline, why.retry_after},
+        now);
     // The caller may come back itself; waiting here would only hold it up.
     if (wait && now < call->deadline)
         return place(call, now);
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -10,9 +10,11 @@
 #include "direct_call.hpp"
 #include "forwarding.hpp"
 #include "journal_duty.hpp"
+#include "load_duty.hpp"
 #include "owner_duty.hpp"
 #include "ownership_duty.hpp"
 #include "platform_client.hpp"
+#include "policy_scheduling.hpp"
 #include "routing.hpp"
 #include "scheduling.hpp"
 #include "stored_configuration.hpp"
@@ -33,6 +35,8 @@
 constexpr std::chrono::seconds configuration_period{1};
 /// Beats per lease: two may be lost before the session looks dead.
 constexpr int beats_per_lease = 3;
+/// How often each engine is asked for its load.
+constexpr std::chrono::milliseconds load_period{500};
 constexpr std::chrono::milliseconds poll_interval{20};
 
 session_id new_session(node_name const& node)
@@ -63,7 +67,7 @@
         auto const port = hub_start();
         if (!port)
             return port.error();
-        if (!open_session(stop_signals))
+        if (!open_session(port.value(), stop_signals))
             return session_end::stopped;
         start_duties();
         auto const serving = start_server();
@@ -102,7 +106,8 @@
     }
 
     /// Writes the session's row, however long the table is out of reach.
-    bool open_session(std::atomic<int> const& stop_signals)
+    bool
+    open_session(std::uint16_t peer_port, std::atomic<int> const& stop_signals)
     {
         session_.id = new_session(settings_.node);
         session_.node = settings_.node;
@@ -110,7 +115,9 @@
         session_.http_address =
             settings_.http_address + ":" + std::to_string(settings_.http_port);
         session_.peer_address =
-            settings_.peer_address + ":" + std::to_string(settings_.peer_port);
+            settings_.peer_advertise.empty()
+                ? settings_.peer_address + ":" + std::to_string(peer_port)
+                : settings_.peer_advertise;
         session_.transaction = "open";
         auto const key = session_key(session_.id);
         auto const value = encode_session(session_);
@@ -131,8 +138,9 @@
 
     void start_duties()
     {
-        auto const config = [this] { return current_configuration(); };
-        scheduling_ = plain_scheduling(config);
+        std::random_device seed;
+        policy_ = std::make_unique<policy_scheduling>(seeded_random(seed()));
+        scheduling_ = policy_->hooks();
         owner_duty_options owner_options;
         owner_options.shards = settings_.shards;
         owner_options.clock = clock_;
@@ -165,11 +173,29 @@
         hooks.apply = [this](std::shared_ptr<configuration const> const& next)
         {
             owner_->set_configuration(next);
+            owner_->post([this, next](program_owner&, time_point now)
+                         { policy_->set_configuration(next, now); });
             journal_->set_configuration(next->version);
         };
         configuration_ = std::make_unique<configuration_watch>(
             configuration_period, std::move(hooks));
         configuration_ptr_ = configuration_.get();
+        load_duty_hooks load_hooks;
+        load_hooks.current = [this] { return current_configuration(); };
+        load_hooks.report = [this](target_load const& load)
+        { take_load(load); };
+        loads_ = std::make_unique<load_duty>(load_period, load_hooks);
+    }
+
+    void take_load(target_load const& load)
+    {
+        auto const nodes = serving_sessions(routes_.get()->sessions).size();
+        owner_->post(
+            [this, load, nodes](program_owner&, time_point now)
+            {
+                policy_->set_nodes(nodes);
+                policy_->on_load(load, now);
+            });
     }
 
     void start_forwarding()
@@ -336,6 +362,7 @@
         ownership_ptr_ = nullptr;
         ownership_.reset();
         forwarding_ptr_ = nullptr;
+        loads_.reset();
         configuration_ptr_ = nullptr;
         configuration_.reset();
         journal_.reset();
@@ -351,11 +378,13 @@
     session_state session_;
     routing routes_;
     target_client targets_;
+    std::unique_ptr<policy_scheduling> policy_;
     scheduling_hooks scheduling_;
     std::unique_ptr<owner_duty> owner_;
     std::unique_ptr<journal_duty> journal_;
     std::unique_ptr<configuration_watch> configuration_;
     std::atomic<configuration_watch const*> configuration_ptr_{nullptr};
+    std::unique_ptr<load_duty> loads_;
     std::unique_ptr<direct_caller> direct_;
     std::unique_ptr<forwarding> forwarding_;
     std::atomic<forwarding*> forwarding_ptr_{nullptr};
--- a/src/plain_scheduling.cpp
+++ b/src/plain_scheduling.cpp
@@ -17,8 +17,32 @@
     std::function<std::shared_ptr<configuration const>()> config;
     std::deque<call_handle> waiting;
     std::map<target_name, std::uint32_t> running;
+    std::map<send_ticket, target_name> sends;
+    send_ticket last_ticket = 0;
     std::size_t turn = 0;
 
+    void remove(call_handle call)
+    {
+        waiting.erase(
+            std::remove(waiting.begin(), waiting.end(), call), waiting.end());
+    }
+
+    send_ticket send(target_name const& target)
+    {
+        ++running[target];
+        sends[++last_ticket] = target;
+        return last_ticket;
+    }
+
+    void end(send_ticket ticket)
+    {
+        auto const found = sends.find(ticket);
+        if (found == sends.end())
+            return;
+        --running[found->second];
+        sends.erase(found);
+    }
+
     std::optional<placement_choice> place(placement_query const& query)
     {
         auto const current = config();
@@ -49,43 +73,37 @@
     auto const state = std::make_shared<plain_state>();
     state->config = std::move(config);
     scheduling_hooks hooks;
-    hooks.admit = [](workspace_name const&, time_point)
+    hooks.admit = [](admission_query const&, time_point)
     { return std::optional<refusal>(); };
+    hooks.adopted = [](admission_query const&) {};
+    hooks.forget = [](program_id const&, time_point) {};
     hooks.enqueue = [state](waiting_call const& call)
     { state->waiting.push_back(call.call); };
-    hooks.remove = [state](call_handle call)
-    {
-        auto& waiting = state->waiting;
-        waiting.erase(
-            std::remove(waiting.begin(), waiting.end(), call), waiting.end());
-    };
+    hooks.remove = [state](service_name const&, call_handle call)
+    { state->remove(call); };
     hooks.offer =
         [state](time_point, std::function<bool(call_handle)> const& dispatch)
     {
         auto const round = state->waiting;
         for (auto call : round)
         {
-            if (!dispatch(call))
-                continue;
-            auto& waiting = state->waiting;
-            waiting.erase(
-                std::remove(waiting.begin(), waiting.end(), call),
-                waiting.end());
+            if (dispatch(call))
+                state->remove(call);
         }
     };
-    hooks.charge = [](workspace_name const&, program_id const&, std::uint64_t) {
-    };
-    hooks.forget = [](program_id const&, bool, time_point) {};
     hooks.place = [state](placement_query const& query, time_point)
     { return state->place(query); };
-    hooks.sent = [state](target_name const& target, time_point)
-    { ++state->running[target]; };
-    hooks.ended = [state](target_report const& report, time_point)
-    { --state->running[report.target]; };
+    hooks.sent =
+        [state](placement_query const&, target_name const& target, time_point)
+    { return state->send(target); };
+    hooks.first_token = [](send_ticket, time_point) {};
+    hooks.ended = [state](send_report const& report, time_point)
+    { state->end(report.ticket); };
     hooks.hold_for = [](retention_query const&)
     { return std::chrono::milliseconds(0); };
     hooks.paused = [](std::string const&, duration) {};
-    hooks.retry = [](retry_query const& query) -> std::optional<duration>
+    hooks.retry = [](retry_query const& query,
+                     time_point) -> std::optional<duration>
     {
         bool const may = query.repeatable || query.ran == certainty::not_run;
         if (!may || query.attempts >= plain_attempts)
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -74,6 +74,8 @@
         if (program.shard != shard)
             continue;
         last_activity_[entry.first] = now;
+        if (program.is_root() && !program.ended)
+            hooks_.adopted({entry.first, program.created.workspace});
         if (program.open_intent)
             resolve_intent(program, now);
         if (program.ended)
@@ -138,15 +140,15 @@
             effects_.push_back(cancel_effect{
                 call.attempt, call.target, call.spec.program,
                 target_key(call.spec.program, call.spec.request)});
-            end_attempt(call, false, 0, now);
         }
+        end_attempt(call, send_end::canceled, 0, now);
         give_up(call, why);
     }
     for (auto const& entry : book_.programs())
     {
         if (entry.second.shard == shard && entry.second.is_root() &&
             !entry.second.ended)
-            hooks_.forget(entry.first, false, now);
+            hooks_.forget(entry.first, now);
     }
     book_.erase_shard(shard);
     owned_.erase(shard);
@@ -296,7 +298,7 @@
             errc::bad_request, "more than the workspace allows", "budget");
     if (book_.programs().size() >= limits.max_programs_per_node)
         return come_back(errc::overloaded, "too many programs on this node");
-    return hooks_.admit(r.workspace, now);
+    return hooks_.admit({r.program, r.workspace}, now);
 }
 
 void program_owner::create(
@@ -566,7 +568,7 @@
                     continue;
                 if (ended->is_root())
                 {
-                    hooks_.forget(id, ended->ended == end_reason::finished, at);
+                    hooks_.forget(id, at);
                 }
                 release_holds(*ended);
             }
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -238,6 +238,10 @@
         time_point deadline;
         time_point retry_at;
         time_point sent_at;
+        time_point enqueued;
+        send_ticket ticket = 0;
+        std::uint32_t prompt = 0;
+        /// The most that the call can cost.
         std::uint64_t work = 0;
         std::uint64_t reserved = 0;
         /// Units that failed attempts may have cost.
@@ -306,7 +310,7 @@
     void send(active_call& call, time_point now);
     model_effect model_send(active_call const& call) const;
     void end_attempt(
-        active_call& call, bool failed, std::uint64_t tokens, time_point now);
+        active_call& call, send_end end, std::uint64_t tokens, time_point now);
     void finish(active_call& call, call_outcome outcome, time_point now);
     void deliver(active_call& call, time_point now);
     void refuse_outcome(
--- a/src/program_owner_calls.cpp
+++ b/src/program_owner_calls.cpp
@@ -121,9 +121,12 @@
 {
     auto const& program = *book_.find(call.spec.program);
     auto* ledger = book_.find_ledger(program.created.root);
-    call.work = call.service.kind == target_kind::engine
-                    ? prompt_tokens(program, call.spec) + call.spec.max_tokens
-                    : call.service.call_cost;
+    bool const engine = call.service.kind == target_kind::engine;
+    call.prompt =
+        engine ? static_cast<std::uint32_t>(prompt_tokens(program, call.spec))
+               : 0;
+    call.work =
+        engine ? call.prompt + call.spec.max_tokens : call.service.call_cost;
     if (!ledger->can_afford(call.work))
     {
         refusal why;
@@ -159,12 +162,14 @@
 void program_owner::enqueue(active_call& call, time_point now)
 {
     call.stage = call_stage::queued;
+    call.enqueued = now;
     waiting_call waiting;
     waiting.call = call.handle;
     waiting.service = call.service.name;
     waiting.workspace = book_.find(call.spec.program)->created.workspace;
     waiting.root = root_of(call.spec.program);
-    waiting.work = call.work;
+    waiting.prompt_tokens = call.prompt;
+    waiting.max_tokens = call.spec.max_tokens;
     waiting.enqueued = now;
     waiting.deadline = call.deadline;
     hooks_.enqueue(waiting);
@@ -179,14 +184,17 @@
     placement_query query;
     query.program = call->spec.program;
     query.service = call->service.name;
-    query.prompt_tokens = call->work - call->spec.max_tokens;
+    query.prompt_tokens = call->prompt;
+    query.max_tokens = call->spec.max_tokens;
+    query.repeatable = call->repeatable;
+    query.waited = now - call->enqueued;
     query.holding.assign(program.holds.begin(), program.holds.end());
     query.avoid = call->failed_at;
     auto choice = hooks_.place(query, now);
     if (!choice)
         return false;
     call->target = choice->target;
-    hooks_.sent(call->target, now);
+    call->ticket = hooks_.sent(query, call->target, now);
     call->sent_at = now;
     explain(
         call->spec.program, call->spec.number,
@@ -232,7 +240,8 @@
     effect.timeout = call.service.call_timeout;
     effect.deadline = call.deadline;
     effect.hold = hooks_.hold_for(
-        {call.spec.program, call.service.name, call.spec.next_tool, call.work});
+        {call.spec.program, call.service.name, call.target, call.spec.next_tool,
+         call.work});
     return effect;
 }
 
@@ -266,22 +275,26 @@
 }
 
 void program_owner::end_attempt(
-    active_call& call, bool failed, std::uint64_t tokens, time_point now)
+    active_call& call, send_end end, std::uint64_t tokens, time_point now)
 {
     attempts_.erase(call.attempt);
-    if (call.querying)
+    auto const ticket = std::exchange(call.ticket, 0);
+    if (ticket == 0)
         return;
     hooks_.ended(
-        {call.target, call.service.name, failed, now - call.sent_at, tokens},
+        {ticket, end, now - call.sent_at, static_cast<std::uint32_t>(tokens)},
         now);
 }
 
 void program_owner::on_token(
-    attempt_id attempt, std::uint32_t index, std::string_view text, time_point)
+    attempt_id attempt, std::uint32_t index, std::string_view text,
+    time_point now)
 {
     auto* call = find_attempt(attempt);
     if (call == nullptr || index != call->tokens.size() + 1)
         return;
+    if (index == 1)
+        hooks_.first_token(call->ticket, now);
     call->tokens.emplace_back(text);
     for (auto& waiter : call->waiters)
         stream_tokens(*call, waiter);
@@ -299,7 +312,7 @@
     auto* call = find_attempt(attempt);
     if (call == nullptr)
         return;
-    end_attempt(*call, false, answer.tokens, now);
+    end_attempt(*call, send_end::done, answer.tokens, now);
     call_outcome outcome;
     outcome.output = answer.output;
     bool const engine = call->service.kind == target_kind::engine;
@@ -354,9 +367,6 @@
     auto const program = call.spec.program;
     auto const answer = stored_answer(call.outcome);
     auto waiters = std::move(call.waiters);
-    auto const* state = book_.find(program);
-    hooks_.charge(
-        state->created.workspace, state->created.root, call.outcome.cost);
     last_activity_[program] = now;
     next_tool_[program] = call.spec.next_tool;
     erase_call(call.handle);
@@ -369,7 +379,7 @@
 {
     auto waiters = std::move(call.waiters);
     if (call.stage == call_stage::queued)
-        hooks_.remove(call.handle);
+        hooks_.remove(call.service.name, call.handle);
     if (auto* ledger = book_.find_ledger(root_of(call.spec.program)))
         ledger->cancel(call.reserved + call.wasted);
     explain(
@@ -403,7 +413,13 @@
     auto* call = find_attempt(attempt);
     if (call == nullptr)
         return;
-    end_attempt(*call, why.code != errc::canceled, 0, now);
+    // A target that declines is full rather than faulty, and what was stopped
+    // here says nothing of it.
+    bool const blameless =
+        why.ran == certainty::not_run &&
+        (why.code != errc::target_failed || why.retry_after.count() > 0);
+    end_attempt(
+        *call, blameless ? send_end::canceled : send_end::failed, 0, now);
     if (call->querying)
     {
         // Also where the target knows nothing of it: a send that was frozen
@@ -450,8 +466,9 @@
         call.wasted += std::exchange(call.reserved, 0);
     }
     auto const wait = hooks_.retry(
-        {root_of(call.spec.program), call.target, call.repeatable, why.ran,
-         call.attempts, now, call.deadline, why.retry_after});
+        {root_of(call.spec.program), call.target, why.code, call.repeatable,
+         why.ran, call.attempts, call.deadline, why.retry_after},
+        now);
     if (wait && now + *wait < call.deadline)
     {
         call.stage = call_stage::backing_off;
@@ -483,7 +500,7 @@
         effects_.push_back(cancel_effect{
             call.attempt, call.target, call.spec.program,
             target_key(call.spec.program, call.spec.request)});
-        end_attempt(call, true, 0, now);
+        end_attempt(call, send_end::failed, 0, now);
         return refuse_outcome(
             call, why.code, certainty::outcome_unknown, call.reserved, now);
     case call_stage::waits_turn:
@@ -526,15 +543,12 @@
             effects_.push_back(cancel_effect{
                 call.attempt, call.target, call.spec.program,
                 target_key(call.spec.program, call.spec.request)});
-            end_attempt(call, false, 0, now);
         }
-        if (call.stage == call_stage::intending)
-            hooks_.ended(
-                {call.target, call.service.name, false, duration(0), 0}, now);
+        end_attempt(call, send_end::canceled, 0, now);
         if (sent || call.may_have_run)
         {
             if (call.stage == call_stage::queued)
-                hooks_.remove(call.handle);
+                hooks_.remove(call.service.name, call.handle);
             refuse_outcome(
                 call, code, certainty::outcome_unknown, call.reserved, now);
         }
@@ -555,7 +569,7 @@
         if (now >= call->deadline)
         {
             if (call->stage == call_stage::queued)
-                hooks_.remove(handle);
+                hooks_.remove(call->service.name, handle);
             expire(*call, now);
         }
         else if (
--- a/src/setting_table.cpp
+++ b/src/setting_table.cpp
@@ -45,6 +45,17 @@
     return error ? "must be an IP number" : "";
 }
 
+std::string check_endpoint(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    std::uint16_t port = 0;
+    bool const sound =
+        colon != std::string::npos &&
+        check_address(text.substr(0, colon)).empty() &&
+        boost::conversion::try_lexical_convert(text.substr(colon + 1), port);
+    return sound && port != 0 ? "" : "must be an IP number, ':' and a port";
+}
+
 std::string check_url(std::string const& text)
 {
     bool const sound =
@@ -212,14 +223,18 @@
             "http-address", "IP number for callers and operators",
             &s::http_address, check_address),
         number_setting(
-            "http-port", "port for callers and operators; 0: any free one",
-            &s::http_port, 0, 65'535),
+            "http-port", "port for callers and operators", &s::http_port, 1,
+            65'535),
         text_setting(
             "peer-address", "IP number for other nodes", &s::peer_address,
             check_address),
         number_setting(
             "peer-port", "port for other nodes; 0: any free one", &s::peer_port,
             0, 65'535),
+        text_setting(
+            "peer-advertise",
+            "IP:PORT at which other nodes reach this one; its own by default",
+            &s::peer_advertise, check_endpoint),
         required(text_setting(
             "table-url", "base address of the table service", &s::table_url,
             check_url)),
