--- a/test/settings-test.cpp
+++ b/test/settings-test.cpp
@@ -41,12 +41,12 @@
     environment.push_back("WALNUTMILL_LEASE_MS=9000");
     environment.push_back("WALNUTMILL_SHARDS=64");
     auto const parsed = parse_serve_settings(
-        {"--lease-ms", "4000", "--http-port=0", "--print-settings"},
+        {"--lease-ms", "4000", "--http-port=8999", "--print-settings"},
         environment);
     CHECK(parsed.problems.empty());
     CHECK(parsed.value.lease == std::chrono::milliseconds(4'000));
     CHECK(parsed.value.shards == 64);
-    CHECK(parsed.value.http_port == 0);
+    CHECK(parsed.value.http_port == 8999);
     CHECK(parsed.value.print_settings);
     CHECK(line_of(parsed, "lease-ms").origin == setting_origin::flag);
     CHECK(line_of(parsed, "shards").origin == setting_origin::environment);
@@ -54,6 +54,23 @@
     CHECK(line_of(parsed, "peer-key").value == "(hidden)");
 }
 
+TEST_CASE("settings, address that nobody could reach, is found", "[settings]")
+{
+    // The HTTP library does not tell which free port it took.
+    auto const free_port =
+        parse_serve_settings({"--http-port=0"}, sound_environment);
+    CHECK_FALSE(free_port.problems.empty());
+    for (std::string const text : {"10.0.0.1", "host:80", "10.0.0.1:0"})
+    {
+        auto const parsed =
+            parse_serve_settings({"--peer-advertise", text}, sound_environment);
+        CHECK_FALSE(parsed.problems.empty());
+    }
+    auto const sound = parse_serve_settings(
+        {"--peer-advertise", "10.0.0.1:8081"}, sound_environment);
+    CHECK(sound.problems.empty());
+}
+
 TEST_CASE("settings, many faults, all are found with their place", "[settings]")
 {
     auto const parsed = parse_serve_settings(
