Send what may not be repeated over new connections only

Cause: the HTTP library sends a request again by itself when a connection that it used before closes before the status line. Change: a new client for each non-repeatable send and each table commit, where the second answer would say refused although the first took effect.

--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -216,8 +216,11 @@
 {
     auto const client = make_client(url, timeout);
     table_service table;
-    table.commit = [client](transaction const& txn)
-    { return commit(*client, txn); };
+    // A new connection for each commit: on one that it used before, the
+    // library may send a request again by itself, and the second answer
+    // ("refused") would hide that the first took effect.
+    table.commit = [url, timeout](transaction const& txn)
+    { return commit(*make_client(url, timeout), txn); };
     table.read = [client](std::vector<std::string> const& keys)
     { return read(*client, keys); };
     table.scan =
--- a/src/target_client.cpp
+++ b/src/target_client.cpp
@@ -202,6 +202,17 @@
         return found;
     }
 
+    /// A client whose connection is new. The library sends a request again by
+    /// itself when a connection that it had used before closes early; on a
+    /// new one it never does.
+    static std::shared_ptr<http_client>
+    fresh_client(std::string const& address, std::chrono::milliseconds timeout)
+    {
+        http_client_config config;
+        config.set_timeout(timeout);
+        return std::make_shared<http_client>(address, config);
+    }
+
     pplx::task<http_response> post(
         std::string const& address, std::string const& path, json const& body,
         std::chrono::milliseconds timeout)
@@ -285,8 +296,15 @@
         {"program", work.program.str()},
         {"number", work.number},
         {"input", work.input}};
-    impl_->post(address, "/run", body, work.timeout)
-        .then([hooks](pplx::task<http_response> const& done)
+    auto const client =
+        work.repeatable ? impl_->client(address, work.timeout)
+                        : implementation::fresh_client(address, work.timeout);
+    auto const text = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    client
+        ->request(
+            methods_ns::methods::POST, "/run", text, "application/json",
+            impl_->token())
+        .then([hooks, client](pplx::task<http_response> const& done)
               { take_plain_answer(done, hooks); });
 }
 
