Bound the retries of a node over all targets

The targets' retry balances add up: with all 19 targets failing at once 13 nodes could send 741 retries before any balance ran out.

--- a/include/walnutmill/retry.hpp
+++ b/include/walnutmill/retry.hpp
@@ -9,10 +9,10 @@
 /// bear it least, and the load stays up after the fault has gone.
 ///
 /// A call is sent again only if it certainly did not run or may be repeated,
-/// and if both its program (sub-agents counting for the root) and the target
-/// that failed have budget. Budget is earned by first attempts that succeed,
-/// so with all targets failing the added load tends to nothing. Delays are
-/// drawn from the whole backoff interval (full jitter; Brooker 2015).
+/// and if its program (sub-agents counting for the root), the target that
+/// failed and the node all have budget. Budget is earned by first attempts that
+/// succeed, so with all targets failing the added load tends to nothing. Delays
+/// are drawn from the whole backoff interval (full jitter; Brooker 2015).
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
@@ -41,6 +41,8 @@
     attempts_exhausted,
     program_budget_exhausted,
     target_budget_exhausted,
+    /// Not sent: so many calls of this node fail that it is not one target.
+    node_budget_exhausted,
     hedge_budget_exhausted,
     /// Not sent: it could not end before its deadline.
     deadline,
@@ -103,6 +105,13 @@
     /// under way there at today's size (16 slots, 13 nodes) twice over.
     double target_start = 0.5;
     double target_most = 3.0;
+    /// The same of the node over all targets. The targets' balances add up
+    /// over many targets, so that alone they would allow a wave of retries
+    /// when all fail at once. A node has some 25 programs under way at
+    /// today's size with four calls a minute each: eight is under a tenth of
+    /// the calls of the first minute.
+    double node_start = 2.0;
+    double node_most = 8.0;
     /// Part of a hedge that each success earns, and the greatest balance.
     double hedge_earned = 0.05;
     double hedge_most = 5.0;
@@ -141,6 +150,7 @@
     retry_options options_;
     std::unordered_map<program_id, double> programs_;
     std::unordered_map<target_name, double> targets_;
+    double node_;
     double hedges_ = 0.0;
 };
 
--- a/src/retry.cpp
+++ b/src/retry.cpp
@@ -53,6 +53,8 @@
         return "program_budget_exhausted";
     case retry_reason::target_budget_exhausted:
         return "target_budget_exhausted";
+    case retry_reason::node_budget_exhausted:
+        return "node_budget_exhausted";
     case retry_reason::hedge_budget_exhausted:
         return "hedge_budget_exhausted";
     case retry_reason::deadline:
@@ -65,7 +67,10 @@
     return "permanent";
 }
 
-retry_policy::retry_policy(retry_options options) : options_(options) {}
+retry_policy::retry_policy(retry_options options)
+    : options_(options), node_(options.node_start)
+{
+}
 
 double& retry_policy::program_balance(program_id const& root)
 {
@@ -83,6 +88,7 @@
     program = std::min(program + options_.earned, options_.program_most);
     auto& at_target = target_balance(target);
     at_target = std::min(at_target + options_.earned, options_.target_most);
+    node_ = std::min(node_ + options_.earned, options_.node_most);
     hedges_ = std::min(hedges_ + options_.hedge_earned, options_.hedge_most);
 }
 
@@ -115,8 +121,11 @@
     auto& target = target_balance(attempt.target);
     if (target < 1.0)
         return declined(retry_reason::target_budget_exhausted);
+    if (node_ < 1.0)
+        return declined(retry_reason::node_budget_exhausted);
     program -= 1.0;
     target -= 1.0;
+    node_ -= 1.0;
     auto reason = attempt.ran == certainty::not_run ? retry_reason::did_not_run
                                                     : retry_reason::repeatable;
     return {true, reason, delay};
--- a/test/retry-test.cpp
+++ b/test/retry-test.cpp
@@ -164,6 +164,25 @@
     REQUIRE(sends <= 1.1 * first_sends);
 }
 
+TEST_CASE_METHOD(
+    retry_fixture, "retry, all targets fail at once, the node's budget ends",
+    "[retry]")
+{
+    for (int target = 0; target < 100; ++target)
+        for (int i = 0; i < 30; ++i)
+            policy.on_success(
+                program_id("q"), target_name("t" + std::to_string(target)));
+    int sent = 0;
+    for (int i = 0; i < 100; ++i)
+    {
+        attempt.root = program_id("p" + std::to_string(i));
+        attempt.target = target_name("t" + std::to_string(i));
+        sent += fail().send ? 1 : 0;
+    }
+    REQUIRE(sent == 8);
+    REQUIRE(fail().reason == retry_reason::node_budget_exhausted);
+}
+
 TEST_CASE_METHOD(
     retry_fixture, "hedge, slow call with room elsewhere, is sent twice",
     "[retry]")
