--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -112,7 +112,8 @@
     attempts_[added.attempt] = handle;
     timers_.insert({added.deadline, handle});
     effects_.push_back(query_effect{
-        added.attempt, intent.target, intent.program, intent.request});
+        added.attempt, intent.target, intent.program,
+        target_key(intent.program, intent.request)});
 }
 
 void program_owner::drop_shard(shard_number shard, time_point now)
@@ -136,7 +137,7 @@
         {
             effects_.push_back(cancel_effect{
                 call.attempt, call.target, call.spec.program,
-                call.spec.request});
+                target_key(call.spec.program, call.spec.request)});
             end_attempt(call, false, 0, now);
         }
         give_up(call, why);
@@ -166,6 +167,13 @@
         append(shard, std::move(records), [](time_point) {});
 }
 
+void program_owner::set_moving(shard_number shard, bool moving)
+{
+    auto const found = owned_.find(shard);
+    if (found != owned_.end())
+        found->second.moving = moving;
+}
+
 bool program_owner::owns(shard_number shard) const
 {
     return owned_.count(shard) != 0;
@@ -184,6 +192,12 @@
     return true;
 }
 
+std::size_t program_owner::records_since_load(shard_number shard) const
+{
+    auto const found = owned_.find(shard);
+    return found == owned_.end() ? 0 : found->second.records;
+}
+
 std::vector<journal_record>
 program_owner::snapshot(shard_number shard, time_point now) const
 {
@@ -227,7 +241,7 @@
     caller_request const& request, answer_sink sink, time_point now)
 {
     auto const shard = shard_of(root_of(program_of(request)), shards_);
-    if (fenced_ || !owns(shard))
+    if (fenced_ || !owns(shard) || owned_.at(shard).moving)
         return sink.done(come_back(errc::unavailable, "the program is moving"));
     if (auto const* r = std::get_if<create_request>(&request))
         return create(*r, std::move(sink), now);
@@ -489,7 +503,8 @@
     return found != by_program_.end() && !found->second.empty();
 }
 
-void program_owner::end(end_request const& r, answer_sink sink, time_point now)
+void program_owner::end(
+    end_request const& r, answer_sink const& sink, time_point now)
 {
     auto const found = visible(r.program, r.workspace);
     if (!found)
@@ -501,7 +516,7 @@
         return sink.done(refuse(errc::conflict, "calls are under way"));
     end_program(
         program, r.reason,
-        [this, sink = std::move(sink), id = r.program](time_point)
+        [this, sink, id = r.program](time_point)
         { sink.done(caller_answer(view_of(*book_.find(id)))); },
         now);
 }
@@ -683,6 +698,7 @@
     if (shard == owned_.end())
         return;
     --shard->second.commits;
+    shard->second.records += pending.records.size();
     for (auto const& record : pending.records)
     {
         if (auto const* outcome = std::get_if<call_outcome>(&record.body))
