--- a/support/slopes-sections.hpp
+++ b/support/slopes-sections.hpp
@@ -12,6 +12,8 @@
 namespace slopes
 {
 
+/// Time, allocations and memory of each decision, by targets and programs.
+void run_decisions_section(std::uint32_t seed);
 /// Gossip among 13 to 390 nodes in one process under a manual clock.
 void run_members_section(std::uint32_t seed);
 
--- a/support/slopes.cpp
+++ b/support/slopes.cpp
@@ -16,6 +16,7 @@
         std::cerr << "usage: walnutmill-slopes [SEED]\n";
         return 2;
     }
+    walnutmill::slopes::run_decisions_section(seed);
     walnutmill::slopes::run_members_section(seed);
     return 0;
 }
