--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -83,6 +83,8 @@
     std::vector<target_name> avoid;
     /// A call that may not be repeated is not used as a probe.
     bool repeatable = true;
+    /// How long it has waited for a target.
+    duration waited{0};
 };
 
 enum class placement_reason
@@ -96,7 +98,10 @@
     /// No target: the service has none in service with model and adapter.
     none_available,
     /// No target: all that could serve it are full, as far as is known.
-    all_full
+    all_full,
+    /// No target: the one that has its history is full, and waiting for it
+    /// costs less than prefilling elsewhere.
+    awaits_cache
 };
 std::string_view to_string(placement_reason reason);
 
@@ -136,6 +141,10 @@
     double base_seconds = 0.02;
     double prefill_seconds = 0.0002;
     double decode_seconds = 0.02;
+    /// Seconds that a call waits for the target that has its history, for
+    /// each second of prefill that this saves (delay scheduling; Zaharia
+    /// 2010). More than one, since a prefill holds up the whole batch.
+    double affinity_patience = 10.0;
     /// How much a full batch lengthens a call, against an empty engine.
     double batch_slowdown = 0.5;
     /// A target is an outlier when its latency is this many times that of
@@ -154,10 +163,11 @@
     /// Greatest part of a pool on probation: beyond it the cause is not the
     /// target, and the rest could not carry the load.
     double max_probation = 0.34;
-    /// A call is overdue when it takes this many times what its peers' would;
+    /// A call is overdue when it takes this many times what its peers' would:
+    /// far more, since the wait for a prefill in a full batch counts too;
     /// three overdue ones at a time count as a sample each time the target
     /// reports, so that one which hangs is found without any answer.
-    double overdue_ratio = 4.0;
+    double overdue_ratio = 10.0;
     /// Least time after which a call can be overdue.
     duration least_overdue = std::chrono::seconds(1);
     /// Weight of a new latency sample in a target's average: half of it is
