Guard programs against loops, and let operators see and fund them

Cause: the loop guard was a module that nothing used; operators need programs with what they wait for, and budgets that can be raised while one runs. Change: the owner asks the guard before each call and replays outcomes into it at a takeover; statuses() for operators; record budget_changed, never below what is drawn; decisions carry kind and target for explain.

--- a/include/walnutmill/record.hpp
+++ b/include/walnutmill/record.hpp
@@ -43,6 +43,13 @@
     std::uint64_t units = 0;
 };
 
+/// An operator set a root's budget; what is drawn stays drawn.
+struct budget_changed
+{
+    program_id root;
+    std::uint64_t units = 0;
+};
+
 /// A call that may not be repeated is about to be sent; with an empty target
 /// it was not sent after all and is taken back.
 struct call_intent
@@ -105,8 +112,8 @@
 };
 
 using record_body = std::variant<
-    program_created, slice_drawn, slice_returned, call_intent, call_outcome,
-    hold_taken, hold_released, program_ended>;
+    program_created, slice_drawn, slice_returned, budget_changed, call_intent,
+    call_outcome, hold_taken, hold_released, program_ended>;
 
 /// A record with the shard it belongs to and the epoch of that ownership.
 struct journal_record
--- a/src/budget_ledger.hpp
+++ b/src/budget_ledger.hpp
@@ -50,6 +50,11 @@
         return units <= available() + (budget_ - drawn_);
     }
 
+    /// A committed change; never below what is drawn.
+    void set_budget(std::uint64_t units) noexcept
+    {
+        budget_ = std::max(units, drawn_);
+    }
     /// A committed draw; what exceeds the budget is not drawn.
     void draw(std::uint64_t units) noexcept
     {
--- a/src/caller_types.cpp
+++ b/src/caller_types.cpp
@@ -271,6 +271,14 @@
             {"ws", r.workspace.str()},
             {"reason", to_string(r.reason)}};
     }
+    json operator()(budget_request const& r) const
+    {
+        return {
+            {"k", "budget"},
+            {"p", r.program.str()},
+            {"ws", r.workspace.str()},
+            {"units", r.units}};
+    }
     json operator()(view_request const& r) const
     {
         return {
@@ -323,6 +331,8 @@
             program, workspace,
             canceled ? end_reason::canceled : end_reason::finished};
     }
+    if (kind == "budget")
+        return budget_request{program, workspace, j.at("units")};
     if (kind == "view")
         return view_request{program, workspace};
     throw std::invalid_argument("unknown request kind " + kind);
--- a/src/caller_types.hpp
+++ b/src/caller_types.hpp
@@ -66,6 +66,14 @@
     end_reason reason = end_reason::finished;
 };
 
+/// An operator's change of a root's budget.
+struct budget_request
+{
+    program_id program;
+    workspace_name workspace;
+    std::uint64_t units = 0;
+};
+
 struct view_request
 {
     program_id program;
@@ -73,7 +81,8 @@
 };
 
 using caller_request = std::variant<
-    create_request, call_request, fetch_request, end_request, view_request>;
+    create_request, call_request, fetch_request, end_request, view_request,
+    budget_request>;
 
 struct call_answer
 {
--- a/src/program_book.cpp
+++ b/src/program_book.cpp
@@ -52,68 +52,81 @@
         ++root->sub_agents;
 }
 
-void program_book::add_outcome(
-    program_state& program, call_outcome const& outcome)
+void program_book::add_outcome(call_outcome const& outcome)
 {
-    if (outcome.number != program.next_number())
+    auto* program = find(outcome.program);
+    if (program == nullptr || outcome.number != program->next_number())
         return;
-    program.outcomes.push_back(outcome);
-    program.open_intent.reset();
-    if (auto* ledger = find_ledger(program.created.root))
+    program->outcomes.push_back(outcome);
+    program->open_intent.reset();
+    if (auto* ledger = find_ledger(program->created.root))
         ledger->settle(outcome.cost);
 }
 
-void program_book::apply(journal_record const& record)
+bool program_book::apply_to_ledger(record_body const& body)
 {
-    if (auto const* created = std::get_if<program_created>(&record.body))
-        return add(record, *created);
-    if (auto const* slice = std::get_if<slice_drawn>(&record.body))
+    if (auto const* drawn = std::get_if<slice_drawn>(&body))
     {
-        if (auto* ledger = find_ledger(slice->root))
-            ledger->draw(slice->units);
-        return;
+        if (auto* ledger = find_ledger(drawn->root))
+            ledger->draw(drawn->units);
+        return true;
     }
-    if (auto const* slice = std::get_if<slice_returned>(&record.body))
+    if (auto const* returned = std::get_if<slice_returned>(&body))
     {
-        if (auto* ledger = find_ledger(slice->root))
-            ledger->give_back(slice->units);
-        return;
+        if (auto* ledger = find_ledger(returned->root))
+            ledger->give_back(returned->units);
+        return true;
     }
-    auto const id = std::visit(
-        [](auto const& body) -> program_id
-        {
-            if constexpr (
-                std::is_same_v<std::decay_t<decltype(body)>, slice_drawn> ||
-                std::is_same_v<std::decay_t<decltype(body)>, slice_returned>)
-                return body.root;
-            else
-                return body.program;
-        },
-        record.body);
-    auto* program = find(id);
-    if (program == nullptr)
+    if (auto const* changed = std::get_if<budget_changed>(&body))
+    {
+        if (auto* ledger = find_ledger(changed->root))
+            ledger->set_budget(changed->units);
+        return true;
+    }
+    return false;
+}
+
+void program_book::apply(journal_record const& record)
+{
+    auto const& body = record.body;
+    if (auto const* created = std::get_if<program_created>(&body))
+        return add(record, *created);
+    if (apply_to_ledger(body))
         return;
-    if (auto const* intent = std::get_if<call_intent>(&record.body))
+    if (auto const* intent = std::get_if<call_intent>(&body))
+        add_intent(*intent);
+    else if (auto const* outcome = std::get_if<call_outcome>(&body))
+        add_outcome(*outcome);
+    else if (auto const* taken = std::get_if<hold_taken>(&body))
+    {
+        if (auto* program = find(taken->program))
+            program->holds.insert(taken->target);
+    }
+    else if (auto const* released = std::get_if<hold_released>(&body))
     {
-        // An intent without a target takes the earlier one back.
-        if (intent->target.empty())
-            program->open_intent.reset();
-        else if (intent->number == program->next_number())
-            program->open_intent = *intent;
+        if (auto* program = find(released->program))
+            program->holds.erase(released->target);
     }
-    else if (auto const* outcome = std::get_if<call_outcome>(&record.body))
-        add_outcome(*program, *outcome);
-    else if (auto const* hold = std::get_if<hold_taken>(&record.body))
-        program->holds.insert(hold->target);
-    else if (auto const* release = std::get_if<hold_released>(&record.body))
-        program->holds.erase(release->target);
-    else if (auto const* end = std::get_if<program_ended>(&record.body))
+    else if (auto const* end = std::get_if<program_ended>(&body))
     {
-        if (!program->ended)
+        auto* program = find(end->program);
+        if (program != nullptr && !program->ended)
             program->ended = end->reason;
     }
 }
 
+void program_book::add_intent(call_intent const& intent)
+{
+    auto* program = find(intent.program);
+    if (program == nullptr)
+        return;
+    // An intent without a target takes the earlier one back.
+    if (intent.target.empty())
+        program->open_intent.reset();
+    else if (intent.number == program->next_number())
+        program->open_intent = intent;
+}
+
 void program_book::append_records(
     program_state const& program, epoch_number epoch,
     std::vector<journal_record>& records) const
@@ -124,7 +137,11 @@
     auto const& id = program.created.program;
     add_record(program.created);
     if (program.is_root())
-        add_record(slice_drawn{id, ledgers_.at(id).drawn()});
+    {
+        auto const& ledger = ledgers_.at(id);
+        add_record(budget_changed{id, ledger.budget()});
+        add_record(slice_drawn{id, ledger.drawn()});
+    }
     for (auto const& outcome : program.outcomes)
         add_record(outcome);
     if (program.open_intent)
--- a/src/program_book.hpp
+++ b/src/program_book.hpp
@@ -83,7 +83,9 @@
 
 private:
     void add(journal_record const& record, program_created const& created);
-    void add_outcome(program_state& program, call_outcome const& outcome);
+    bool apply_to_ledger(record_body const& body);
+    void add_intent(call_intent const& intent);
+    void add_outcome(call_outcome const& outcome);
     void append_records(
         program_state const& program, epoch_number epoch,
         std::vector<journal_record>& records) const;
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -54,6 +54,7 @@
     std::shared_ptr<configuration const> config)
 {
     config_ = std::move(config);
+    guard_options_ = guard_options_from(config_->limits);
 }
 
 // Shards
@@ -150,6 +151,11 @@
             !entry.second.ended)
             hooks_.forget(entry.first, now);
     }
+    for (auto const& entry : book_.programs())
+    {
+        if (entry.second.shard == shard)
+            guards_.erase(entry.first);
+    }
     book_.erase_shard(shard);
     owned_.erase(shard);
 }
@@ -253,6 +259,8 @@
         return fetch(*r, std::move(sink));
     if (auto const* r = std::get_if<end_request>(&request))
         return end(*r, std::move(sink), now);
+    if (auto const* r = std::get_if<budget_request>(&request))
+        return set_budget(*r, sink);
     view(std::get<view_request>(request), std::move(sink));
 }
 
@@ -321,7 +329,7 @@
     }
     if (auto why = check_creation(r, now))
     {
-        explain(r.program, 0, "refused", why->message);
+        explain(r.program, 0, decision_kind::refused, why->message);
         return sink.done(*why);
     }
     bool const root = r.parent.empty();
@@ -497,6 +505,72 @@
     sink.done(caller_answer(view_of(*found.value())));
 }
 
+void program_owner::set_budget(budget_request const& r, answer_sink const& sink)
+{
+    auto const found = visible(r.program, r.workspace);
+    if (!found)
+        return sink.done(found.error());
+    auto const& program = *found.value();
+    auto const* workspace = find_workspace(*config_, r.workspace);
+    if (!program.is_root())
+        return sink.done(refuse(
+            errc::bad_request, "a sub-agent shares its root's budget",
+            "program"));
+    if (workspace == nullptr || r.units > workspace->max_budget)
+        return sink.done(refuse(
+            errc::bad_request, "more than the workspace allows", "budget"));
+    append(
+        program.shard, {budget_changed{r.program, r.units}},
+        [this, sink, id = r.program](time_point)
+        { sink.done(caller_answer(view_of(*book_.find(id)))); });
+}
+
+std::vector<program_status>
+program_owner::statuses(std::size_t limit, time_point now)
+{
+    std::vector<program_status> all;
+    for (auto const& entry : book_.programs())
+    {
+        if (all.size() >= limit)
+            break;
+        program_status status;
+        status.view = view_of(entry.second);
+        status.holds.assign(
+            entry.second.holds.begin(), entry.second.holds.end());
+        auto const* call = find_call(entry.first, entry.second.next_number());
+        if (call != nullptr)
+        {
+            status.waiting_for = waiting_for(*call);
+            status.waited = now - call->accepted;
+            status.target = call->target;
+        }
+        all.push_back(std::move(status));
+    }
+    return all;
+}
+
+std::string program_owner::waiting_for(active_call const& call)
+{
+    switch (call.stage)
+    {
+    case call_stage::waits_turn:
+        return "its turn";
+    case call_stage::drawing:
+        return "units of the budget";
+    case call_stage::queued:
+        return "a free target";
+    case call_stage::intending:
+        return "the intent's commit";
+    case call_stage::in_flight:
+        return "the target";
+    case call_stage::backing_off:
+        return "the next attempt";
+    case call_stage::committing:
+        break;
+    }
+    return "the outcome's commit";
+}
+
 // The end of programs
 
 bool program_owner::busy(program_id const& program) const
@@ -650,7 +724,9 @@
         abandoned_cursor_ = program_id();
     for (auto const& id : abandoned)
     {
-        explain(id, 0, "ended", "no call for the stated time");
+        explain(
+            id, 0, decision_kind::refused,
+            "ended: no call for the stated time");
         end_program(
             *book_.find(id), end_reason::abandoned, [](time_point) {}, now);
     }
@@ -663,6 +739,7 @@
     book_.erase(id);
     last_activity_.erase(id);
     next_tool_.erase(id);
+    guards_.erase(id);
     by_program_.erase(id);
 }
 
@@ -717,11 +794,11 @@
 }
 
 void program_owner::explain(
-    program_id const& program, std::uint32_t number, std::string what,
-    std::string reason)
+    program_id const& program, std::uint32_t number, decision_kind kind,
+    std::string reason, target_name target)
 {
-    effects_.push_back(
-        decision_effect{program, number, std::move(what), std::move(reason)});
+    effects_.push_back(decision_effect{
+        program, number, kind, std::move(target), std::move(reason)});
 }
 
 std::vector<owner_effect> program_owner::take_effects()
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -13,6 +13,8 @@
 /// - "not run" is said only of a call that this owner holds and that was not
 ///   begun to be written to a target, or that the target declined.
 
+#include <walnutmill/audit.hpp>
+#include <walnutmill/budget_guard.hpp>
 #include <walnutmill/clock.hpp>
 #include <walnutmill/configuration.hpp>
 #include <walnutmill/record.hpp>
@@ -116,7 +118,8 @@
 {
     program_id program;
     std::uint32_t number = 0;
-    std::string what;
+    decision_kind kind = decision_kind::placed;
+    target_name target;
     std::string reason;
 };
 
@@ -132,6 +135,17 @@
     std::uint64_t tokens = 0;
 };
 
+/// What an operator sees of a program.
+struct program_status
+{
+    program_view view;
+    /// What its current call waits for; empty when it has none.
+    std::string waiting_for;
+    duration waited{0};
+    target_name target;
+    std::vector<target_name> holds;
+};
+
 /// Figures of the owner for metrics and gossip.
 struct owner_figures
 {
@@ -199,6 +213,8 @@
     bool live(program_id const& program) const;
     program_book const& book() const noexcept { return book_; }
     owner_figures figures() const;
+    /// The programs here, at most `limit`.
+    std::vector<program_status> statuses(std::size_t limit, time_point now);
 
 private:
     enum class call_stage
@@ -287,6 +303,10 @@
     void fetch(fetch_request const& r, answer_sink sink);
     void end(end_request const& r, answer_sink const& sink, time_point now);
     void view(view_request const& r, answer_sink sink);
+    void set_budget(budget_request const& r, answer_sink const& sink);
+    guard_verdict
+    check_guard(call_request const& r, program_state const& program);
+    budget_guard& guard_of(program_state const& program);
 
     std::optional<refusal>
     check_creation(create_request const& r, time_point now) const;
@@ -341,11 +361,12 @@
         shard_number shard, std::vector<record_body> bodies,
         std::function<void(time_point)> then);
     void explain(
-        program_id const& program, std::uint32_t number, std::string what,
-        std::string reason);
+        program_id const& program, std::uint32_t number, decision_kind kind,
+        std::string reason, target_name target = {});
     active_call* find_call(call_handle handle);
     active_call* find_attempt(attempt_id attempt);
     active_call* find_call(program_id const& program, std::uint32_t number);
+    static std::string waiting_for(active_call const& call);
     void erase_call(call_handle handle);
 
     scheduling_hooks hooks_;
@@ -368,6 +389,8 @@
     std::set<program_id> ending_;
     std::unordered_map<program_id, time_point> last_activity_;
     std::unordered_map<program_id, std::string> next_tool_;
+    guard_options guard_options_;
+    std::unordered_map<program_id, budget_guard> guards_;
     std::set<std::pair<program_id, target_name>> releasing_;
     std::deque<unconfirmed_release> release_again_;
     program_id abandoned_cursor_;
--- a/src/program_owner_calls.cpp
+++ b/src/program_owner_calls.cpp
@@ -36,6 +36,15 @@
         return;
     if (auto why = check_call(r, program))
         return sink.done(*why);
+    auto const verdict = check_guard(r, program);
+    if (!verdict.allowed())
+    {
+        refusal why;
+        why.code = errc::forbidden;
+        why.message = std::string(to_string(verdict.reason));
+        explain(r.program, r.number, decision_kind::refused, why.message);
+        return sink.done(why);
+    }
     active_call call;
     call.handle = ++last_id_;
     call.spec = r;
@@ -60,6 +69,43 @@
         start_turn(r.program, now);
 }
 
+namespace
+{
+
+/// What a loop repeats: the request's sense, without its number and id.
+std::uint64_t sense_of(service_name const& service, std::string const& input)
+{
+    return stable_hash(service.str() + "\n" + input);
+}
+
+} // namespace
+
+budget_guard& program_owner::guard_of(program_state const& program)
+{
+    auto const& id = program.created.program;
+    auto const found = guards_.find(id);
+    if (found != guards_.end())
+        return found->second;
+    auto const depth = static_cast<std::uint32_t>(
+        std::count(id.str().begin(), id.str().end(), '.'));
+    auto& made =
+        guards_.emplace(id, budget_guard(guard_options_, depth)).first->second;
+    for (auto const& outcome : program.outcomes)
+    {
+        made.on_answer(
+            outcome.service, sense_of(outcome.service, outcome.input),
+            stable_hash(outcome.output));
+    }
+    return made;
+}
+
+guard_verdict
+program_owner::check_guard(call_request const& r, program_state const& program)
+{
+    return guard_of(program).check_call(
+        r.service, sense_of(r.service, r.input));
+}
+
 void program_owner::attach(
     active_call& call, answer_sink sink, bool stream, std::uint64_t after)
 {
@@ -197,8 +243,8 @@
     call->ticket = hooks_.sent(query, call->target, now);
     call->sent_at = now;
     explain(
-        call->spec.program, call->spec.number,
-        "sent to " + choice->target.str(), choice->reason);
+        call->spec.program, call->spec.number, decision_kind::placed,
+        choice->reason, choice->target);
     if (call->repeatable)
     {
         send(*call, now);
@@ -367,6 +413,14 @@
     auto const program = call.spec.program;
     auto const answer = stored_answer(call.outcome);
     auto waiters = std::move(call.waiters);
+    auto const guard = guards_.find(program);
+    if (guard != guards_.end())
+    {
+        guard->second.on_answer(
+            call.outcome.service,
+            sense_of(call.outcome.service, call.outcome.input),
+            stable_hash(call.outcome.output));
+    }
     last_activity_[program] = now;
     next_tool_[program] = call.spec.next_tool;
     erase_call(call.handle);
@@ -383,8 +437,8 @@
     if (auto* ledger = book_.find_ledger(root_of(call.spec.program)))
         ledger->cancel(call.reserved + call.wasted);
     explain(
-        call.spec.program, call.spec.number,
-        "refused " + std::string(to_string(why.code)), why.message);
+        call.spec.program, call.spec.number, decision_kind::refused,
+        std::string(to_string(why.code)) + ": " + why.message);
     erase_call(call.handle);
     for (auto& waiter : waiters)
         waiter.sink.done(why);
--- a/src/record.cpp
+++ b/src/record.cpp
@@ -26,6 +26,10 @@
     {
         return {{"k", "unslice"}, {"p", r.root.str()}, {"units", r.units}};
     }
+    json operator()(budget_changed const& r) const
+    {
+        return {{"k", "budget"}, {"p", r.root.str()}, {"units", r.units}};
+    }
     json operator()(call_intent const& r) const
     {
         return {{"k", "intent"},         {"p", r.program.str()},
@@ -120,6 +124,8 @@
         return slice_drawn{id_at<program_id>(j, "p"), j.at("units")};
     if (kind == "unslice")
         return slice_returned{id_at<program_id>(j, "p"), j.at("units")};
+    if (kind == "budget")
+        return budget_changed{id_at<program_id>(j, "p"), j.at("units")};
     if (kind == "intent")
     {
         return call_intent{id_at<program_id>(j, "p"),       j.at("n"),
