Keep calls with their caches and order them across nodes

Under overload histories were prefilled again elsewhere whenever the engine that had them was full, which took half of the engines' time. A call now joins that engine's queue, or waits for it as long as that is cheaper, and each popped call carries a priority, so that engines go on with least attained service among the calls of all nodes; it is weighed by how much more than its share the workspace used. Admission lets more wait, since the queue serves short programs first, but workspaces above their share are refused from the first waiting calls on; histories missing from caches lower its limit (working sets, as in paging). Coarser levels, aging by program and strict slots were tried and finished fewer programs in time.

--- a/include/walnutmill/admission.hpp
+++ b/include/walnutmill/admission.hpp
@@ -16,6 +16,12 @@
 /// covers the chance of a slot falling idle (Kleinrock 1979: the operating
 /// point with the greatest power). No model of engines or programs is needed.
 ///
+/// Engines that hold more histories than their caches take prefill them again
+/// and again, and then programs slow one another without any call waiting. So
+/// the part of the histories that was missing when needed lowers the limit
+/// too: as in a paging system, the fault rate tells the working sets that fit
+/// (Denning 1968; Chu, Opderbeck 1976).
+///
 /// A refusal carries the time to come back: refused programs are lined up
 /// behind one another at the rate at which places become free, so their
 /// returns are spread however many they are.
@@ -47,6 +53,9 @@
     /// Mean wait of calls before a target began with them, at this node and
     /// at the target as far as it can be told.
     duration mean_wait{0};
+    /// Part of the tokens of histories that had to be prefilled again,
+    /// because they were no longer cached: 0 to 1.
+    double missing_history = 0.0;
     /// Programs that ended per second.
     double program_end_rate = 0.0;
     /// How long the oldest waiting call has waited.
@@ -91,21 +100,26 @@
 
 struct admission_options
 {
-    /// Waiting calls allowed, per slot. By the square-root rule (Halfin,
-    /// Whitt 1981) slots seldom fall idle with a queue of their square root:
-    /// four for the 15 that a node counts on at today's size.
-    double allowance_per_slot = 0.25;
+    /// Waiting calls per slot from which workspaces above their share are
+    /// refused. By the square-root rule (Halfin, Whitt 1981) slots seldom
+    /// fall idle with a queue of their square root: four for the 15 that a
+    /// node counts on at today's size.
+    double calm_per_slot = 0.25;
+    /// Waiting calls per slot from which every new program is refused. The
+    /// queue serves short programs first, so it may be long: what waits in it
+    /// is mostly what has attained much.
+    double waiting_per_slot = 4.0;
     /// Programs always allowed per slot: a program without pauses keeps one
     /// slot busy, so with fewer than that slots fall idle.
     double least_per_slot = 1.0;
+    /// Part of the histories that may be missing without consequence: some
+    /// always are, after pauses too long to hold a cache for.
+    double missing_allowed = 0.05;
     /// Largest growth of the limit per second of observation, so that a
     /// quiet moment does not open the door to a burst that then waits.
     double growth_per_second = 0.5;
     /// Time constant of the smoothed wait.
     duration smoothing = std::chrono::seconds(2);
-    /// From this part of the limit on, workspaces above their share are
-    /// refused, which keeps room for the others.
-    double contention_from = 0.9;
     /// A workspace that asked within this time counts for the shares.
     duration active_for = std::chrono::seconds(30);
     /// Bounds of the time to come back. The least is what a program turn
@@ -153,7 +167,7 @@
         time_point line_end;
     };
 
-    void update_limit(duration elapsed);
+    void update_limits(duration elapsed);
     workspace_state& touch(workspace_name const& name, double weight);
     void forget_idle(time_point now);
     double share_of(workspace_state const& workspace) const;
@@ -165,8 +179,10 @@
     admission_options options_;
     load_snapshot load_;
     double waiting_ = 0.0;
+    double missing_ = 0.0;
     double end_rate_ = 0.0;
     double limit_ = 0.0;
+    double calm_limit_ = 0.0;
     bool observed_ = false;
     time_point observed_at_;
     std::uint32_t programs_ = 0;
--- a/include/walnutmill/fair_queue.hpp
+++ b/include/walnutmill/fair_queue.hpp
@@ -15,6 +15,10 @@
 /// that programs of like length do not take turns and all end late. Waiting
 /// earns credit: the sort key is level + aging_rate * time of arrival, which
 /// stays put while the call waits, so each operation is O(log n).
+///
+/// Targets that honor priorities go on with that order among the calls of all
+/// nodes: each popped call carries its key, weighed by how much more than its
+/// share its workspace used of late.
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
@@ -77,6 +81,11 @@
     queued_call call;
     queue_reason reason = queue_reason::least_attained;
     duration waited{0};
+    /// For targets that honor priorities, lower first: the program's level,
+    /// times how far its workspace is above its share of late, and the time
+    /// of arrival times aging_rate. Nodes whose clocks differ by a second
+    /// differ by aging_rate.
+    double priority = 0.0;
 };
 
 struct fair_queue_options
@@ -86,7 +95,11 @@
     double first_level = 2.0;
     /// Slot-seconds of attained service that a second of waiting makes up
     /// for. A call is passed by later ones for at most level / aging_rate.
-    double aging_rate = 0.5;
+    /// The bench finishes the same number in time from 0 to 0.1, and fewer
+    /// under overload at 0.5; the longest waits get shorter with it.
+    double aging_rate = 0.1;
+    /// Time constant of what workspaces used of late.
+    duration usage_memory = std::chrono::seconds(60);
     /// Calls that pop() may pass over as not eligible, so that its cost
     /// stays bounded.
     std::size_t max_examined = 16;
@@ -163,8 +176,11 @@
     };
     struct workspace_state
     {
-        double weight = 1.0;
+        double weight = 0.0;
         double start_tag = 0.0;
+        /// Work of late per weight, decayed as of `used_at`.
+        double used = 0.0;
+        time_point used_at;
         std::map<program_key, program_state*> ready;
         /// Levels of the ready programs, to tell whether one was passed.
         std::multiset<double> levels;
@@ -183,10 +199,14 @@
     double level_of(double attained) const;
     program_key key_of(program_state const& program) const;
     program_state& program_of(queued_call const& call);
+    void set_weight(workspace_state& workspace, double weight);
     void enter(program_state& program);
     void leave(program_state& program);
     void unlink(queued_call const& call);
     void advance(workspace_name const& name, double work);
+    double decayed(double used, time_point at) const;
+    void use(workspace_state& workspace, double work);
+    double overuse(workspace_state const& workspace) const;
     void add_work(program_state& program, double work);
     popped_call take(queued_call const& chosen, time_point now, bool skipped);
 
@@ -198,6 +218,11 @@
     std::set<call_key> by_arrival_;
     std::set<call_key> by_deadline_;
     double virtual_time_ = 0.0;
+    /// Work of late by all, and the weight of all workspaces seen.
+    double used_ = 0.0;
+    time_point used_at_;
+    double weight_ = 0.0;
+    time_point now_;
     std::uint64_t next_serial_ = 0;
 };
 
--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -81,6 +81,8 @@
     std::vector<cache_location> cached;
     /// Not to be chosen: a retry or hedge avoids where the call was before.
     std::vector<target_name> avoid;
+    /// How long it has waited for a target so far.
+    duration waited{0};
     /// A call that may not be repeated is not used as a probe.
     bool repeatable = true;
 };
@@ -93,6 +95,9 @@
     least_cost,
     /// A target on probation gets a single call to see if it has recovered.
     probe,
+    /// No target: the one that has the program's cache is full, and prefilling
+    /// elsewhere would cost more than to wait for it.
+    waits_for_cache,
     /// No target: the service has none in service with model and adapter.
     none_available,
     /// No target: all that could serve it are full, as far as is known.
@@ -136,6 +141,17 @@
     double base_seconds = 0.02;
     double prefill_seconds = 0.0002;
     double decode_seconds = 0.02;
+    /// How much dearer a second of prefill is than one of decoding: it delays
+    /// all that the engine runs, and the prefills behind it.
+    double prefill_weight = 4.0;
+    /// Load up to which a target takes any call, against its slots.
+    double open_load = 2.0;
+    /// Load up to which a target takes calls whose cache it has, against its
+    /// slots. They wait in its own queue, by their priorities.
+    double home_load = 4.0;
+    /// How long a call waits for the target that has its cache when that is
+    /// full, against the seconds of prefill that it saves.
+    double home_patience = 5.0;
     /// How much a full batch lengthens a call, against an empty engine.
     double batch_slowdown = 0.5;
     /// A target is an outlier when its latency is this many times that of
@@ -171,7 +187,6 @@
 /// What a call is expected to take, for the comparison of latencies.
 struct sent_call
 {
-    service_name service;
     target_name target;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t cached_tokens = 0;
--- a/include/walnutmill/retry.hpp
+++ b/include/walnutmill/retry.hpp
@@ -102,7 +102,7 @@
     /// The same of a target. The greatest covers the calls that one node has
     /// under way there at today's size (16 slots, 13 nodes) twice over.
     double target_start = 0.5;
-    double target_most = 3.0;
+    double target_most = 2.0;
     /// Part of a hedge that each success earns, and the greatest balance.
     double hedge_earned = 0.05;
     double hedge_most = 5.0;
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -52,22 +52,26 @@
     duration elapsed = observed_ ? now - observed_at_ : options_.smoothing;
     double weight = observed_ ? weight_of(elapsed, options_.smoothing) : 1.0;
     waiting_ += weight * (waiting - waiting_);
+    missing_ += weight * (load.missing_history - missing_);
     end_rate_ += weight * (load.program_end_rate - end_rate_);
     load_ = load;
-    update_limit(elapsed);
+    update_limits(elapsed);
     observed_ = true;
     observed_at_ = now;
     forget_idle(now);
 }
 
-void admission::update_limit(duration elapsed)
+void admission::update_limits(duration elapsed)
 {
     double least = options_.least_per_slot * load_.slots;
-    double allowance = std::max(1.0, options_.allowance_per_slot * load_.slots);
-    double goal = programs_ - waiting_ + allowance;
+    double missing = std::max(0.0, missing_ - options_.missing_allowed);
+    double without_wait = programs_ * (1.0 - missing) - waiting_;
+    auto with = [&](double per_slot)
+    { return without_wait + std::max(1.0, per_slot * load_.slots); };
     double growth = 1.0 + options_.growth_per_second * seconds_of(elapsed);
-    double highest = std::max(limit_ * growth, limit_ + allowance);
-    limit_ = std::max(least, std::min(goal, highest));
+    double highest = std::max(least, limit_ * growth);
+    limit_ = std::clamp(with(options_.waiting_per_slot), least, highest);
+    calm_limit_ = std::clamp(with(options_.calm_per_slot), least, limit_);
 }
 
 void admission::forget_idle(time_point now)
@@ -114,7 +118,7 @@
         decision.reason = admission_reason::queue_full;
     else if (programs_ + 1 > limit_)
         decision.reason = admission_reason::limit_reached;
-    else if (programs_ + 1 > options_.contention_from * limit_)
+    else if (programs_ + 1 > calm_limit_)
         decision.reason = below ? admission_reason::below_share
                                 : admission_reason::above_share;
     decision.admitted = decision.reason == admission_reason::room ||
--- a/src/fair_queue.cpp
+++ b/src/fair_queue.cpp
@@ -87,12 +87,18 @@
         backlogged_.erase({workspace.start_tag, program.workspace});
 }
 
+void fair_queue::set_weight(workspace_state& workspace, double weight)
+{
+    weight_ += weight - workspace.weight;
+    workspace.weight = weight;
+}
+
 bool fair_queue::push(queued_call call)
 {
     if (calls_.count(call.handle) != 0)
         return false;
     auto& program = program_of(call);
-    workspaces_[program.workspace].weight = call.workspace_weight;
+    set_weight(workspaces_[program.workspace], call.workspace_weight);
     leave(program);
     program.waiting.insert({call.enqueued, call.handle});
     enter(program);
@@ -138,6 +144,7 @@
 std::optional<popped_call>
 fair_queue::pop(time_point now, eligible_fn const& eligible)
 {
+    now_ = now;
     std::size_t examined = 0;
     for (auto const& key : backlogged_)
     {
@@ -169,12 +176,37 @@
         popped.reason = queue_reason::first_eligible;
     else if (level_of(program.attained) > *workspace.levels.begin())
         popped.reason = queue_reason::aged;
+    popped.priority = level_of(program.attained) * overuse(workspace) +
+                      options_.aging_rate * seconds_of(chosen.enqueued);
     virtual_time_ = std::max(virtual_time_, workspace.start_tag);
     erase(popped.call.handle);
     add_work(program, popped.call.expected_work);
     return popped;
 }
 
+double fair_queue::decayed(double used, time_point at) const
+{
+    auto elapsed = std::chrono::duration<double>(now_ - at);
+    auto constant = std::chrono::duration<double>(options_.usage_memory);
+    return used * std::exp(-std::max(0.0, elapsed / constant));
+}
+
+void fair_queue::use(workspace_state& workspace, double work)
+{
+    workspace.used =
+        std::max(0.0, decayed(workspace.used, workspace.used_at) + work);
+    workspace.used_at = now_;
+    used_ = std::max(0.0, decayed(used_, used_at_) + work);
+    used_at_ = now_;
+}
+
+double fair_queue::overuse(workspace_state const& workspace) const
+{
+    double all = decayed(used_, used_at_) / weight_;
+    double own = decayed(workspace.used, workspace.used_at) / workspace.weight;
+    return all > 0.0 ? std::max(1.0, own / all) : 1.0;
+}
+
 void fair_queue::add_work(program_state& program, double work)
 {
     leave(program);
@@ -190,6 +222,7 @@
     if (backlogged)
         backlogged_.erase({workspace.start_tag, name});
     workspace.start_tag += work / workspace.weight;
+    use(workspace, work);
     if (backlogged)
         backlogged_.insert({workspace.start_tag, name});
 }
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -40,6 +40,8 @@
         return "least_cost";
     case placement_reason::probe:
         return "probe";
+    case placement_reason::waits_for_cache:
+        return "waits_for_cache";
     case placement_reason::none_available:
         return "none_available";
     case placement_reason::all_full:
@@ -74,6 +76,8 @@
     void add_cached(
         candidate_list& chosen, target_pool const& pool,
         placement_request const& request) const;
+    bool waits_for_cache(
+        target_pool const& pool, placement_request const& request) const;
     double cost_of(
         pooled_target const& target, target_pool const& pool,
         placement_request const& request) const;
@@ -100,7 +104,8 @@
     for (auto const& location : request.cached)
     {
         auto* target = targets_.find(location.target);
-        if (target && target->is_open_in(pool) && fits(*target, request) &&
+        if (target && target->is_usable_in(pool) && fits(*target, request) &&
+            targets_.takes_home_call(target->state) &&
             !contains(chosen, target))
             chosen.push_back(target);
     }
@@ -138,9 +143,32 @@
     call.prompt_tokens = request.prompt_tokens;
     call.expected_tokens = request.expected_tokens;
     call.cached_tokens = cached_at(request, state.view().name);
-    double load = targets_.load_of(state) / std::max(1u, state.view().slots);
-    return expected_seconds(options_, call, load) * state.slowness() *
-           std::exp(pool.median());
+    double slots = std::max(1u, state.view().slots);
+    double load = targets_.load_of(state) + 1.0;
+    double seconds = expected_seconds(options_, call, load / slots);
+    double queued = std::max(0.0, load - slots) / slots;
+    double prefill = prefill_seconds(options_, call);
+    double cost =
+        seconds * (1.0 + queued) + prefill * (options_.prefill_weight - 1.0);
+    return cost * state.slowness() * std::exp(pool.median());
+}
+
+bool placement::implementation::waits_for_cache(
+    target_pool const& pool, placement_request const& request) const
+{
+    double waited = std::chrono::duration<double>(request.waited).count();
+    for (auto const& location : request.cached)
+    {
+        auto* home = targets_.find(location.target);
+        if (!home || !home->is_usable_in(pool) || !fits(*home, request))
+            continue;
+        double saved = location.tokens * options_.prefill_seconds *
+                       std::exp(pool.median());
+        bool full = !targets_.takes_home_call(home->state);
+        if (full && waited < saved * options_.home_patience)
+            return true;
+    }
+    return false;
 }
 
 placement_decision placement::implementation::cheapest(
@@ -180,6 +208,11 @@
         decision.considered = 1;
         return decision;
     }
+    if (waits_for_cache(*pool, request))
+    {
+        decision.reason = placement_reason::waits_for_cache;
+        return decision;
+    }
     auto drawn = candidates(*pool, request, now, random);
     if (!drawn.empty())
         return cheapest(drawn, *pool, request);
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -182,9 +182,9 @@
         return;
     auto& target = *ended.target;
     target.state.succeed();
-    auto* pool = pool_of(ended.call.call.service);
-    if (!pool)
+    if (target.places.empty())
         return;
+    auto* pool = target.places.front().pool;
     double ratio = log_ratio(ended.call, tokens, now);
     double against_peers = ratio - pool->median();
     if (target.state.health() == target_health::probation)
@@ -243,6 +243,11 @@
     return target.has_room(peer_ratio_);
 }
 
+bool target_directory::takes_home_call(target_state const& target) const
+{
+    return target.takes_home_call(peer_ratio_);
+}
+
 double target_directory::load_of(target_state const& target) const
 {
     return target.load(peer_ratio_);
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -36,6 +36,7 @@
     /// Calls at the target, as estimated.
     double load_of(target_state const& target) const;
     bool has_room(target_state const& target) const;
+    bool takes_home_call(target_state const& target) const;
 
 private:
     /// A call taken out of the books, and where it was.
--- a/src/target_pool.cpp
+++ b/src/target_pool.cpp
@@ -22,12 +22,14 @@
         [&](pool_place const& place) { return place.pool == &pool; });
 }
 
-bool pooled_target::is_open_in(target_pool const& pool) const
+bool pooled_target::is_usable_in(target_pool const& pool) const
 {
     return std::any_of(
         places.begin(), places.end(),
-        [&](pool_place const& place)
-        { return place.pool == &pool && place.open_at != pool_place::none; });
+        [&](pool_place const& place) {
+            return place.pool == &pool && place.available &&
+                   !place.on_probation;
+        });
 }
 
 target_pool::target_pool(placement_pool config) : config_(std::move(config)) {}
--- a/src/target_pool.hpp
+++ b/src/target_pool.hpp
@@ -36,7 +36,8 @@
     explicit pooled_target(placement_options const& options) : state(options) {}
 
     pool_place& place_in(target_pool const& pool);
-    bool is_open_in(target_pool const& pool) const;
+    /// Whether it serves the pool and is healthy, also when it is full.
+    bool is_usable_in(target_pool const& pool) const;
 
     target_state state;
     std::vector<pool_place> places;
--- a/src/target_state.cpp
+++ b/src/target_state.cpp
@@ -20,15 +20,20 @@
 
 } // namespace
 
+double prefill_seconds(placement_options const& options, sent_call const& call)
+{
+    double tokens = call.prompt_tokens > call.cached_tokens
+                        ? call.prompt_tokens - call.cached_tokens
+                        : 0.0;
+    return tokens * options.prefill_seconds;
+}
+
 double expected_seconds(
     placement_options const& options, sent_call const& call, double load)
 {
-    double prefilled = call.prompt_tokens > call.cached_tokens
-                           ? call.prompt_tokens - call.cached_tokens
-                           : 0.0;
     double batch = 1.0 + options.batch_slowdown * std::min(load, 1.0);
     double decode = call.expected_tokens * options.decode_seconds * batch;
-    return options.base_seconds + prefilled * options.prefill_seconds + decode;
+    return options.base_seconds + prefill_seconds(options, call) + decode;
 }
 
 void target_state::take_report(target_view const& view, time_point now)
@@ -65,7 +70,12 @@
 
 bool target_state::has_room(double peer_ratio) const
 {
-    return load(peer_ratio) + 1.0 <= view_.slots;
+    return load(peer_ratio) + 1.0 <= view_.slots * options_->open_load;
+}
+
+bool target_state::takes_home_call(double peer_ratio) const
+{
+    return load(peer_ratio) + 1.0 <= view_.slots * options_->home_load;
 }
 
 duration target_state::report_age(time_point now) const
--- a/src/target_state.hpp
+++ b/src/target_state.hpp
@@ -39,6 +39,8 @@
     bool available(placement_pool const& pool) const;
     /// Whether a slot is free, as far as is known.
     bool has_room(double peer_ratio) const;
+    /// Whether it takes one more call whose cache it has.
+    bool takes_home_call(double peer_ratio) const;
     /// Calls there: the report, own ones, and what others sent since.
     double load(double peer_ratio) const;
     duration report_age(time_point now) const;
@@ -84,6 +86,9 @@
     std::uint32_t good_probes_ = 0;
 };
 
+/// \return seconds that the engine takes to prefill what it has not cached.
+double prefill_seconds(placement_options const& options, sent_call const& call);
+
 /// \return seconds that a call takes on an engine of usual speed at that
 /// load per slot.
 double expected_seconds(
