--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -95,13 +95,13 @@
     least_cost,
     /// A target on probation gets a single call to see if it has recovered.
     probe,
-    /// No target: the one that has the program's cache is full, and prefilling
-    /// elsewhere would cost more than to wait for it.
-    waits_for_cache,
     /// No target: the service has none in service with model and adapter.
     none_available,
     /// No target: all that could serve it are full, as far as is known.
-    all_full
+    all_full,
+    /// No target: the one that has its history is full, and waiting for it
+    /// costs less than prefilling elsewhere.
+    awaits_cache
 };
 std::string_view to_string(placement_reason reason);
 
@@ -144,14 +144,16 @@
     /// How much dearer a second of prefill is than one of decoding: it delays
     /// all that the engine runs, and the prefills behind it.
     double prefill_weight = 4.0;
-    /// Load up to which a target takes any call, against its slots.
+    /// Load up to which a target takes any call, against its slots. What
+    /// waits in its own queue is ordered by priority over all nodes, which
+    /// the queues of the nodes are not.
     double open_load = 2.0;
-    /// Load up to which a target takes calls whose cache it has, against its
-    /// slots. They wait in its own queue, by their priorities.
+    /// The same for calls whose cache it has.
     double home_load = 4.0;
-    /// How long a call waits for the target that has its cache when that is
-    /// full, against the seconds of prefill that it saves.
-    double home_patience = 5.0;
+    /// Seconds that a call waits for the target that has its history, for
+    /// each second of prefill that this saves (delay scheduling; Zaharia
+    /// 2010). More than one, since a prefill holds up the whole batch.
+    double affinity_patience = 10.0;
     /// How much a full batch lengthens a call, against an empty engine.
     double batch_slowdown = 0.5;
     /// A target is an outlier when its latency is this many times that of
@@ -170,10 +172,11 @@
     /// Greatest part of a pool on probation: beyond it the cause is not the
     /// target, and the rest could not carry the load.
     double max_probation = 0.34;
-    /// A call is overdue when it takes this many times what its peers' would;
+    /// A call is overdue when it takes this many times what its peers' would:
+    /// far more, since the wait for a prefill in a full batch counts too;
     /// three overdue ones at a time count as a sample each time the target
     /// reports, so that one which hangs is found without any answer.
-    double overdue_ratio = 4.0;
+    double overdue_ratio = 10.0;
     /// Least time after which a call can be overdue.
     duration least_overdue = std::chrono::seconds(1);
     /// Weight of a new latency sample in a target's average: half of it is
@@ -187,6 +190,8 @@
 /// What a call is expected to take, for the comparison of latencies.
 struct sent_call
 {
+    /// May be empty where the target serves one service only.
+    service_name service;
     target_name target;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t cached_tokens = 0;
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -40,12 +40,12 @@
         return "least_cost";
     case placement_reason::probe:
         return "probe";
-    case placement_reason::waits_for_cache:
-        return "waits_for_cache";
     case placement_reason::none_available:
         return "none_available";
     case placement_reason::all_full:
         return "all_full";
+    case placement_reason::awaits_cache:
+        return "awaits_cache";
     }
     return "none_available";
 }
@@ -76,7 +76,7 @@
     void add_cached(
         candidate_list& chosen, target_pool const& pool,
         placement_request const& request) const;
-    bool waits_for_cache(
+    bool awaits_cache(
         target_pool const& pool, placement_request const& request) const;
     double cost_of(
         pooled_target const& target, target_pool const& pool,
@@ -134,6 +134,28 @@
     return chosen;
 }
 
+bool placement::implementation::awaits_cache(
+    target_pool const& pool, placement_request const& request) const
+{
+    pooled_target const* home = nullptr;
+    std::uint32_t most = 0;
+    for (auto const& location : request.cached)
+    {
+        auto const* target = targets_.find(location.target);
+        bool usable =
+            target && target->is_usable_in(pool) && fits(*target, request);
+        if (!usable || location.tokens <= most)
+            continue;
+        home = target;
+        most = location.tokens;
+    }
+    if (!home || targets_.takes_home_call(home->state))
+        return false;
+    double waited = std::chrono::duration<double>(request.waited).count();
+    double saved = most * options_.prefill_seconds;
+    return waited < options_.affinity_patience * saved;
+}
+
 double placement::implementation::cost_of(
     pooled_target const& target, target_pool const& pool,
     placement_request const& request) const
@@ -153,24 +175,6 @@
     return cost * state.slowness() * std::exp(pool.median());
 }
 
-bool placement::implementation::waits_for_cache(
-    target_pool const& pool, placement_request const& request) const
-{
-    double waited = std::chrono::duration<double>(request.waited).count();
-    for (auto const& location : request.cached)
-    {
-        auto* home = targets_.find(location.target);
-        if (!home || !home->is_usable_in(pool) || !fits(*home, request))
-            continue;
-        double saved = location.tokens * options_.prefill_seconds *
-                       std::exp(pool.median());
-        bool full = !targets_.takes_home_call(home->state);
-        if (full && waited < saved * options_.home_patience)
-            return true;
-    }
-    return false;
-}
-
 placement_decision placement::implementation::cheapest(
     candidate_list const& candidates, target_pool const& pool,
     placement_request const& request) const
@@ -208,9 +212,9 @@
         decision.considered = 1;
         return decision;
     }
-    if (waits_for_cache(*pool, request))
+    if (awaits_cache(*pool, request))
     {
-        decision.reason = placement_reason::waits_for_cache;
+        decision.reason = placement_reason::awaits_cache;
         return decision;
     }
     auto drawn = candidates(*pool, request, now, random);
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -74,6 +74,8 @@
         if (program.shard != shard)
             continue;
         last_activity_[entry.first] = now;
+        if (program.is_root() && !program.ended)
+            hooks_.adopted({entry.first, program.created.workspace});
         if (program.open_intent)
             resolve_intent(program, now);
         if (program.ended)
@@ -112,7 +114,8 @@
     attempts_[added.attempt] = handle;
     timers_.insert({added.deadline, handle});
     effects_.push_back(query_effect{
-        added.attempt, intent.target, intent.program, intent.request});
+        added.attempt, intent.target, intent.program,
+        target_key(intent.program, intent.request)});
 }
 
 void program_owner::drop_shard(shard_number shard, time_point now)
@@ -136,16 +139,16 @@
         {
             effects_.push_back(cancel_effect{
                 call.attempt, call.target, call.spec.program,
-                call.spec.request});
-            end_attempt(call, false, 0, now);
+                target_key(call.spec.program, call.spec.request)});
         }
+        end_attempt(call, send_end::canceled, 0, now);
         give_up(call, why);
     }
     for (auto const& entry : book_.programs())
     {
         if (entry.second.shard == shard && entry.second.is_root() &&
             !entry.second.ended)
-            hooks_.forget(entry.first, false, now);
+            hooks_.forget(entry.first, now);
     }
     book_.erase_shard(shard);
     owned_.erase(shard);
@@ -166,6 +169,13 @@
         append(shard, std::move(records), [](time_point) {});
 }
 
+void program_owner::set_moving(shard_number shard, bool moving)
+{
+    auto const found = owned_.find(shard);
+    if (found != owned_.end())
+        found->second.moving = moving;
+}
+
 bool program_owner::owns(shard_number shard) const
 {
     return owned_.count(shard) != 0;
@@ -184,6 +194,12 @@
     return true;
 }
 
+std::size_t program_owner::records_since_load(shard_number shard) const
+{
+    auto const found = owned_.find(shard);
+    return found == owned_.end() ? 0 : found->second.records;
+}
+
 std::vector<journal_record>
 program_owner::snapshot(shard_number shard, time_point now) const
 {
@@ -227,7 +243,7 @@
     caller_request const& request, answer_sink sink, time_point now)
 {
     auto const shard = shard_of(root_of(program_of(request)), shards_);
-    if (fenced_ || !owns(shard))
+    if (fenced_ || !owns(shard) || owned_.at(shard).moving)
         return sink.done(come_back(errc::unavailable, "the program is moving"));
     if (auto const* r = std::get_if<create_request>(&request))
         return create(*r, std::move(sink), now);
@@ -282,7 +298,7 @@
             errc::bad_request, "more than the workspace allows", "budget");
     if (book_.programs().size() >= limits.max_programs_per_node)
         return come_back(errc::overloaded, "too many programs on this node");
-    return hooks_.admit(r.workspace, now);
+    return hooks_.admit({r.program, r.workspace}, now);
 }
 
 void program_owner::create(
@@ -489,7 +505,8 @@
     return found != by_program_.end() && !found->second.empty();
 }
 
-void program_owner::end(end_request const& r, answer_sink sink, time_point now)
+void program_owner::end(
+    end_request const& r, answer_sink const& sink, time_point now)
 {
     auto const found = visible(r.program, r.workspace);
     if (!found)
@@ -501,7 +518,7 @@
         return sink.done(refuse(errc::conflict, "calls are under way"));
     end_program(
         program, r.reason,
-        [this, sink = std::move(sink), id = r.program](time_point)
+        [this, sink, id = r.program](time_point)
         { sink.done(caller_answer(view_of(*book_.find(id)))); },
         now);
 }
@@ -551,7 +568,7 @@
                     continue;
                 if (ended->is_root())
                 {
-                    hooks_.forget(id, ended->ended == end_reason::finished, at);
+                    hooks_.forget(id, at);
                 }
                 release_holds(*ended);
             }
@@ -683,6 +700,7 @@
     if (shard == owned_.end())
         return;
     --shard->second.commits;
+    shard->second.records += pending.records.size();
     for (auto const& record : pending.records)
     {
         if (auto const* outcome = std::get_if<call_outcome>(&record.body))
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -34,6 +34,10 @@
 namespace walnutmill
 {
 
+/// What names a call towards targets. Callers number their requests per
+/// program, so a request id alone would mix two programs up.
+request_id target_key(program_id const& program, request_id const& request);
+
 /// Names one attempt of a call at a target.
 using attempt_id = std::uint64_t;
 
@@ -155,9 +159,13 @@
     void drop_shard(shard_number shard, time_point now);
     /// Returns unused units to the budgets of a shard, before a hand-over.
     void return_slices(shard_number shard);
+    /// While a shard moves, its new requests are told to come back.
+    void set_moving(shard_number shard, bool moving);
     bool owns(shard_number shard) const;
     /// No calls of the shard are under way and nothing waits for a commit.
     bool quiet(shard_number shard) const;
+    /// Records committed for the shard since it was loaded.
+    std::size_t records_since_load(shard_number shard) const;
     /// Records that rebuild the shard as committed now.
     std::vector<journal_record>
     snapshot(shard_number shard, time_point now) const;
@@ -230,6 +238,10 @@
         time_point deadline;
         time_point retry_at;
         time_point sent_at;
+        time_point enqueued;
+        send_ticket ticket = 0;
+        std::uint32_t prompt = 0;
+        /// The most that the call can cost.
         std::uint64_t work = 0;
         std::uint64_t reserved = 0;
         /// Units that failed attempts may have cost.
@@ -249,7 +261,10 @@
     struct shard_entry
     {
         epoch_number epoch = 0;
+        /// Appends that wait for the table.
         std::size_t commits = 0;
+        std::size_t records = 0;
+        bool moving = false;
     };
 
     /// A release that the target has not confirmed yet.
@@ -270,7 +285,7 @@
     void create(create_request const& r, answer_sink sink, time_point now);
     void call(call_request const& r, answer_sink sink, time_point now);
     void fetch(fetch_request const& r, answer_sink sink);
-    void end(end_request const& r, answer_sink sink, time_point now);
+    void end(end_request const& r, answer_sink const& sink, time_point now);
     void view(view_request const& r, answer_sink sink);
 
     std::optional<refusal>
@@ -295,7 +310,7 @@
     void send(active_call& call, time_point now);
     model_effect model_send(active_call const& call) const;
     void end_attempt(
-        active_call& call, bool failed, std::uint64_t tokens, time_point now);
+        active_call& call, send_end end, std::uint64_t tokens, time_point now);
     void finish(active_call& call, call_outcome outcome, time_point now);
     void deliver(active_call& call, time_point now);
     void refuse_outcome(
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -182,9 +182,11 @@
         return;
     auto& target = *ended.target;
     target.state.succeed();
-    if (target.places.empty())
+    auto* pool = pool_of(ended.call.call.service);
+    if (!pool && !target.places.empty())
+        pool = target.places.front().pool;
+    if (!pool)
         return;
-    auto* pool = target.places.front().pool;
     double ratio = log_ratio(ended.call, tokens, now);
     double against_peers = ratio - pool->median();
     if (target.state.health() == target_health::probation)
