--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -104,7 +104,8 @@
     for (auto const& location : request.cached)
     {
         auto* target = targets_.find(location.target);
-        if (target && target->is_open_in(pool) && fits(*target, request) &&
+        if (target && target->is_usable_in(pool) && fits(*target, request) &&
+            targets_.takes_home_call(target->state) &&
             !contains(chosen, target))
             chosen.push_back(target);
     }
@@ -136,30 +137,23 @@
 bool placement::implementation::awaits_cache(
     target_pool const& pool, placement_request const& request) const
 {
-    double const waited = std::chrono::duration<double>(request.waited).count();
-    bool awaits = false;
+    pooled_target const* home = nullptr;
+    std::uint32_t most = 0;
     for (auto const& location : request.cached)
     {
-        auto const* found = targets_.find(location.target);
-        if (!found)
-            continue;
-        auto const& target = *found;
-        bool const usable = target.state.health() == target_health::healthy &&
-                            target.state.available(pool.config()) &&
-                            fits(target, request);
-        double const saved = location.tokens * options_.prefill_seconds;
-        if (!usable || waited >= options_.affinity_patience * saved)
+        auto const* target = targets_.find(location.target);
+        bool usable =
+            target && target->is_usable_in(pool) && fits(*target, request);
+        if (!usable || location.tokens <= most)
             continue;
-        for (auto const& place : target.places)
-        {
-            if (place.pool != &pool)
-                continue;
-            if (place.open_at != pool_place::none)
-                return false;
-            awaits = true;
-        }
+        home = target;
+        most = location.tokens;
     }
-    return awaits;
+    if (!home || targets_.takes_home_call(home->state))
+        return false;
+    double waited = std::chrono::duration<double>(request.waited).count();
+    double saved = most * options_.prefill_seconds;
+    return waited < options_.affinity_patience * saved;
 }
 
 double placement::implementation::cost_of(
@@ -171,9 +165,14 @@
     call.prompt_tokens = request.prompt_tokens;
     call.expected_tokens = request.expected_tokens;
     call.cached_tokens = cached_at(request, state.view().name);
-    double load = targets_.load_of(state) / std::max(1u, state.view().slots);
-    return expected_seconds(options_, call, load) * state.slowness() *
-           std::exp(pool.median());
+    double slots = std::max(1u, state.view().slots);
+    double load = targets_.load_of(state) + 1.0;
+    double seconds = expected_seconds(options_, call, load / slots);
+    double queued = std::max(0.0, load - slots) / slots;
+    double prefill = prefill_seconds(options_, call);
+    double cost =
+        seconds * (1.0 + queued) + prefill * (options_.prefill_weight - 1.0);
+    return cost * state.slowness() * std::exp(pool.median());
 }
 
 placement_decision placement::implementation::cheapest(
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -183,6 +183,8 @@
     auto& target = *ended.target;
     target.state.succeed();
     auto* pool = pool_of(ended.call.call.service);
+    if (!pool && !target.places.empty())
+        pool = target.places.front().pool;
     if (!pool)
         return;
     double ratio = log_ratio(ended.call, tokens, now);
@@ -243,6 +245,11 @@
     return target.has_room(peer_ratio_);
 }
 
+bool target_directory::takes_home_call(target_state const& target) const
+{
+    return target.takes_home_call(peer_ratio_);
+}
+
 double target_directory::load_of(target_state const& target) const
 {
     return target.load(peer_ratio_);
--- a/support/bench_modules_node.hpp
+++ b/support/bench_modules_node.hpp
@@ -54,6 +54,7 @@
         engine_index failed_at = no_engine;
         sent_ticket ticket = 0;
         double charged = 0.0;
+        double priority = 0.0;
         bool answering = false;
         time_point sent;
     };
@@ -64,6 +65,9 @@
         std::uint32_t programs_ended = 0;
         std::uint32_t waits = 0;
         duration waited{0};
+        /// Tokens of history that calls needed, and that were cached.
+        double history = 0.0;
+        double history_cached = 0.0;
         time_point since;
     };
 
@@ -75,7 +79,6 @@
     engine_index round_robin(pool on);
     dispatch send(live_call& call, engine_index to, time_point now);
     double expected_work(call_view const& call) const;
-    double attained_by(call_view const& call);
     void settle(live_call const& call, time_point now);
     void observe_load(reports const& seen, time_point now);
     target_view view_of(reports const& seen, engine_index at) const;
