Read and write the node's configuration through the store

The head row had two writers with two formats; the node's functions now call the store. A node that advertises another address than it listens at would have refused every handshake, as the dialled address is proved, so the hub learns the advertised one (one line of node.cpp, a member appended to peer_hub_options).

--- a/include/walnutmill/peer_hub.hpp
+++ b/include/walnutmill/peer_hub.hpp
@@ -48,6 +48,9 @@
     /// Zero picks a free port.
     std::uint16_t port = 0;
     std::string key;
+    /// "IP:PORT" that others dial, where it is not the one listened at, for
+    /// example behind a forwarder. Empty: address and port.
+    std::string advertise;
     /// Longest body; a longer one is refused as too_large.
     std::size_t max_frame_bytes = 8u << 20;
     /// Requests under way: asked by this node, and of each peer.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -58,7 +58,9 @@
         : settings_(settings), clock_(monotonic_clock()),
           table_(make_table_client(settings.table_url, platform_timeout)),
           objects_(make_object_client(settings.object_url, platform_timeout)),
-          hub_({settings.peer_address, settings.peer_port, settings.peer_key})
+          hub_(
+              {settings.peer_address, settings.peer_port, settings.peer_key,
+               settings.peer_advertise})
     {
     }
 
--- a/src/peer_hub.cpp
+++ b/src/peer_hub.cpp
@@ -44,7 +44,9 @@
             return port;
         bool const any_address =
             options_.address == "0.0.0.0" || options_.address == "::";
-        if (!any_address)
+        if (!options_.advertise.empty())
+            core_.set_own_address(options_.advertise);
+        else if (!any_address)
             core_.set_own_address(
                 options_.address + ":" + std::to_string(port.value()));
         sockets_.every(options_.ping_interval, [this] { core_.tick(); });
--- a/src/stored_configuration.cpp
+++ b/src/stored_configuration.cpp
@@ -1,15 +1,13 @@
 #include "stored_configuration.hpp"
 
-#include <nlohmann/json.hpp>
+#include <walnutmill/config_store.hpp>
 
 namespace walnutmill
 {
 namespace
 {
 
-using nlohmann::json;
-
-constexpr char const* head_key = "config/head";
+constexpr char const* first_command = "init";
 
 refusal refuse(errc code, std::string message)
 {
@@ -19,38 +17,37 @@
     return why;
 }
 
+/// The first version is written without an object store.
+object_store no_objects()
+{
+    object_store made;
+    made.put = [](std::string_view, std::string_view) -> result<void>
+    { return refuse(errc::too_large, "too long for the first version"); };
+    return made;
+}
+
 } // namespace
 
 result<std::shared_ptr<configuration const>>
-read_configuration(table_service const& table, object_store const&)
+read_configuration(table_service const& table, object_store const& objects)
 {
-    auto const rows = table.read({head_key});
-    if (!rows)
-        return rows.error();
-    if (rows.value().empty())
-        return refuse(errc::not_found, "there is no configuration yet");
-    auto const head = json::parse(rows.value().front().value, nullptr, false);
-    if (!head.is_object() || !head.contains("document"))
-        return refuse(errc::internal, "unreadable configuration head");
-    auto parsed = parse_configuration(head["document"].get<std::string>());
-    if (!parsed.problems.empty())
-        return refuse(errc::internal, "the stored configuration is unsound");
-    parsed.value.version = head.value("version", std::uint64_t(0));
-    return std::make_shared<configuration const>(std::move(parsed.value));
+    return config_store(table, objects).read_newer(0);
 }
 
 result<void>
 write_first_configuration(table_service const& table, configuration config)
 {
-    config.version = 1;
-    json const head = {{"version", 1}, {"document", to_json_text(config)}};
-    auto const answer = table.commit(
-        {"init", {{head_key, std::nullopt}}, {{head_key, head.dump()}}});
-    if (answer.status == commit_status::committed)
+    configuration_change wanted;
+    wanted.next = std::move(config);
+    wanted.command_id = first_command;
+    wanted.who = first_command;
+    auto const made = config_store(table, no_objects()).change(wanted);
+    if (!made)
+        return made.error();
+    auto const status = made.value().status;
+    if (status == change_status::committed || status == change_status::repeated)
         return boost::outcome_v2::success();
-    if (answer.status == commit_status::refused)
-        return refuse(errc::conflict, "there is a configuration already");
-    return refuse(errc::store_unavailable, "the table does not answer");
+    return refuse(errc::conflict, "there is a configuration already");
 }
 
 } // namespace walnutmill
--- a/test/fake_table.hpp
+++ b/test/fake_table.hpp
@@ -43,6 +43,12 @@
     }
     /// Breaks the next step.
     void fail_next(table_fault fault) { fail_step(steps() + 1, fault); }
+    /// Mends the steps that are still to break.
+    void clear_faults()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        faults_.clear();
+    }
     /// While down, every step is refused.
     void set_down(bool down)
     {
--- a/test/peer_hub-test.cpp
+++ b/test/peer_hub-test.cpp
@@ -298,6 +298,21 @@
     CHECK_FALSE(waiting->get());
 }
 
+TEST_CASE_METHOD(
+    hubs_fixture, "peer request, dialled at another address than advertised",
+    "[peer_hub]")
+{
+    auto options = options_with();
+    options.advertise = "127.0.0.1:1";
+    peer_hub hidden(options);
+    hidden.on_request(
+        "echo", [](std::string_view body, peer_responder const& responder)
+        { responder.reply(body); });
+    auto const reply = ask(asker, start(hidden), "echo", "x")->get();
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().ran == certainty::not_run);
+}
+
 TEST_CASE("peer note, sent before the link is up, arrives", "[peer_hub]")
 {
     awaited<std::string> note;
