--- a/src/target_steward.cpp
+++ b/src/target_steward.cpp
@@ -158,6 +158,10 @@
     observed_ = std::move(observed);
     read_at_ = now;
     retry_at_.reset();
+    // Numbers of this epoch are this node's own: a target that left the
+    // configuration and came back within the epoch has seen some.
+    if (observed_.fence / fences_per_epoch == epoch_)
+        sequence_ = std::max(sequence_, observed_.fence % fences_per_epoch);
     bool const idle = observed_.reachable && observed_.running == 0;
     if (!idle || !in_force_)
         idle_since_.reset();
