Join the operators' desk to the configuration store

Cause: the desk proposed through a hook that only a fake served. Change: use_store sets its hooks head and propose onto config_store; the command's row decides a repeat, so 'repeated' reads it back. The tests run over the real store on the fake table.

--- a/test/operate-test.cpp
+++ b/test/operate-test.cpp
@@ -2,6 +2,7 @@
 #include <walnutmill/target_rows.hpp>
 
 #include "fake_table.hpp"
+#include "operate_store.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -24,59 +25,55 @@
   "services": [{"name": "llm", "model": "m", "targets": ["e1", "e2"]}],
   "workspaces": [{"name": "bern", "services": ["llm"]}, {"name": "basel"}]})";
 
-constexpr auto head_key = "head";
-
 // Two operators' desks at two nodes over one table.
 struct desks
 {
     fake_table store;
     table_service table = store.table();
+    config_store configurations{store.table(), store.store()};
     std::uint64_t accepted = 0;
+    std::shared_ptr<configuration const> in_force;
     int ended = 0;
     int next_id = 0;
     /// Runs once, between a desk's reading of the head and its proposal.
     std::function<void()> before_proposal;
     operator_desk desk{hooks()};
 
-    desks() { store.set_row(head_key, document); }
-
-    std::shared_ptr<configuration const> head() const
+    desks()
     {
-        auto const text = store.rows().at(head_key);
-        auto const parsed = parse_configuration(text);
+        auto const parsed = parse_configuration(document);
         REQUIRE(parsed.problems.empty());
-        return std::make_shared<configuration const>(parsed.value);
+        for (std::uint64_t version = 0; version < 7; ++version)
+        {
+            configuration_change change;
+            change.next = parsed.value;
+            change.expected_version = version;
+            change.command_id = "setup-" + std::to_string(version);
+            REQUIRE(configurations.change(change));
+        }
+        in_force = head();
     }
 
-    result<proposal_outcome> propose(configuration_proposal const& proposal)
+    std::shared_ptr<configuration const> head() const
     {
-        if (before_proposal)
-            std::exchange(before_proposal, nullptr)();
-        auto const current = store.rows().at(head_key);
-        if (head()->version != proposal.expected_version)
-            return proposal_outcome::version_changed;
-        transaction wanted{proposal.id, proposal.conditions, proposal.writes};
-        wanted.conditions.push_back({head_key, current});
-        wanted.writes.push_back({head_key, to_json_text(proposal.next)});
-        auto const done = table.commit(wanted);
-        if (done.status == commit_status::committed)
-            return proposal_outcome::committed;
-        if (done.status == commit_status::refused)
-            return proposal_outcome::condition_failed;
-        refusal lost;
-        lost.code = errc::outcome_unknown;
-        return lost;
+        auto const read = configurations.read_newer(0);
+        REQUIRE(read);
+        return read.value();
     }
 
     operate_hooks hooks()
     {
         operate_hooks made;
-        made.head = [this]
-        { return result<std::shared_ptr<configuration const>>(head()); };
-        made.in_force = [this] { return head(); };
+        use_store(made, configurations);
+        made.propose =
+            [this, plain = made.propose](configuration_proposal const& proposal)
+        {
+            if (before_proposal)
+                std::exchange(before_proposal, nullptr)();
+            return plain(proposal);
+        };
+        made.in_force = [this] { return in_force; };
         made.accepted_version = [this] { return accepted; };
-        made.propose = [this](configuration_proposal const& p)
-        { return propose(p); };
         made.table = table;
         made.gather = [](table_kind kind) { return gather(kind); };
         made.decisions = [](program_id const& id) -> gathered_decisions
@@ -198,13 +195,31 @@
 }
 
 TEST_CASE_METHOD(
-    desks, "order whose answer was lost, sent again, is the same", "[operate]")
+    desks, "order, with a fault at any step, is sent again and done once",
+    "[operate]")
 {
-    // The read of the command's row comes first, then the commit.
-    store.fail_step(store.steps() + 2, table_fault::drop_answer);
-    CHECK(refused("drain e1", "c1").code == errc::outcome_unknown);
-    CHECK(answer("drain e1", "c1")["version"] == 8);
-    CHECK(head()->version == 8);
+    auto const start = store.steps();
+    answer("drain e1", "free");
+    auto const most = store.steps() - start;
+    int number = 0;
+    for (auto const fault :
+         {table_fault::drop_answer, table_fault::lose_request,
+          table_fault::refuse})
+    {
+        for (std::size_t step = 1; step <= most; ++step)
+        {
+            INFO("step " << step << ", fault " << static_cast<int>(fault));
+            auto const before = head()->version;
+            auto const id = "c" + std::to_string(++number);
+            auto const* text = number % 2 == 1 ? "wake e1" : "drain e1";
+            store.fail_step(store.steps() + step, fault);
+            auto const first = say(text, id);
+            if (!first)
+                CHECK(first.error().code != errc::conflict);
+            answer(text, id);
+            CHECK(head()->version == before + 1);
+        }
+    }
 }
 
 TEST_CASE_METHOD(
