--- a/support/faults.py
+++ b/support/faults.py
@@ -95,6 +95,7 @@
         time.sleep(rng.uniform(0.2, longest))
         struck.faults(drop_answers=0, refuse=0, stall_ms=0, hang=False,
                       slowdown=1.0, forget_holds=False)
+    fault.__name__ = "_".join(switches)
     return fault
 
 
--- a/support/proofs.py
+++ b/support/proofs.py
@@ -218,7 +218,7 @@
     rng = random.Random(seed)
     with world(engine_options=["--token-us", "10000"]) as running:
         group = workload.crowd()
-        for i in range(8):
+        for i in range(16):
             own = random.Random(rng.random())
             group.add(workload.chain, running.agent(own, f"a{i + 1}"), own,
                       calls=8, pause=0.02)
