Give operators and stewards the node, and gossip between nodes

Cause: the language, the stewards of targets and the gossip were parts that no process ran. Change: peer_questions (rows, decisions, liveness asked of all nodes, silent ones named), operator_backend (hooks of the operators desk and of the stewards), gossip over the links with hints of new configuration versions, check, ctl and explain in the binary.

--- a/src/configuration_watch.cpp
+++ b/src/configuration_watch.cpp
@@ -51,7 +51,7 @@
 void configuration_watch::round()
 {
     auto const read = hooks_.read();
-    if (!read)
+    if (!read || !read.value())
         return;
     auto const& next = read.value();
     {
--- a/src/configuration_watch.hpp
+++ b/src/configuration_watch.hpp
@@ -19,7 +19,8 @@
 
 struct configuration_watch_hooks
 {
-    /// Reads the configuration in force at the platform.
+    /// Reads the configuration in force at the platform; nullptr: none is
+    /// newer.
     std::function<result<std::shared_ptr<configuration const>>()> read;
     /// Puts a newer configuration in force at this node.
     std::function<void(std::shared_ptr<configuration const>)> apply;
--- a/src/journal_duty.cpp
+++ b/src/journal_duty.cpp
@@ -132,6 +132,7 @@
             std::chrono::duration<double>(last_commit_ - began).count());
     }
     report(log.on_result(answer));
+    counter_ = log.session().counter;
     if (answer.status == commit_status::not_sent ||
         answer.status == commit_status::in_doubt)
         wait_after_failure();
--- a/src/journal_duty.hpp
+++ b/src/journal_duty.hpp
@@ -79,6 +79,8 @@
     /// the session was not fenced then.
     bool fresh() const;
     bool fenced() const { return fenced_.load(); }
+    /// Counter of the last commit.
+    std::uint64_t counter() const { return counter_.load(); }
     /// Appends that are not committed yet.
     std::size_t backlog() const { return backlog_.load(); }
 
@@ -101,6 +103,7 @@
     std::atomic<bool> fenced_{false};
     std::atomic<std::size_t> backlog_{0};
     std::atomic<duration::rep> vouched_{0};
+    std::atomic<std::uint64_t> counter_{0};
     time_point last_commit_;
     int failures_ = 0;
     std::map<ticket, std::uint64_t> tokens_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,6 @@
+#include "cli_check.hpp"
+#include "cli_ctl.hpp"
+#include "cli_explain.hpp"
 #include "cli_serve.hpp"
 
 #include <array>
@@ -21,9 +24,12 @@
 
 constexpr int exit_usage = 2;
 
-constexpr std::array<subcommand, 2> subcommands{{
+constexpr std::array<subcommand, 5> subcommands{{
     {"serve", "run an entry node", walnutmill::run_serve},
+    {"check", "check settings and a configuration", walnutmill::run_check},
     {"init", "write the first configuration", walnutmill::run_init},
+    {"ctl", "ask and order as an operator", walnutmill::run_ctl},
+    {"explain", "why a program waited or moved", walnutmill::run_explain},
 }};
 
 void print_usage(std::ostream& out)
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -11,13 +11,14 @@
 #include "forwarding.hpp"
 #include "journal_duty.hpp"
 #include "load_duty.hpp"
+#include "operator_backend.hpp"
 #include "owner_duty.hpp"
 #include "ownership_duty.hpp"
 #include "platform_client.hpp"
 #include "policy_scheduling.hpp"
 #include "routing.hpp"
 #include "scheduling.hpp"
-#include "stored_configuration.hpp"
+#include "steward_duty.hpp"
 
 #include <chrono>
 #include <memory>
@@ -38,6 +39,16 @@
 /// How often each engine is asked for its load.
 constexpr std::chrono::milliseconds load_period{500};
 constexpr std::chrono::milliseconds poll_interval{20};
+/// Some ten minutes of a busy node's decisions, about 200 bytes each.
+constexpr std::size_t kept_decisions = 20'000;
+
+/// Grows from one incarnation of a node to the next; only compared with
+/// those of the same node.
+std::uint64_t incarnation_now()
+{
+    return std::uint64_t(
+        std::chrono::system_clock::now().time_since_epoch().count());
+}
 
 session_id new_session(node_name const& node)
 {
@@ -58,6 +69,7 @@
         : settings_(settings), clock_(monotonic_clock()),
           table_(make_table_client(settings.table_url, platform_timeout)),
           objects_(make_object_client(settings.object_url, platform_timeout)),
+          store_(table_, objects_), decisions_(kept_decisions),
           hub_(
               {settings.peer_address, settings.peer_port, settings.peer_key,
                settings.peer_advertise})
@@ -104,6 +116,15 @@
                 if (auto* duty = ownership_ptr_.load())
                     duty->poke();
             });
+        hub_.on_note(
+            std::string(gossip_topic),
+            [this](std::string_view bytes)
+            {
+                if (auto* duty = gossip_ptr_.load())
+                    duty->receive(bytes);
+            });
+        peer_questions::add_handlers(
+            hub_, [this] { return questions_ptr_.load(); });
         return hub_.start();
     }
 
@@ -149,8 +170,9 @@
         owner_options.longest_pause = lease() / 2;
         owner_ = std::make_unique<owner_duty>(
             scheduling_, owner_options,
-            owner_duty_hooks{[](decision_effect const&) {}}, targets_,
-            metrics_);
+            owner_duty_hooks{[this](decision_effect const& effect)
+                             { note_decision(effect); }},
+            targets_, metrics_);
         journal_duty_options journal_options;
         journal_options.flush_interval = settings_.flush_interval;
         journal_options.beat_interval = lease() / beats_per_lease;
@@ -166,18 +188,23 @@
         owner_->start(*journal_);
         start_configuration();
         start_forwarding();
+        start_gossip();
+        start_operators();
     }
 
     void start_configuration()
     {
         configuration_watch_hooks hooks;
-        hooks.read = [this] { return read_configuration(table_, objects_); };
+        hooks.read = [this]
+        { return store_.read_newer(current_configuration()->version); };
         hooks.apply = [this](std::shared_ptr<configuration const> const& next)
         {
             owner_->set_configuration(next);
             owner_->post([this, next](program_owner&, time_point now)
                          { policy_->set_configuration(next, now); });
             journal_->set_configuration(next->version);
+            if (auto* duty = gossip_ptr_.load())
+                duty->note_head(next->version);
         };
         configuration_ = std::make_unique<configuration_watch>(
             configuration_period, std::move(hooks));
@@ -220,6 +247,99 @@
         ownership_ptr_ = ownership_.get();
     }
 
+    void start_gossip()
+    {
+        member_info self;
+        self.node = session_.node;
+        self.session = session_.id;
+        self.incarnation = incarnation_now();
+        self.http_address = session_.http_address;
+        self.peer_address = session_.peer_address;
+        self.zone = session_.zone;
+        gossip_duty_hooks hooks;
+        hooks.send = [this](std::string const& address, std::string bytes)
+        { hub_.note(address, gossip_topic, std::move(bytes)); };
+        hooks.self = [this] { return own_update(); };
+        hooks.known = [this] { return members_in_table(); };
+        hooks.on_head = [this](std::uint64_t) { configuration_->poke(); };
+        gossip_duty_options options;
+        options.interval = settings_.gossip_interval;
+        options.clock = clock_;
+        options.random_seed = std::random_device()();
+        gossip_ =
+            std::make_unique<gossip_duty>(options, self, std::move(hooks));
+        gossip_ptr_ = gossip_.get();
+    }
+
+    member_update own_update()
+    {
+        auto const figures = owner_->figures();
+        member_update update;
+        update.counter = journal_->counter();
+        update.configuration = current_configuration()->version;
+        update.load.queued = std::uint32_t(figures.calls - figures.in_flight);
+        update.load.running = std::uint32_t(figures.in_flight);
+        update.load.programs = std::uint32_t(figures.programs);
+        update.leaving = stopping_;
+        return update;
+    }
+
+    std::vector<member_info> members_in_table() const
+    {
+        std::vector<member_info> known;
+        for (auto const& session : routes_.get()->sessions)
+        {
+            if (session.fenced || session.id == session_.id)
+                continue;
+            member_info member;
+            member.node = session.node;
+            member.session = session.id;
+            member.http_address = session.http_address;
+            member.peer_address = session.peer_address;
+            member.zone = session.zone;
+            member.counter = session.counter;
+            member.configuration = session.configuration;
+            member.leaving = session.leaving;
+            known.push_back(std::move(member));
+        }
+        return known;
+    }
+
+    void note_decision(decision_effect const& effect)
+    {
+        decision_entry entry;
+        entry.at = std::chrono::time_point_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now());
+        entry.node = settings_.node;
+        entry.program = effect.program;
+        entry.call = effect.number;
+        entry.kind = effect.kind;
+        entry.target = effect.target;
+        entry.reason = effect.reason;
+        decisions_.add(std::move(entry));
+    }
+
+    void start_operators()
+    {
+        questions_ = std::make_unique<peer_questions>(peer_questions::parts{
+            settings_.node, session_.id, settings_.shards, hub_, *owner_,
+            routes_, decisions_});
+        questions_ptr_ = questions_.get();
+        backend_ = std::make_unique<backend_parts>(backend_parts{
+            session_.id, settings_.shards, clock_, table_, store_,
+            [this] { return current_configuration(); },
+            [this] { configuration_->poke(); }, routes_, *journal_,
+            *forwarding_, *gossip_, *questions_,
+            [this] { return stewards_->target_rows(); }});
+        steward_options options;
+        options.session = session_.id;
+        options.node = settings_.node;
+        options.clock = clock_;
+        stewards_ = std::make_unique<steward_duty>(
+            options, make_steward_hooks(*backend_), metrics_);
+        desk_ = std::make_unique<operator_desk>(make_operate_hooks(*backend_));
+    }
+
     result<void> start_server()
     {
         caller_server_hooks hooks;
@@ -233,11 +353,11 @@
             direct_->call(
                 current_configuration(), std::move(request), std::move(done));
         };
-        hooks.operate = [](operate_request const&) -> result<std::string>
+        hooks.operate = [this](operate_request const& asked)
         {
-            refusal why;
-            why.code = errc::not_found;
-            return why;
+            return desk_->run(
+                {asked.who.name, asked.who.workspace, asked.who.may_operate,
+                 asked.text, asked.command_id, asked.dry_run, asked.json});
         };
         hooks.ready = [this] { return ready(); };
         hooks.metrics_text = [this] { return metrics_text(); };
@@ -361,12 +481,17 @@
     void tear_down()
     {
         server_.reset();
+        stewards_.reset();
+        gossip_ptr_ = nullptr;
+        questions_ptr_ = nullptr;
+        gossip_.reset();
         ownership_ptr_ = nullptr;
         ownership_.reset();
         forwarding_ptr_ = nullptr;
         loads_.reset();
         configuration_ptr_ = nullptr;
         configuration_.reset();
+        owner_->stop();
         journal_.reset();
     }
 
@@ -377,6 +502,8 @@
     metrics metrics_;
     table_service table_;
     object_store objects_;
+    config_store store_;
+    decision_log decisions_;
     session_state session_;
     routing routes_;
     target_client targets_;
@@ -392,6 +519,13 @@
     std::atomic<forwarding*> forwarding_ptr_{nullptr};
     std::unique_ptr<ownership_duty> ownership_;
     std::atomic<ownership_duty*> ownership_ptr_{nullptr};
+    std::unique_ptr<gossip_duty> gossip_;
+    std::atomic<gossip_duty*> gossip_ptr_{nullptr};
+    std::unique_ptr<peer_questions> questions_;
+    std::atomic<peer_questions*> questions_ptr_{nullptr};
+    std::unique_ptr<backend_parts> backend_;
+    std::unique_ptr<steward_duty> stewards_;
+    std::unique_ptr<operator_desk> desk_;
     std::unique_ptr<caller_server> server_;
     std::atomic<bool> stopping_{false};
     peer_hub hub_;
--- a/src/owner_duty.cpp
+++ b/src/owner_duty.cpp
@@ -26,6 +26,11 @@
 }
 
 owner_duty::~owner_duty()
+{
+    stop();
+}
+
+void owner_duty::stop()
 {
     stopping_ = true;
     ring_->close();
--- a/src/owner_duty.hpp
+++ b/src/owner_duty.hpp
@@ -62,6 +62,8 @@
 
     /// Starts the thread; the journal must outlive the duty.
     void start(journal_duty& journal);
+    /// Ends the thread; what is handed in later is dropped.
+    void stop();
     /// Runs a task on the owner's thread; waits for room.
     void post(task work);
     /// Hands a caller's request in, or refuses it when the duty is too busy
