--- a/support/bench.cpp
+++ b/support/bench.cpp
@@ -25,6 +25,7 @@
         "user", po::value(&options.user), "only this user's size")(
         "threads", po::value(&options.threads)->default_value(4),
         "runs at a time")("json", "print JSON instead of a table")(
+        "no-ablations", "leave out the runs without one module")(
         "short", "one user's size and no ablations");
     return all;
 }
@@ -41,6 +42,8 @@
         std::cout << described;
         return 0;
     }
+    if (given.count("no-ablations") > 0)
+        options.ablations = false;
     if (given.count("short") > 0)
     {
         options.user = walnutmill::bench::user_sizes().front().name;
--- a/support/bench_measures.cpp
+++ b/support/bench_measures.cpp
@@ -113,6 +113,33 @@
     return shares;
 }
 
+/// What the worst workspace received against its max-min fair share.
+/// \param worth what a finished program counts
+double worst_share(
+    measured_run const& of,
+    std::function<double(program_spec const&)> const& worth)
+{
+    std::vector<double> demands(of.of.mix.workspaces, 0.0);
+    std::vector<double> received(of.of.mix.workspaces, 0.0);
+    double all = 0.0;
+    for_each_program(
+        of.run, pool::engines,
+        [&](program_spec const& spec, program_outcome const& outcome)
+        {
+            demands[spec.workspace] += worth(spec);
+            if (outcome.how != program_end::finished)
+                return;
+            received[spec.workspace] += worth(spec);
+            all += worth(spec);
+        });
+    auto const shares = max_min_shares(demands, all);
+    double worst = 1.0;
+    for (std::size_t i = 0; i < shares.size(); ++i)
+        if (shares[i] > 0.0)
+            worst = std::min(worst, received[i] / shares[i]);
+    return worst;
+}
+
 /// Median slowdown of the programs that arrived in [from, to) and started;
 /// infinite when most did not.
 double window_slowdown(run_result const& run, time_point from, time_point to)
@@ -263,25 +290,12 @@
 
 double worst_workspace(measured_run const& of)
 {
-    std::vector<double> demands(of.of.mix.workspaces, 0.0);
-    std::vector<double> received(of.of.mix.workspaces, 0.0);
-    double all = 0.0;
-    for_each_program(
-        of.run, pool::engines,
-        [&](program_spec const& spec, program_outcome const& outcome)
-        {
-            demands[spec.workspace] += spec.work;
-            if (outcome.how != program_end::finished)
-                return;
-            received[spec.workspace] += spec.work;
-            all += spec.work;
-        });
-    auto const shares = max_min_shares(demands, all);
-    double worst = 1.0;
-    for (std::size_t i = 0; i < shares.size(); ++i)
-        if (shares[i] > 0.0)
-            worst = std::min(worst, received[i] / shares[i]);
-    return worst;
+    return worst_share(of, [](program_spec const& spec) { return spec.work; });
+}
+
+double worst_workspace_programs(measured_run const& of)
+{
+    return worst_share(of, [](program_spec const&) { return 1.0; });
 }
 
 double longest_wait(measured_run const& of)
--- a/support/bench_measures.hpp
+++ b/support/bench_measures.hpp
@@ -63,6 +63,8 @@
 /// Work finished for the worst workspace against its max-min fair share of
 /// all the work finished.
 double worst_workspace(measured_run const& of);
+/// The same by the number of programs finished.
+double worst_workspace_programs(measured_run const& of);
 /// Longest time that a call of a started program waited for a first token.
 double longest_wait(measured_run const& of);
 /// Sends per call, from the first fault on.
--- a/support/bench_patterns.cpp
+++ b/support/bench_patterns.cpp
@@ -47,6 +47,10 @@
         {"wasted_cache_Mtoken_s", wasted_cache, better::lower, {}},
         {"prefilled_again_Mtoken", prefilled_again, better::lower, {}},
         {"worst_workspace", worst_workspace, better::higher, {}},
+        {"worst_workspace_programs",
+         worst_workspace_programs,
+         better::higher,
+         {}},
         {"longest_wait_s", longest_wait, better::lower, {}}};
 }
 
