--- a/include/walnutmill/placement.hpp
+++ b/include/walnutmill/placement.hpp
@@ -81,10 +81,10 @@
     std::vector<cache_location> cached;
     /// Not to be chosen: a retry or hedge avoids where the call was before.
     std::vector<target_name> avoid;
+    /// How long it has waited for a target so far.
+    duration waited{0};
     /// A call that may not be repeated is not used as a probe.
     bool repeatable = true;
-    /// How long it has waited for a target.
-    duration waited{0};
 };
 
 enum class placement_reason
@@ -141,6 +141,15 @@
     double base_seconds = 0.02;
     double prefill_seconds = 0.0002;
     double decode_seconds = 0.02;
+    /// How much dearer a second of prefill is than one of decoding: it delays
+    /// all that the engine runs, and the prefills behind it.
+    double prefill_weight = 4.0;
+    /// Load up to which a target takes any call, against its slots. What
+    /// waits in its own queue is ordered by priority over all nodes, which
+    /// the queues of the nodes are not.
+    double open_load = 2.0;
+    /// The same for calls whose cache it has.
+    double home_load = 4.0;
     /// Seconds that a call waits for the target that has its history, for
     /// each second of prefill that this saves (delay scheduling; Zaharia
     /// 2010). More than one, since a prefill holds up the whole batch.
@@ -181,6 +190,7 @@
 /// What a call is expected to take, for the comparison of latencies.
 struct sent_call
 {
+    /// May be empty where the target serves one service only.
     service_name service;
     target_name target;
     std::uint32_t prompt_tokens = 0;
