--- a/src/owner_duty.cpp
+++ b/src/owner_duty.cpp
@@ -91,7 +91,7 @@
             for (auto const& one : done)
             {
                 applied_counter_ = one.counter;
-                owner.on_committed(one.token, now);
+                owner.on_committed(one.token, now, one.counter);
             }
         });
 }
--- a/src/owner_duty.hpp
+++ b/src/owner_duty.hpp
@@ -84,6 +84,9 @@
         return answer.get();
     }
     shard_snapshot snapshot(shard_number shard);
+    /// Counter of the last commit that the owner has applied; only for tasks
+    /// on its thread.
+    std::uint64_t applied_counter() const { return applied_counter_; }
     owner_figures figures() const;
 
 private:
--- a/src/ownership_duty.cpp
+++ b/src/ownership_duty.cpp
@@ -17,6 +17,9 @@
 /// Records of a shard beyond its last checkpoint that trigger the next: at
 /// about 1 KB each, a takeover replays at most some 0.5 MB per shard.
 constexpr std::size_t records_between_checkpoints = 512;
+/// Commits after which a shard with any record is checkpointed, so that the
+/// journal's rows can be erased: about a minute of a busy node's flushes.
+constexpr std::uint64_t commits_between_checkpoints = 2'000;
 /// Checkpoints in one round, to spread the object store's load.
 constexpr std::size_t checkpoints_per_round = 4;
 /// Rows erased along with one commit.
@@ -76,6 +79,7 @@
     load_owned();
     hand_over();
     checkpoint_some();
+    trim_journal();
     collect_garbage();
     publish();
 }
@@ -250,7 +254,7 @@
             "walnutmill_recovery_bytes_total", recovered.value().bytes_read);
         for (auto& shard : recovered.value().shards)
         {
-            loaded_[shard.row.number] = {shard.row.epoch, 0, 0};
+            loaded_[shard.row.number] = shard.row.epoch;
             owner_.post(
                 [shard = std::move(shard)](program_owner& owner, time_point now)
                 {
@@ -348,8 +352,26 @@
     return changed;
 }
 
+bool ownership_duty::checkpoint_due(shard_state const& row)
+{
+    // Records of an earlier owner make the next takeover read its journal.
+    if (row.segments.size() > 1)
+        return true;
+    return owner_.ask(
+        [this, &row](program_owner& owner)
+        {
+            auto const first = owner.first_commit(row.number);
+            return owner.uncheckpointed_records(row.number) >=
+                       records_between_checkpoints ||
+                   (first != 0 && owner_.applied_counter() - first >=
+                                      commits_between_checkpoints);
+        });
+}
+
 void ownership_duty::checkpoint_some()
 {
+    if (leaving_)
+        return;
     std::size_t done = 0;
     auto it = loaded_.upper_bound(checkpoint_cursor_);
     for (std::size_t i = 0; i < loaded_.size(); ++i, ++it)
@@ -357,20 +379,11 @@
         if (it == loaded_.end())
             it = loaded_.begin();
         checkpoint_cursor_ = it->first;
-        auto const& row = view_.shards[it->first];
-        if (row.owner != options_.self || leaving_)
-            continue;
-        auto const commits =
-            owner_.ask([number = it->first](program_owner& owner)
-                       { return owner.records_since_load(number); });
-        bool const chained = row.segments.size() > 1;
-        bool const due = commits - it->second.records_at_checkpoint >=
-                         records_between_checkpoints;
-        if (!chained && !due)
+        auto const row = view_.shards[it->first];
+        if (row.owner != options_.self || !checkpoint_due(row))
             continue;
         if (!checkpoint(row) || ++done >= checkpoints_per_round)
             return;
-        it->second.records_at_checkpoint = commits;
     }
 }
 
@@ -387,12 +400,38 @@
     if (!change_shards({{row, after}}))
         return false;
     counters_.count("walnutmill_checkpoints_total");
-    loaded_[row.number].checkpointed = taken.counter;
+    owner_.post([number = row.number,
+                 taken_at = taken.counter](program_owner& owner, time_point)
+                { owner.note_checkpoint(number, taken_at); });
     if (!row.checkpoint.empty() && row.checkpoint != after.checkpoint)
         static_cast<void>(objects_.erase(row.checkpoint));
     return true;
 }
 
+void ownership_duty::trim_journal()
+{
+    // A shard that left with records in this journal needs all of it.
+    if (journal_pinned_)
+        return;
+    auto const needed = owner_.ask(
+        [this](program_owner& owner)
+        {
+            auto first = owner_.applied_counter() + 1;
+            for (auto const& entry : loaded_)
+            {
+                auto const dirty = owner.first_commit(entry.first);
+                if (dirty != 0)
+                    first = std::min(first, dirty);
+            }
+            return first;
+        });
+    std::vector<std::string> keys;
+    while (erased_below_ + 1 < needed && keys.size() < erased_per_round)
+        keys.push_back(journal_key(options_.self, ++erased_below_));
+    if (!keys.empty())
+        journal_.erase_rows(std::move(keys));
+}
+
 void ownership_duty::collect_garbage()
 {
     for (auto const& session : view_.sessions)
--- a/src/ownership_duty.hpp
+++ b/src/ownership_duty.hpp
@@ -63,15 +63,6 @@
     bool settled() const { return settled_.load(); }
 
 private:
-    /// What is kept of a shard that this node serves.
-    struct owned_shard
-    {
-        epoch_number epoch = 0;
-        /// Commits of this session up to here need no replay.
-        std::uint64_t checkpointed = 0;
-        std::size_t records_at_checkpoint = 0;
-    };
-
     void run();
     void round();
     bool read_view();
@@ -85,8 +76,10 @@
     void load_owned();
     void hand_over();
     bool hand_over_shard(shard_change change);
+    bool checkpoint_due(shard_state const& row);
     void checkpoint_some();
     bool checkpoint(shard_state const& row);
+    void trim_journal();
     void collect_garbage();
     void erase_session(session_state const& session);
     void publish();
@@ -101,8 +94,10 @@
     metrics& counters_;
     staleness_watch watch_;
     ownership_view view_;
-    std::map<shard_number, owned_shard> loaded_;
+    /// Shards that this node serves, with the epoch of its ownership.
+    std::map<shard_number, epoch_number> loaded_;
     shard_number checkpoint_cursor_ = 0;
+    /// Rows of the own journal up to this counter are erased.
     std::uint64_t erased_below_ = 0;
     /// A shard left with records in this session's journal.
     bool journal_pinned_ = false;
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -200,7 +200,23 @@
     return true;
 }
 
-std::size_t program_owner::records_since_load(shard_number shard) const
+void program_owner::note_checkpoint(shard_number shard, std::uint64_t counter)
+{
+    auto const found = owned_.find(shard);
+    if (found == owned_.end())
+        return;
+    auto& entry = found->second;
+    entry.records = 0;
+    entry.first_commit = entry.last_commit > counter ? counter + 1 : 0;
+}
+
+std::uint64_t program_owner::first_commit(shard_number shard) const
+{
+    auto const found = owned_.find(shard);
+    return found == owned_.end() ? 0 : found->second.first_commit;
+}
+
+std::size_t program_owner::uncheckpointed_records(shard_number shard) const
 {
     auto const found = owned_.find(shard);
     return found == owned_.end() ? 0 : found->second.records;
@@ -766,7 +782,8 @@
     commits_.emplace(token, std::move(pending));
 }
 
-void program_owner::on_committed(std::uint64_t token, time_point now)
+void program_owner::on_committed(
+    std::uint64_t token, time_point now, std::uint64_t counter)
 {
     auto const found = commits_.find(token);
     if (found == commits_.end())
@@ -777,7 +794,11 @@
     if (shard == owned_.end())
         return;
     --shard->second.commits;
-    shard->second.records += pending.records.size();
+    auto& entry = shard->second;
+    entry.records += pending.records.size();
+    entry.last_commit = counter;
+    if (entry.first_commit == 0)
+        entry.first_commit = counter;
     for (auto const& record : pending.records)
     {
         if (auto const* outcome = std::get_if<call_outcome>(&record.body))
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -178,8 +178,13 @@
     bool owns(shard_number shard) const;
     /// No calls of the shard are under way and nothing waits for a commit.
     bool quiet(shard_number shard) const;
-    /// Records committed for the shard since it was loaded.
-    std::size_t records_since_load(shard_number shard) const;
+    /// A checkpoint holds the shard's records up to this commit.
+    void note_checkpoint(shard_number shard, std::uint64_t counter);
+    /// The first commit whose records of the shard no checkpoint holds; zero:
+    /// there is none.
+    std::uint64_t first_commit(shard_number shard) const;
+    /// Records committed for the shard since its last checkpoint.
+    std::size_t uncheckpointed_records(shard_number shard) const;
     /// Records that rebuild the shard as committed now.
     std::vector<journal_record>
     snapshot(shard_number shard, time_point now) const;
@@ -191,7 +196,9 @@
     void
     request(caller_request const& request, answer_sink sink, time_point now);
 
-    void on_committed(std::uint64_t token, time_point now);
+    /// \param counter of the commit that carried the records
+    void on_committed(
+        std::uint64_t token, time_point now, std::uint64_t counter = 0);
     void on_token(
         attempt_id attempt, std::uint32_t index, std::string_view text,
         time_point now);
@@ -279,7 +286,10 @@
         epoch_number epoch = 0;
         /// Appends that wait for the table.
         std::size_t commits = 0;
+        /// Records and commits since the last checkpoint.
         std::size_t records = 0;
+        std::uint64_t first_commit = 0;
+        std::uint64_t last_commit = 0;
         bool moving = false;
     };
 
