--- a/src/access.cpp
+++ b/src/access.cpp
@@ -7,8 +7,23 @@
 namespace walnutmill
 {
 
+namespace
+{
+constexpr std::chrono::milliseconds come_back{200};
+}
+
 result<principal> authorize(configuration const& config, std::string_view token)
 {
+    refusal why;
+    if (config.version == 0)
+    {
+        // Nothing is known of tokens yet, which is no reason to turn a good
+        // one away for good.
+        why.code = errc::unavailable;
+        why.message = "no configuration was read yet";
+        why.retry_after = come_back;
+        return why;
+    }
     auto const digest = sha256_hex(token);
     for (auto const& workspace : config.workspaces)
     {
@@ -27,7 +42,6 @@
                 has(right::operate)};
         }
     }
-    refusal why;
     why.code = errc::unauthorized;
     why.message = "unknown token";
     return why;
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -267,6 +267,9 @@
     auto const shard = shard_of(root_of(program_of(request)), shards_);
     if (fenced_ || !owns(shard) || owned_.at(shard).moving)
         return sink.done(come_back(errc::unavailable, "the program is moving"));
+    if (config_->version == 0)
+        return sink.done(
+            come_back(errc::unavailable, "no configuration was read yet"));
     if (auto const* r = std::get_if<create_request>(&request))
         return create(*r, std::move(sink), now);
     if (auto const* r = std::get_if<call_request>(&request))
