--- a/support/bench_patterns.cpp
+++ b/support/bench_patterns.cpp
@@ -274,7 +274,7 @@
 
 std::vector<pattern> make_patterns(cluster_size const& size)
 {
-    return {
+    std::vector<pattern> all{
         burst(size),
         hot_caller(size),
         hot_key(size),
@@ -292,6 +292,9 @@
         return_storm(size),
         day_curve(size),
         total_failure(size)};
+    for (auto& each : all)
+        set_regression_bounds(each);
+    return all;
 }
 
 std::string_view to_string(module of)
--- a/support/bench_patterns.hpp
+++ b/support/bench_patterns.hpp
@@ -68,10 +68,12 @@
 };
 std::vector<user_size> user_sizes();
 
-/// \return all patterns at that size. The short form takes a third of the
-/// simulated time and leaves out what needs more.
+/// \return all patterns at that size, with their bounds.
 std::vector<pattern> make_patterns(cluster_size const& size);
 
+/// Sets the bounds that only guard against getting worse.
+void set_regression_bounds(pattern& of);
+
 std::string_view to_string(module of);
 
 } // namespace walnutmill::bench
