Stop a program whose call left its number unused

The next call would wait for it, so one refused call cost a proof four minutes and hid what came after.

--- a/support/callers.py
+++ b/support/callers.py
@@ -121,8 +121,10 @@
         while True:
             attempt = self.attempt(wanted, number, body, attempt)
             self.record.add_attempt(attempt)
-            if attempt["final"] or time.monotonic() > end:
+            if attempt["final"]:
                 return attempt
+            if time.monotonic() > end:
+                raise lost(f"{self.program} {attempt['request_id']}")
             time.sleep(attempt["pause"])
 
     def body_of(self, wanted, number):
--- a/support/faults.py
+++ b/support/faults.py
@@ -149,7 +149,7 @@
         self.done = []
         self.error = None
         self.stopping = threading.Event()
-        self.thread = threading.Thread(target=self.run)
+        self.thread = threading.Thread(target=self.run, daemon=True)
 
     def __enter__(self):
         self.thread.start()
--- a/support/workload.py
+++ b/support/workload.py
@@ -29,11 +29,18 @@
     return booking(rng) if kind < 0.75 else look_up(rng)
 
 
+def stuck(last):
+    """Whether the call left its number unused, so that the next would wait."""
+    return (last["result"] == "refusal" and
+            last["body"]["error"]["ran"] == "not_run")
+
+
 def chain(agent, rng, calls=6, pick=mixed_call, pause=0.1):
     """A chain of calls with tool pauses between them."""
     agent.create()
     for _ in range(calls):
-        agent.make(pick(rng))
+        if stuck(agent.make(pick(rng))):
+            return
         time.sleep(rng.uniform(0.0, pause))
     agent.end()
 
@@ -47,12 +54,20 @@
                         patience=agent.patience)
     sub.create(parent=agent)
     for _ in range(calls):
-        sub.make(pick(rng))
+        if stuck(sub.make(pick(rng))):
+            return
     sub.end()
     agent.make(pick(rng))
     agent.end()
 
 
+def crowd_call(agent, wanted, number):
+    try:
+        agent.make(wanted, number)
+    except callers.lost:
+        pass  # its attempts are recorded
+
+
 def ahead(agent, rng, rounds=2, burst=4):
     """Hands in several calls at once, in any order, through any node."""
     agent.create()
@@ -60,7 +75,7 @@
         numbers = [agent.next_number() for _ in range(burst)]
         rng.shuffle(numbers)
         threads = [threading.Thread(
-            target=agent.make, args=(mixed_call(rng), number))
+            target=crowd_call, args=(agent, mixed_call(rng), number))
             for number in numbers]
         for thread in threads:
             thread.start()
@@ -118,7 +133,7 @@
 
     def add(self, task, actor, rng, **options):
         thread = threading.Thread(
-            target=self.run, args=(task, actor, rng, options))
+            target=self.run, args=(task, actor, rng, options), daemon=True)
         self.threads.append(thread)
         thread.start()
 
