--- a/test/command-test.cpp
+++ b/test/command-test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
 using namespace walnutmill;
 
 namespace
@@ -178,3 +181,27 @@
     CHECK(help_text("drain") == help_text("stop"));
     CHECK(help_text("nonsense") == help_text(""));
 }
+
+TEST_CASE("texts, changed at random, are read or refused in place", "[command]")
+{
+    std::string const whole =
+        "plan stop t \"u v\" now reason \"a \\\" b\" at version 7 "
+        "show programs where waited >= 2.5s and spent<9 order by x desc sum "
+        "y by z limit 3 apply configuration {\"a\": [1]}";
+    boost::random::mt19937 random(7);
+    auto const pick = [&](std::size_t below)
+    {
+        return boost::random::uniform_int_distribution<std::size_t>(
+            0, below - 1)(random);
+    };
+    for (int i = 0; i < 5'000; ++i)
+    {
+        auto text = whole.substr(pick(whole.size()), pick(whole.size()));
+        for (auto changes = pick(4); changes > 0 && !text.empty(); --changes)
+            text[pick(text.size())] = static_cast<char>(pick(256));
+        INFO("text " << i << ": " << text);
+        auto const parsed = parse_statement(text);
+        if (!parsed)
+            CHECK(parsed.error().position <= text.size());
+    }
+}
