--- a/src/owner_duty.hpp
+++ b/src/owner_duty.hpp
@@ -62,6 +62,8 @@
 
     /// Starts the thread; the journal must outlive the duty.
     void start(journal_duty& journal);
+    /// Ends the thread; what is handed in later is dropped.
+    void stop();
     /// Runs a task on the owner's thread; waits for room.
     void post(task work);
     /// Hands a caller's request in, or refuses it when the duty is too busy
@@ -82,6 +84,9 @@
         return answer.get();
     }
     shard_snapshot snapshot(shard_number shard);
+    /// Counter of the last commit that the owner has applied; only for tasks
+    /// on its thread.
+    std::uint64_t applied_counter() const { return applied_counter_; }
     owner_figures figures() const;
 
 private:
--- a/support/bench_modules_load.cpp
+++ b/support/bench_modules_load.cpp
@@ -116,9 +116,13 @@
         if (seen.engines[at].in_service)
             load.slots += size_.engine.slots / static_cast<double>(size_.nodes);
     }
-    load.call_rate = counts_.calls_started / length;
+    load.young_queued_calls =
+        static_cast<std::uint32_t>(engine_queue_.young_calls());
+    load.call_rate = counts_.waits / length;
     if (counts_.waits > 0)
         load.mean_wait = counts_.waited / counts_.waits;
+    if (counts_.history > 0.0)
+        load.missing_history = 1.0 - counts_.history_cached / counts_.history;
     load.program_end_rate = counts_.programs_ended / length;
     if (auto const oldest = engine_queue_.oldest())
         load.oldest_wait = now - *oldest;
--- a/test/settings-test.cpp
+++ b/test/settings-test.cpp
@@ -90,6 +90,15 @@
     }
 }
 
+TEST_CASE("settings, port zero, is any free one for peers only", "[settings]")
+{
+    auto const parsed = parse_serve_settings(
+        {"--http-port=0", "--peer-port=0"}, sound_environment);
+    CHECK(has_finding(parsed, "--http-port"));
+    CHECK_FALSE(has_finding(parsed, "--peer-port"));
+    CHECK(parsed.value.peer_port == 0);
+}
+
 TEST_CASE("settings, abbreviated flag, is unknown", "[settings]")
 {
     auto const parsed =
