Keep the number of a failed repeatable call free, and answer only while fresh

Change: a call that may be repeated and has failed is refused with a time to come back and its number free, the possible cost counted as spent; a target starts with one retry; an owner without a commit in the last lease refuses at once; every target that an attempt was sent to is recorded as holding.

--- a/include/walnutmill/retry.hpp
+++ b/include/walnutmill/retry.hpp
@@ -103,7 +103,7 @@
     double program_most = 5.0;
     /// The same of a target. The greatest covers the calls that one node has
     /// under way there at today's size (16 slots, 13 nodes) twice over.
-    double target_start = 0.5;
+    double target_start = 1.0;
     double target_most = 3.0;
     /// The same of the node over all targets. The targets' balances add up
     /// over many targets, so that alone they would allow a wave of retries
--- a/src/owner_duty.cpp
+++ b/src/owner_duty.cpp
@@ -53,7 +53,9 @@
 {
     refusal why;
     why.retry_after = busy_come_back;
-    if (journal_->backlog() > options_.max_backlog)
+    // An owner that may have been fenced must not answer from memory either:
+    // "no such program" would be as wrong as a stale answer.
+    if (journal_->backlog() > options_.max_backlog || !journal_->fresh())
     {
         why.code = errc::store_unavailable;
         why.message = "the table does not answer";
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -343,6 +343,9 @@
         active_call& call, send_end end, std::uint64_t tokens, time_point now);
     void finish(active_call& call, call_outcome outcome, time_point now);
     void deliver(active_call& call, time_point now);
+    void add_failed_holds(
+        active_call const& call, std::vector<record_body>& records) const;
+    void give_up_spent(active_call& call, refusal why);
     void refuse_outcome(
         active_call& call, errc code, certainty ran, std::uint64_t cost,
         time_point now);
--- a/src/program_owner_calls.cpp
+++ b/src/program_owner_calls.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr std::chrono::minutes default_deadline{6};
+/// When to come back after all attempts failed: long enough for a target to
+/// be noticed as faulty and for the next report of load.
+constexpr std::chrono::milliseconds failed_come_back{1'000};
 /// Bits of an event's id that number the tokens of one stream.
 constexpr int token_bits = 20;
 /// Bits that count the restarts of a stream under one owner.
@@ -399,6 +402,7 @@
                           program.holds.count(call.target) == 0;
     if (may_hold)
         records.push_back(hold_taken{call.spec.program, call.target});
+    add_failed_holds(call, records);
     append(
         program.shard, std::move(records),
         [this, handle = call.handle](time_point at)
@@ -408,6 +412,44 @@
         });
 }
 
+void program_owner::add_failed_holds(
+    active_call const& call, std::vector<record_body>& records) const
+{
+    // An attempt whose answer was lost may have left cache behind.
+    if (call.service.kind != target_kind::engine)
+        return;
+    auto const& program = *book_.find(call.spec.program);
+    for (auto const& target : call.failed_at)
+    {
+        if (target != call.target && program.holds.count(target) == 0)
+            records.push_back(hold_taken{call.spec.program, target});
+    }
+}
+
+void program_owner::give_up_spent(active_call& call, refusal why)
+{
+    // What the attempts may have cost is gone; a new owner counts it as
+    // stranded, so it needs no record.
+    auto* ledger = book_.find_ledger(root_of(call.spec.program));
+    auto const lost =
+        std::exchange(call.wasted, 0) + std::exchange(call.reserved, 0);
+    ledger->cancel(lost);
+    ledger->settle(lost);
+    why.ran = certainty::outcome_unknown;
+    if (why.retry_after.count() == 0)
+        why.retry_after = failed_come_back;
+    std::vector<record_body> holds;
+    if (!call.target.empty())
+        call.failed_at.push_back(call.target);
+    call.target = target_name();
+    add_failed_holds(call, holds);
+    if (!holds.empty())
+        append(
+            book_.find(call.spec.program)->shard, std::move(holds),
+            [](time_point) {});
+    give_up(call, std::move(why));
+}
+
 void program_owner::deliver(active_call& call, time_point now)
 {
     auto const program = call.spec.program;
@@ -530,14 +572,15 @@
         timers_.insert({call.retry_at, call.handle});
         return;
     }
+    // The number stays free: the call may be made again.
     if (call.may_have_run)
-    {
-        return refuse_outcome(
-            call, why.code, certainty::outcome_unknown, 0, now);
-    }
+        return give_up_spent(call, why);
+    auto later = why;
+    if (later.retry_after.count() == 0)
+        later.retry_after = failed_come_back;
     if (!call.repeatable)
-        return withdraw(call, why);
-    give_up(call, why);
+        return withdraw(call, later);
+    give_up(call, later);
 }
 
 void program_owner::expire(active_call& call, time_point now)
@@ -555,6 +598,8 @@
             call.attempt, call.target, call.spec.program,
             target_key(call.spec.program, call.spec.request)});
         end_attempt(call, send_end::failed, 0, now);
+        if (call.repeatable)
+            return give_up_spent(call, why);
         return refuse_outcome(
             call, why.code, certainty::outcome_unknown, call.reserved, now);
     case call_stage::waits_turn:
@@ -564,10 +609,7 @@
         break;
     }
     if (call.may_have_run)
-    {
-        return refuse_outcome(
-            call, why.code, certainty::outcome_unknown, 0, now);
-    }
+        return give_up_spent(call, why);
     auto const* program = book_.find(call.spec.program);
     bool const intended = program->open_intent &&
                           program->open_intent->request == call.spec.request;
--- a/test/owner_faults-test.cpp
+++ b/test/owner_faults-test.cpp
@@ -155,6 +155,13 @@
     {
         if (why.code == errc::unavailable)
             return;
+        // Told to come back: the number is still free. Only a call that may
+        // be repeated is told so after it may have run.
+        if (why.retry_after.count() > 0)
+        {
+            CHECK((why.ran == certainty::not_run || script.model()));
+            return;
+        }
         if (why.ran == certainty::not_run)
         {
             if (script.created && script.done < script.calls.size() &&
