--- a/support/bench_modules_node.cpp
+++ b/support/bench_modules_node.cpp
@@ -297,7 +297,12 @@
     settle(call, now);
     call.view = view;
     if (off_ == module::retry)
-        return {view.attempts <= plain_retries, duration(1)};
+    {
+        bool const again = view.attempts <= plain_retries;
+        if (!again)
+            calls_.erase(found);
+        return {again, duration(1)};
+    }
     failed_attempt attempt;
     attempt.root = program_of(view.program);
     attempt.target = targets_[call.to];
