Serve only after the own row acknowledges a configuration, and measure nodes

Cause: a new session served with a version that its row did not tell yet, so a change made in that moment was called accepted up to a second before that session had it.

--- a/src/node.cpp
+++ b/src/node.cpp
@@ -203,6 +203,7 @@
             owner_->post([this, next](program_owner&, time_point now)
                          { policy_->set_configuration(next, now); });
             journal_->set_configuration(next->version);
+            acknowledge_first();
             if (auto* duty = gossip_ptr_.load())
                 duty->note_head(next->version);
         };
@@ -216,6 +217,16 @@
         loads_ = std::make_unique<load_duty>(load_period, load_hooks);
     }
 
+    /// Serves only once its row says which version it has, so that a change
+    /// made meanwhile waits for this node.
+    void acknowledge_first()
+    {
+        if (acknowledged_)
+            return;
+        auto const status = journal_->exclusive({}).get();
+        acknowledged_ = status == exclusive_status::committed;
+    }
+
     void take_load(target_load const& load)
     {
         auto const nodes = serving_sessions(routes_.get()->sessions).size();
@@ -344,7 +355,11 @@
     {
         caller_server_hooks hooks;
         hooks.authorize = [this](std::string_view token)
-        { return authorize(*current_configuration(), token); };
+        {
+            static configuration const none;
+            return authorize(
+                acknowledged_ ? *current_configuration() : none, token);
+        };
         hooks.submit = [this](caller_request request, answer_sink sink)
         { forwarding_->submit(std::move(request), std::move(sink)); };
         hooks.direct =
@@ -372,7 +387,7 @@
     bool ready() const
     {
         return !stopping_ && ownership_->settled() && !journal_->fenced() &&
-               current_configuration()->version > 0;
+               current_configuration()->version > 0 && acknowledged_;
     }
 
     std::string metrics_text()
@@ -528,6 +543,7 @@
     std::unique_ptr<operator_desk> desk_;
     std::unique_ptr<caller_server> server_;
     std::atomic<bool> stopping_{false};
+    std::atomic<bool> acknowledged_{false};
     peer_hub hub_;
 };
 
--- a/src/policy_scheduling.cpp
+++ b/src/policy_scheduling.cpp
@@ -39,8 +39,7 @@
 
 policy_scheduling::policy_scheduling(random_fn random)
     : random_(std::move(random)), config_(std::make_shared<configuration>()),
-      placement_(without_engine_queues()),
-      retention_(pauses_)
+      placement_(without_engine_queues()), retention_(pauses_)
 {
 }
 
--- a/support/slopes-sections.hpp
+++ b/support/slopes-sections.hpp
@@ -17,6 +17,9 @@
 /// Gossip among 13 to 390 nodes in one process under a manual clock.
 void run_members_section(std::uint32_t seed);
 
+/// What programs cost their owner, and their recovery.
+void run_owner_section(std::uint32_t seed);
+
 } // namespace slopes
 } // namespace walnutmill
 
--- a/support/slopes.cpp
+++ b/support/slopes.cpp
@@ -18,5 +18,6 @@
     }
     walnutmill::slopes::run_decisions_section(seed);
     walnutmill::slopes::run_members_section(seed);
+    walnutmill::slopes::run_owner_section(seed);
     return 0;
 }
