Stop nodes only while requests are in flight

The proof now waits for a request under way at the node, and programs go on until both stops are over.

--- a/support/harness.py
+++ b/support/harness.py
@@ -239,7 +239,9 @@
         def ready_or_dead():
             if not self.process.alive():
                 raise RuntimeError(
-                    f"node {self.name} ended: see {self.process.log_path}")
+                    f"node {self.name} ended with "
+                    f"{self.process.child.returncode}: see "
+                    f"{self.process.log_path}")
             return self.ready()
         wait_until(f"node {self.name} ready", ready_or_dead)
 
--- a/support/proofs.py
+++ b/support/proofs.py
@@ -9,6 +9,7 @@
 import checkers
 import faults
 import harness
+import wire
 import workload
 from world import world
 
@@ -213,27 +214,34 @@
                        + counted(running, seen), errors + late + wrong)
 
 
+def wait_for_traffic(node):
+    """Waits until a caller has a request at the node under way."""
+    harness.wait_until(f"request at {node.name}",
+                       lambda: node.port in wire.UNDER_WAY, 10, 0.001)
+
+
 def planned_stop(seed):
     """A planned stop cuts off no request in flight."""
     rng = random.Random(seed)
     with world(engine_options=["--token-us", "10000"]) as running:
-        group = workload.crowd()
+        group, over = workload.crowd(), threading.Event()
         for i in range(16):
             own = random.Random(rng.random())
-            group.add(workload.chain, running.agent(own, f"a{i + 1}"), own,
-                      calls=8, pause=0.02)
-        time.sleep(rng.uniform(0.5, 1.5))
-        wrong = []
-        stopped = rng.sample(running.nodes, 2)
+            group.add(workload.until_over, running, own, name=f"a{i + 1}",
+                      script=workload.chain, over=over.is_set, budget=100_000,
+                      options={"pause": 0.02})
         stops = []
-        for each in stopped:
+        for each in rng.sample(running.nodes, 2):
+            time.sleep(rng.uniform(0.2, 1.0))
+            wait_for_traffic(each)
             at = harness.now_us()
             stops.append((each, at, each.process.terminate()))
             each.start()
             each.wait_ready()
+        over.set()
         group.join()
         attempts = running.record.attempts
-        in_flight = 0
+        wrong, in_flight = checkers.complete(attempts), 0
         for each, at, code in stops:
             wrong += checkers.planned_stop(attempts, each.name, at, code)
             in_flight += sum(a["node"] == each.name and
@@ -242,7 +250,6 @@
         if in_flight == 0:
             wrong.append("nothing was in flight: nothing was tested")
         seen = running.executions()
-        wrong += checkers.complete(attempts)
         return verdict(["planned stop"] * 2,
                        f"{in_flight} in flight, " + counted(running, seen),
                        group.errors + wrong)
--- a/support/wire.py
+++ b/support/wire.py
@@ -6,6 +6,10 @@
 import time
 
 
+# Ports that a request of this process waits at, as often as it does.
+UNDER_WAY = []
+
+
 @dataclasses.dataclass
 class reply:
     """What came back; status 0 when the connection broke or timed out."""
@@ -28,6 +32,7 @@
     text = None if body is None else json.dumps(body)
     link = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
     got = reply(0)
+    UNDER_WAY.append(port)
     try:
         link.request(method, path, text, headers)
         answer = link.getresponse()
@@ -41,6 +46,7 @@
     except (OSError, http.client.HTTPException) as error:
         got.broken = repr(error)
     finally:
+        UNDER_WAY.remove(port)
         link.close()
     return got
 
