Hold shared views while they are read

Cause: a node died with SIGSEGV once in about 327 starts. Two loops ran over a member of a temporary shared pointer (engines of the configuration in force, sessions of the current view), which was freed when the first configuration or view took its place. Ruled out: order of construction of the duties; 120 starts of a single node that never replaces a view did not show it.

--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -268,7 +268,7 @@
         {
             http_response response(status_codes::OK);
             response.set_body(hooks_.metrics_text(), "text/plain");
-            send(request, open, std::move(response));
+            send(request, open, response);
         }
         else
             return false;
--- a/src/load_duty.cpp
+++ b/src/load_duty.cpp
@@ -58,7 +58,7 @@
     }
 }
 
-void load_duty::ask(target_config const& target)
+void load_duty::ask(target_config const& target) const
 {
     auto load = query_load(target.address, ask_timeout);
     if (!load)
--- a/src/load_duty.hpp
+++ b/src/load_duty.hpp
@@ -36,7 +36,7 @@
 
 private:
     void run();
-    void ask(target_config const& target);
+    void ask(target_config const& target) const;
     bool pause(duration time);
 
     duration period_;
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -103,7 +103,7 @@
     {
         hub_.on_request(
             "call",
-            [this](std::string_view body, peer_responder responder)
+            [this](std::string_view body, peer_responder const& responder)
             {
                 if (auto* forward = forwarding_ptr_.load())
                     return forward->serve(body, responder);
@@ -298,7 +298,9 @@
     std::vector<member_info> members_in_table() const
     {
         std::vector<member_info> known;
-        for (auto const& session : routes_.get()->sessions)
+        // Held here: the view may be replaced while it is read.
+        auto const view = routes_.get();
+        for (auto const& session : view->sessions)
         {
             if (session.fenced || session.id == session_.id)
                 continue;
--- a/src/operator_backend.cpp
+++ b/src/operator_backend.cpp
@@ -127,6 +127,21 @@
     return acks;
 }
 
+std::vector<stewarded_target> stewarded_by(
+    session_id const& self, configuration const& config,
+    ownership_view const& view, std::uint32_t shards)
+{
+    std::vector<stewarded_target> own;
+    for (auto const& target : config.targets)
+    {
+        auto const shard = steward_shard(target.name, shards);
+        if (target.kind == target_kind::engine && shard < view.shards.size() &&
+            view.shards[shard].owner == self)
+            own.push_back({target, view.shards[shard].epoch});
+    }
+    return own;
+}
+
 operate_hooks make_operate_hooks(backend_parts const& parts)
 {
     operate_hooks hooks;
@@ -177,17 +192,10 @@
     steward_hooks hooks;
     hooks.stewarded = [parts]
     {
-        std::vector<stewarded_target> own;
+        // Held here: both may be replaced while they are read.
         auto const view = parts.routes.get();
-        for (auto const& target : parts.in_force()->targets)
-        {
-            auto const shard = steward_shard(target.name, parts.shards);
-            if (target.kind == target_kind::engine &&
-                shard < view->shards.size() &&
-                view->shards[shard].owner == parts.self)
-                own.push_back({target, view->shards[shard].epoch});
-        }
-        return own;
+        auto const config = parts.in_force();
+        return stewarded_by(parts.self, *config, *view, parts.shards);
     };
     hooks.version = [parts] { return parts.in_force()->version; };
     hooks.accepted_version = [parts]
--- a/src/operator_backend.hpp
+++ b/src/operator_backend.hpp
@@ -40,6 +40,11 @@
 operate_hooks make_operate_hooks(backend_parts const& parts);
 steward_hooks make_steward_hooks(backend_parts const& parts);
 
+/// \return the engines whose shard `self` owns, with its epoch.
+std::vector<stewarded_target> stewarded_by(
+    session_id const& self, configuration const& config,
+    ownership_view const& view, std::uint32_t shards);
+
 /// \return the acknowledgements in the sessions' rows as last read.
 std::vector<configuration_ack> acks_of(ownership_view const& view);
 
--- a/src/peer_questions.cpp
+++ b/src/peer_questions.cpp
@@ -120,7 +120,8 @@
     return questions;
 }
 
-result_table peer_questions::own_rows(table_kind kind, program_owner& owner)
+result_table
+peer_questions::own_rows(table_kind kind, program_owner& owner) const
 {
     if (kind == table_kind::links)
     {
@@ -204,7 +205,7 @@
 }
 
 std::vector<program_liveness> peer_questions::own_liveness(
-    program_owner& owner, std::vector<program_id> const& programs)
+    program_owner& owner, std::vector<program_id> const& programs) const
 {
     std::vector<program_liveness> answers;
     for (auto const& program : programs)
--- a/src/peer_questions.hpp
+++ b/src/peer_questions.hpp
@@ -74,9 +74,9 @@
     void
     serve_decisions(std::string_view body, peer_responder const& responder);
     void serve_liveness(std::string_view body, peer_responder const& responder);
-    std::vector<program_liveness>
-    own_liveness(program_owner& owner, std::vector<program_id> const& programs);
-    result_table own_rows(table_kind kind, program_owner& owner);
+    std::vector<program_liveness> own_liveness(
+        program_owner& owner, std::vector<program_id> const& programs) const;
+    result_table own_rows(table_kind kind, program_owner& owner) const;
     std::vector<peer_question> question_all(std::string const& body) const;
 
     parts parts_;
--- a/src/program_owner.cpp
+++ b/src/program_owner.cpp
@@ -277,10 +277,10 @@
     if (auto const* r = std::get_if<fetch_request>(&request))
         return fetch(*r, std::move(sink));
     if (auto const* r = std::get_if<end_request>(&request))
-        return end(*r, std::move(sink), now);
+        return end(*r, sink, now);
     if (auto const* r = std::get_if<budget_request>(&request))
         return set_budget(*r, sink);
-    view(std::get<view_request>(request), std::move(sink));
+    view(std::get<view_request>(request), sink);
 }
 
 result<program_state*>
@@ -516,7 +516,7 @@
     return view;
 }
 
-void program_owner::view(view_request const& r, answer_sink sink)
+void program_owner::view(view_request const& r, answer_sink const& sink)
 {
     auto const found = visible(r.program, r.workspace);
     if (!found)
--- a/src/program_owner.hpp
+++ b/src/program_owner.hpp
@@ -312,7 +312,7 @@
     void call(call_request const& r, answer_sink sink, time_point now);
     void fetch(fetch_request const& r, answer_sink sink);
     void end(end_request const& r, answer_sink const& sink, time_point now);
-    void view(view_request const& r, answer_sink sink);
+    void view(view_request const& r, answer_sink const& sink);
     void set_budget(budget_request const& r, answer_sink const& sink);
     guard_verdict
     check_guard(call_request const& r, program_state const& program);
--- a/test/owner_world.hpp
+++ b/test/owner_world.hpp
@@ -345,9 +345,8 @@
         session_state opened;
         opened.id = session_id("n." + std::to_string(nodes_.size()));
         table_.set_row(session_key(opened.id), encode_session(opened));
-        auto const config = config_;
         nodes_.push_back(std::make_unique<world_node>(
-            opened, plain_scheduling([config] { return config; })));
+            opened, plain_scheduling([this] { return config_; })));
         row_ = with_owner_row(opened.id);
         auto records = recover_shards(table_.table(), table_.store(), {row_});
         // The shipped node, too, tries again until the platform answers.
