--- a/src/caller_server.cpp
+++ b/src/caller_server.cpp
@@ -1,5 +1,6 @@
 #include "caller_server.hpp"
 
+#include "refusals.hpp"
 #include "sha256.hpp"
 
 #include <cpprest/http_listener.h>
@@ -21,15 +22,6 @@
 
 constexpr std::size_t derived_id_digits = 32;
 
-refusal refuse(errc code, std::string message, std::string field = {})
-{
-    refusal why;
-    why.code = code;
-    why.message = std::move(message);
-    why.field = std::move(field);
-    return why;
-}
-
 http_response json_response(web::http::status_code status, std::string body)
 {
     http_response response(status);
--- a/src/direct_call.cpp
+++ b/src/direct_call.cpp
@@ -1,4 +1,5 @@
 #include "direct_call.hpp"
+#include "refusals.hpp"
 
 #include <algorithm>
 
@@ -9,15 +10,6 @@
 
 constexpr std::chrono::milliseconds full_come_back{200};
 
-refusal refuse(errc code, std::string message, std::string field = {})
-{
-    refusal why;
-    why.code = code;
-    why.message = std::move(message);
-    why.field = std::move(field);
-    return why;
-}
-
 } // namespace
 
 struct direct_caller::attempt
--- a/src/operator_backend.cpp
+++ b/src/operator_backend.cpp
@@ -1,6 +1,7 @@
 #include "operator_backend.hpp"
 
 #include "node_rows.hpp"
+#include "operate_store.hpp"
 #include "sha256.hpp"
 #include "steward_commit.hpp"
 
@@ -56,37 +57,6 @@
     return boost::outcome_v2::success();
 }
 
-result<proposal_outcome>
-propose(backend_parts const& parts, configuration_proposal const& proposal)
-{
-    configuration_change change;
-    change.next = proposal.next;
-    change.expected_version = proposal.expected_version;
-    change.command_id = proposal.id;
-    change.conditions = proposal.conditions;
-    change.writes = proposal.writes;
-    auto const made = parts.store.change(change);
-    if (!made)
-        return made.error();
-    switch (made.value().status)
-    {
-    case change_status::committed:
-    case change_status::repeated:
-        parts.changed();
-        return proposal_outcome::committed;
-    case change_status::version_changed:
-        return proposal_outcome::version_changed;
-    case change_status::condition_failed:
-        return proposal_outcome::condition_failed;
-    case change_status::not_allowed:
-        break;
-    }
-    refusal why;
-    why.code = errc::conflict;
-    why.message = made.value().message;
-    return why;
-}
-
 gathered_rows gather(backend_parts const& parts, table_kind kind)
 {
     gathered_rows all;
@@ -145,15 +115,20 @@
 operate_hooks make_operate_hooks(backend_parts const& parts)
 {
     operate_hooks hooks;
-    hooks.head = [parts] { return parts.store.read_newer(0); };
+    use_store(hooks, parts.store);
     hooks.in_force = parts.in_force;
     hooks.accepted_version = [parts]
     {
         return accepted_version(
             parts.in_force()->version, acks_of(*parts.routes.get()));
     };
-    hooks.propose = [parts](configuration_proposal const& proposal)
-    { return propose(parts, proposal); };
+    hooks.propose =
+        [parts, propose = hooks.propose](configuration_proposal const& proposal)
+    {
+        auto outcome = propose(proposal);
+        parts.changed();
+        return outcome;
+    };
     hooks.table = parts.table;
     hooks.gather = [parts](table_kind kind) { return gather(parts, kind); };
     hooks.decisions = [parts](program_id const& program)
--- a/src/stored_configuration.cpp
+++ b/src/stored_configuration.cpp
@@ -1,4 +1,5 @@
 #include "stored_configuration.hpp"
+#include "refusals.hpp"
 
 #include <walnutmill/config_store.hpp>
 
@@ -9,14 +10,6 @@
 
 constexpr char const* first_command = "init";
 
-refusal refuse(errc code, std::string message)
-{
-    refusal why;
-    why.code = code;
-    why.message = std::move(message);
-    return why;
-}
-
 /// The first version is written without an object store.
 object_store no_objects()
 {
