Take the idle tick back: it gave nothing

Cause: idle nodes take more than the 1.1 % of a core that control may take. Tried: 4 instead of 100 ticks a second while no call is under way.

--- a/src/owner_duty.cpp
+++ b/src/owner_duty.cpp
@@ -121,9 +121,7 @@
 {
     while (!stopping_)
     {
-        auto const idle = owner_.figures().calls == 0;
-        auto const work =
-            ring_->take_all(idle ? options_.idle_tick : options_.tick);
+        auto const work = ring_->take_all(options_.tick);
         auto const now = options_.clock();
         last_round_ = now;
         for (auto const& task : work)
--- a/src/owner_duty.hpp
+++ b/src/owner_duty.hpp
@@ -33,10 +33,8 @@
 {
     std::uint32_t shards = 0;
     clock_fn clock;
-    /// Longest time between two ticks while calls are under way, and while
-    /// there are none; a request or an event ends the wait at once.
+    /// Longest time between two ticks.
     duration tick = std::chrono::milliseconds(10);
-    duration idle_tick = std::chrono::milliseconds(250);
     /// A pause of the loop beyond this means that the process was frozen.
     duration longest_pause{0};
     /// Appends waiting for the table beyond which new calls are refused:
