--- /dev/null
+++ b/include/walnutmill/engine_board.hpp
@@ -0,0 +1,207 @@
+#ifndef WALNUTMILL_ENGINE_BOARD_HPP
+#define WALNUTMILL_ENGINE_BOARD_HPP
+
+/// \file
+/// Which engine a call goes to, from what this node knows of each: its own
+/// calls there, the load that answers told, where prompts lie cached, speed
+/// and failures seen.
+///
+/// Load patterns: bursts that many nodes place alone, a slow engine that
+/// reports usual load, an engine that fails a part of its calls in good
+/// health, a hot shared prompt. Without it nodes herd on the engine that
+/// looked idle last, a slow engine keeps its share of every program's turns,
+/// and prompts are read again on engine after engine.
+///
+/// The candidate with the least expected cost wins, in milliseconds: reading
+/// what is not cached, generating at the pace of its load, what that slows
+/// down the calls beside it, waiting for a slot, and penalties for another
+/// failure domain and for recent failures.
+
+#include <walnutmill/call.hpp>
+#include <walnutmill/clock.hpp>
+#include <walnutmill/random.hpp>
+#include <walnutmill/routing_table.hpp>
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace walnutmill
+{
+
+struct board_options
+{
+    /// Milliseconds of one step of a batch of one, and for each further call
+    /// in the batch; tokens of a prompt read in a millisecond. From the
+    /// sites' sheets; the speed learned for each engine scales them.
+    double step_ms = 1.14;
+    double step_ms_per_call = 0.0323;
+    double prefill_tokens_per_ms = 336.0;
+    /// Until the first token beside reading the prompt (site files).
+    double first_ms = 10.0;
+    /// Milliseconds that a plain call takes on average (26 to 104 on the
+    /// sheets); only its proportion to the penalties matters.
+    double plain_ms = 60.0;
+    /// What bytes to another failure domain are worth, as time: 20 KB a turn
+    /// cost 0.004 to 0.019 of a turn's credit of 1 to 3, 3 ms of a turn of
+    /// some 400 ms is less than the noise of the estimate, so a tie is broken
+    /// towards the own domain and little more.
+    double other_domain_ms = 6.0;
+    /// Expected loss when a call fails: it starts again after 100 to 400 ms
+    /// and runs once more.
+    double failure_ms = 700.0;
+    /// Weights of the newest sample in moving averages: some ten calls, half
+    /// a second of an engine's calls from one node.
+    double speed_weight = 0.1;
+    double failure_weight = 0.2;
+    /// Time in which an engine's told load fades to its average: what calls
+    /// there take (300 to 500 ms).
+    duration load_fades = std::chrono::milliseconds(400);
+    /// An engine that could not be connected to is left alone this long at
+    /// first, and at most: a restart takes one to four seconds.
+    duration first_rest = std::chrono::milliseconds(300);
+    duration longest_rest = std::chrono::milliseconds(3'000);
+    /// An engine that said it was full is left alone this long: a twentieth
+    /// of a call's time on all its slots.
+    duration full_rest = std::chrono::milliseconds(30);
+    /// Prompt parts whose place is remembered: a minute of turns of a node.
+    std::size_t remembered_parts = 4'096;
+};
+
+/// What a call needs of an engine.
+struct placement_need
+{
+    service_name service;
+    /// Tokens to read and, likely, to generate; zero for plain calls.
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t output_tokens = 0;
+    std::vector<prompt_part> const* prompt = nullptr;
+    /// Where the same object or line was handled before counts.
+    std::string sticky_key;
+    /// Not to be chosen.
+    std::vector<target_name> avoid;
+    /// Where set, no other one may be chosen.
+    target_name only;
+};
+
+struct placement
+{
+    target_name engine;
+    std::string address;
+    /// Expected wait for a slot there.
+    std::chrono::milliseconds wait{0};
+    /// Calls there, of all nodes, as estimated.
+    double load = 0;
+    std::uint32_t slots = 0;
+    double cost_ms = 0;
+    /// Age of what the engine told last; negative: nothing yet.
+    std::chrono::milliseconds load_age{-1};
+    /// Tokens of the prompt that are likely cached there.
+    std::uint32_t cached_tokens = 0;
+};
+
+/// How a call at an engine ended, as far as the engine is to blame.
+enum class engine_outcome
+{
+    answered,
+    /// It said that it was full.
+    full,
+    /// It runs another incarnation, or none.
+    unreachable,
+    /// It broke off, sent nonsense or failed.
+    failed,
+    /// The caller left, or time was up.
+    abandoned
+};
+
+class engine_board
+{
+public:
+    engine_board(
+        zone_name own_domain, clock_fn clock, random_fn random,
+        board_options options = {});
+
+    /// Takes in the engines as registered; those missing are gone.
+    void set_engines(std::vector<engine_entry> const& engines);
+
+    std::optional<placement> choose(placement_need const& need);
+
+    void sent(target_name const& engine, placement_need const& need);
+    /// \param took from sending to the end of the answer
+    void ended(
+        target_name const& engine, placement_need const& need,
+        engine_outcome outcome, duration took);
+    void told_load(target_name const& engine, engine_load const& load);
+    /// Calls of other nodes there, as those told each other just now.
+    void set_peer_load(target_name const& engine, double calls);
+
+    /// \return true while the engine is registered.
+    bool known(target_name const& engine) const;
+    std::size_t engines_of(service_name const& service) const;
+    /// Calls under way from this node, by engine.
+    std::vector<std::pair<target_name, std::uint32_t>> own_calls() const;
+
+    /// How full a service is, as this node knows.
+    struct fill
+    {
+        double calls = 0;
+        double slots = 0;
+    };
+    fill fill_of(service_name const& service) const;
+
+private:
+    struct engine_record
+    {
+        engine_entry entry;
+        std::uint32_t own_calls = 0;
+        /// Calls of others when it last told, and on average.
+        double told_others = 0;
+        double usual_others = 0;
+        time_point told_at{};
+        double peer_calls = 0;
+        time_point peers_told_at{};
+        double speed = 1.0;
+        double failures = 0;
+        time_point rests_until{};
+        duration rest{0};
+    };
+    struct part_place
+    {
+        std::vector<target_name> engines;
+        std::list<std::string>::iterator use;
+    };
+
+    double load_of(engine_record const& one, time_point now) const;
+    double cost_of(
+        engine_record const& one, placement_need const& need,
+        std::uint32_t cached, time_point now) const;
+    double expected_ms(
+        engine_record const& one, placement_need const& need,
+        std::uint32_t cached, double load) const;
+    double
+    wait_ms(engine_record const& one, double load, double call_ms) const;
+    std::uint32_t
+    cached_tokens(target_name const& engine, placement_need const& need) const;
+    void remember_part(std::string const& key, target_name const& engine);
+    bool usable(
+        engine_record const& one, placement_need const& need, time_point now,
+        bool even_resting) const;
+    void rest(engine_record& one, duration first, time_point now);
+
+    zone_name own_domain_;
+    clock_fn clock_;
+    random_fn random_;
+    board_options options_;
+    std::unordered_map<target_name, engine_record> engines_;
+    std::unordered_map<service_name, std::vector<target_name>> by_service_;
+    std::unordered_map<std::string, part_place> parts_;
+    /// Least recently used first.
+    std::list<std::string> part_uses_;
+};
+
+} // namespace walnutmill
+
+#endif
--- /dev/null
+++ b/include/walnutmill/turn_history.hpp
@@ -0,0 +1,128 @@
+#ifndef WALNUTMILL_TURN_HISTORY_HPP
+#define WALNUTMILL_TURN_HISTORY_HPP
+
+/// \file
+/// The kept turns: what was said in each, found by the id of its request from
+/// any node, also by programs that come after.
+///
+/// A turn is a row that never changes, so a cached copy is never stale. Its
+/// row names all turns before it: a node that has none of them in its cache
+/// reads the last one and then the others at once, two round trips for a
+/// chain of any length.
+
+#include <walnutmill/clock.hpp>
+#include <walnutmill/ids.hpp>
+#include <walnutmill/versioned_store.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace walnutmill
+{
+
+/// One turn as it is kept.
+struct kept_turn
+{
+    request_id id;
+    /// The turns before it, oldest first.
+    std::vector<request_id> chain;
+    std::string input;
+    /// Data of each event, each followed by a line feed.
+    std::string output;
+
+    std::size_t bytes() const;
+};
+
+std::string encode(kept_turn const& turn);
+/// \return null where the bytes are no turn.
+std::shared_ptr<kept_turn const>
+decode_turn(request_id const& id, std::string_view bytes);
+
+enum class history_answer
+{
+    found,
+    /// There is no such turn: the store said so.
+    unknown_turn,
+    store_unavailable
+};
+
+/// A chain of turns as the next turn needs it.
+struct turn_chain
+{
+    /// Ids, oldest first, the one asked for last.
+    std::vector<request_id> ids;
+    /// Their inputs and outputs in order.
+    std::string text;
+};
+
+struct history_options
+{
+    /// Bytes of turns cached: a busy node's turns of a minute (8 a second of
+    /// 5 KB) take 2.5 MB, first turns with 14 KB prompts 4 MB more.
+    std::size_t cache_bytes = 16'777'216;
+    /// Bytes of a value in one row. The platform takes 65,536; base64 may or
+    /// may not count, so a row stays below three quarters of that.
+    std::size_t row_bytes = 45'000;
+    std::chrono::milliseconds patience{2'500};
+};
+
+class turn_history
+{
+public:
+    using chain_fn = std::function<void(history_answer, turn_chain)>;
+    using kept_fn = std::function<void(bool durable)>;
+
+    turn_history(versioned_store store, history_options options = {});
+
+    /// Finds a turn and all before it.
+    /// \param done called once, maybe at once
+    void load(request_id const& last, chain_fn done);
+
+    /// Makes a turn durable.
+    void keep(kept_turn turn, std::chrono::milliseconds patience, kept_fn done);
+
+    std::size_t cached_bytes() const { return cached_bytes_; }
+
+private:
+    using turn_ptr = std::shared_ptr<kept_turn const>;
+    struct loading;
+    using loading_ptr = std::shared_ptr<loading>;
+    struct cached
+    {
+        turn_ptr turn;
+        std::list<request_id>::iterator use;
+    };
+
+    turn_ptr find(request_id const& id);
+    void remember(turn_ptr turn);
+    void fetch(
+        request_id const& id,
+        std::function<void(history_answer, turn_ptr)> done);
+    void fetch_pieces(
+        request_id const& id, std::string first, std::size_t pieces,
+        std::function<void(history_answer, turn_ptr)> done);
+    void load_chain(loading_ptr const& one);
+    void one_loaded(loading_ptr const& one);
+    void write_pieces(
+        std::shared_ptr<std::vector<row_value>> rows, std::size_t from,
+        std::chrono::milliseconds patience, kept_fn done);
+
+    versioned_store store_;
+    history_options options_;
+    std::unordered_map<request_id, cached> cache_;
+    /// Least recently used first.
+    std::list<request_id> uses_;
+    std::size_t cached_bytes_ = 0;
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace walnutmill
+
+#endif
--- /dev/null
+++ b/src/entry/call_flow.hpp
@@ -0,0 +1,146 @@
+#ifndef WALNUTMILL_SRC_ENTRY_CALL_FLOW_HPP
+#define WALNUTMILL_SRC_ENTRY_CALL_FLOW_HPP
+
+/// \file
+/// The life of one call: from the caller's request over the program's budget,
+/// its history and an engine to the caller's answer.
+
+#include <walnutmill/call.hpp>
+#include <walnutmill/engine_board.hpp>
+#include <walnutmill/metrics.hpp>
+#include <walnutmill/program_ledger.hpp>
+#include <walnutmill/routing_table.hpp>
+#include <walnutmill/turn_history.hpp>
+
+#include "entry/caller_link.hpp"
+#include "entry/engine_links.hpp"
+#include "entry/event_stream.hpp"
+#include "entry/line_log.hpp"
+#include "platform/call_codec.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace walnutmill
+{
+
+/// What calls use of their node.
+struct entry_services
+{
+    boost::asio::io_context& io;
+    clock_fn clock;
+    random_fn random;
+    engine_board& board;
+    engine_links& links;
+    program_ledger& ledger;
+    turn_history& history;
+    line_log& log;
+    metrics& counters;
+    /// Null until a configuration is known.
+    std::shared_ptr<routing_table const> table;
+    /// Nodes that share the engines' connections, this one included.
+    std::uint32_t nodes = 1;
+    bool stopping = false;
+    std::size_t calls_under_way = 0;
+};
+
+class call_flow : public std::enable_shared_from_this<call_flow>
+{
+public:
+    call_flow(
+        entry_services& node, std::shared_ptr<caller_link> link,
+        caller_link::request_type&& request);
+    ~call_flow();
+    call_flow(call_flow const&) = delete;
+    call_flow& operator=(call_flow const&) = delete;
+
+    void start();
+
+private:
+    struct attempt
+    {
+        placement at;
+        engine_links::link_ptr link;
+        time_point sent_at{};
+        engine_answer answer;
+        std::string body;
+        event_cutter events;
+        /// The answer's head has come and says that the engine runs it.
+        bool runs = false;
+        bool ended = false;
+    };
+    using attempt_ptr = std::shared_ptr<attempt>;
+
+    bool route_call();
+    void choose_service();
+    void arm_deadline();
+    void admit();
+    void load_history();
+    void try_engine();
+    void exchange(attempt_ptr const& one);
+    std::uint32_t connection_limit() const;
+    std::optional<std::uint32_t> rank() const;
+
+    void on_head(attempt_ptr const& one, platform::response_head const& head);
+    void on_body(attempt_ptr const& one, std::string_view bytes);
+    void on_end(attempt_ptr const& one, link_end how);
+    void end_attempt(attempt_ptr const& one, engine_outcome outcome);
+    void refused_by_engine(attempt_ptr const& one);
+    void attempt_broke(attempt_ptr const& one);
+    void attempt_completed(attempt_ptr const& one);
+    void retry_or_fail(attempt_ptr const& one, bool complete_failure);
+    bool may_run_elsewhere() const;
+
+    void forward_event(attempt_ptr const& one, stream_event const& event);
+    void stream_completed();
+    void deliver(attempt_ptr const& one);
+
+    void time_is_up();
+    void caller_left();
+    void refuse(std::string_view why, std::chrono::milliseconds come_back);
+    void answer_own(
+        int status, std::string_view why,
+        std::chrono::milliseconds come_back = std::chrono::milliseconds(0));
+    void break_off(std::string_view why);
+    void finish(std::string_view outcome, bool trouble);
+    void note_attempt(attempt_ptr const& one, std::string_view outcome);
+    duration time_left() const;
+
+    entry_services& node_;
+    std::shared_ptr<caller_link> link_;
+    caller_link::request_type request_;
+    std::shared_ptr<routing_table const> table_;
+    call call_;
+    route const* route_ = nullptr;
+    service const* service_ = nullptr;
+    placement_need need_;
+    boost::asio::steady_timer deadline_;
+    time_point arrived_;
+    time_point give_up_at_;
+    attempt_ptr current_;
+    /// Engines that may have run the call.
+    std::vector<target_name> ran_at_;
+    /// Told by an engine that refused: come back after this.
+    int sends_ = 0;
+    std::uint64_t most_tokens_ = 0;
+    std::uint64_t tokens_per_event_ = 1;
+    std::uint64_t handed_out_ = 0;
+    bool admitted_ = false;
+    bool head_written_ = false;
+    bool done_ = false;
+    bool left_ = false;
+    std::optional<std::uint64_t> last_event_;
+    turn_chain chain_;
+    std::string output_;
+    nlohmann::json story_;
+};
+
+} // namespace walnutmill
+
+#endif
--- /dev/null
+++ b/src/entry/caller_link.cpp
@@ -0,0 +1,296 @@
+#include "entry/caller_link.hpp"
+
+#include "entry/http_link.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+/// Bytes of following requests that are kept while one is answered; past it
+/// the link stops reading, and the caller's own window holds the rest.
+constexpr std::size_t ahead_limit = 65'536;
+/// How long a link that is ending waits for the caller to close, so that its
+/// last bytes are not cut off by a reset.
+constexpr milliseconds linger{1'000};
+/// Idle time granted past the limit that callers know, since theirs starts
+/// later than ours.
+constexpr milliseconds idle_slack{1'000};
+
+constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
+constexpr int status_too_large = 413;
+constexpr int status_head_too_large = 431;
+
+int status_of(boost::system::error_code const& error)
+{
+    if (error == http::error::body_limit)
+        return status_too_large;
+    if (error == http::error::header_limit ||
+        error == http::error::buffer_overflow)
+        return status_head_too_large;
+    return status_bad_request;
+}
+
+} // namespace
+
+caller_link::caller_link(asio::ip::tcp::socket socket, hooks to)
+    : socket_(std::move(socket)), timer_(socket_.get_executor()),
+      hooks_(std::move(to))
+{
+}
+
+void caller_link::start()
+{
+    error_code ignored; // only a matter of speed
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    watch_for_silence(socket_);
+    start_parser();
+    arm_timer(hooks_.limits().idle_timeout + idle_slack);
+    read();
+}
+
+void caller_link::start_parser()
+{
+    auto const limits = hooks_.limits();
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(limits.max_header_bytes);
+    parser_->body_limit(limits.max_body_bytes);
+    head_begun_ = false;
+    continue_sent_ = false;
+}
+
+void caller_link::read()
+{
+    if (read_pending_ || ended_ || incoming_.size() > ahead_limit)
+        return;
+    read_pending_ = true;
+    socket_.async_read_some(
+        asio::buffer(chunk_),
+        [self = shared_from_this()](error_code const& error, std::size_t size)
+        { self->received(error, size); });
+}
+
+void caller_link::received(error_code const& error, std::size_t size)
+{
+    read_pending_ = false;
+    if (ended_)
+        return;
+    if (error)
+    {
+        gone();
+        return;
+    }
+    if (!shutting_)
+    {
+        incoming_.append(chunk_.data(), size);
+        if (!answering_)
+            parse();
+    }
+    read();
+}
+
+void caller_link::parse()
+{
+    if (incoming_.empty())
+        return;
+    if (!head_begun_)
+    {
+        head_begun_ = true;
+        arm_timer(hooks_.limits().header_timeout);
+    }
+    while (!incoming_.empty() && !parser_->is_done())
+    {
+        error_code error;
+        auto const used = parser_->put(asio::buffer(incoming_), error);
+        incoming_.erase(0, used);
+        if (error && error != http::error::need_more)
+        {
+            refuse_request(error);
+            return;
+        }
+        if (used == 0)
+            break;
+    }
+    if (parser_->is_done())
+        request_done();
+    else if (parser_->is_header_done() && !continue_sent_ &&
+             parser_->get()[http::field::expect] == "100-continue")
+    {
+        continue_sent_ = true;
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_link::request_done()
+{
+    timer_.cancel();
+    answering_ = true;
+    auto request = parser_->release();
+    wants_close_ = !request.keep_alive();
+    start_parser();
+    hooks_.on_request(shared_from_this(), std::move(request));
+}
+
+void caller_link::refuse_request(error_code const& error)
+{
+    auto const status = status_of(error);
+    answering_ = true;
+    incoming_.clear();
+    write(hooks_.refuse(status, error.message()));
+    finish_answer(true);
+}
+
+void caller_link::write(std::string bytes)
+{
+    if (ended_)
+        return;
+    outgoing_.append(bytes);
+    flush();
+}
+
+void caller_link::flush()
+{
+    if (!in_flight_.empty() || outgoing_.empty() || ended_)
+        return;
+    in_flight_.swap(outgoing_);
+    asio::async_write(
+        socket_, asio::buffer(in_flight_),
+        [self = shared_from_this()](error_code const& error, std::size_t)
+        { self->written(error); });
+}
+
+void caller_link::written(error_code const& error)
+{
+    in_flight_.clear();
+    if (ended_)
+        return;
+    if (error)
+    {
+        gone();
+        return;
+    }
+    flush();
+    if (in_flight_.empty() && close_after_ && !answering_)
+        end_gracefully();
+}
+
+void caller_link::finish_answer(bool close)
+{
+    answering_ = false;
+    on_gone = {};
+    if (ended_)
+        return;
+    close_after_ = close_after_ || close || wants_close_;
+    if (close_after_)
+    {
+        if (in_flight_.empty() && outgoing_.empty())
+            end_gracefully();
+        return;
+    }
+    arm_timer(hooks_.limits().idle_timeout + idle_slack);
+    // Not from here: this may run inside the parse of the request before.
+    asio::post(
+        socket_.get_executor(),
+        [self = shared_from_this()]
+        {
+            if (self->ended_ || self->answering_)
+                return;
+            self->parse();
+            self->read();
+        });
+}
+
+void caller_link::end_gracefully()
+{
+    if (shutting_ || ended_)
+        return;
+    shutting_ = true;
+    error_code ignored; // the peer may have left already
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    arm_timer(linger);
+    read();
+}
+
+void caller_link::retire()
+{
+    if (idle())
+        end_gracefully();
+    else
+        close_after_ = true;
+}
+
+void caller_link::abort()
+{
+    on_gone = {};
+    answering_ = false;
+    if (in_flight_.empty() && outgoing_.empty())
+    {
+        drop();
+        return;
+    }
+    // What is whole still goes out; the missing end tells the caller.
+    close_after_ = true;
+}
+
+void caller_link::arm_timer(milliseconds after)
+{
+    timer_.expires_after(after);
+    timer_.async_wait(
+        [self = shared_from_this()](error_code const& error)
+        {
+            if (!error && !self->ended_)
+                self->timed_out();
+        });
+}
+
+void caller_link::timed_out()
+{
+    // The timer may have fired just as its wait was replaced.
+    if (answering_ || timer_.expiry() > std::chrono::steady_clock::now())
+        return;
+    if (head_begun_ && !shutting_)
+    {
+        answering_ = true;
+        write(hooks_.refuse(status_timeout, "the request came too slowly"));
+        finish_answer(true);
+        return;
+    }
+    if (!shutting_)
+        end_gracefully();
+    else
+        drop();
+}
+
+void caller_link::gone()
+{
+    auto const left = std::move(on_gone);
+    on_gone = {};
+    drop();
+    if (left)
+        left();
+}
+
+void caller_link::drop()
+{
+    if (ended_)
+        return;
+    ended_ = true;
+    timer_.cancel();
+    error_code ignored; // the connection is given up anyway
+    socket_.close(ignored);
+    hooks_.on_end(this);
+}
+
+} // namespace walnutmill
--- /dev/null
+++ b/src/entry/engine_links.cpp
@@ -0,0 +1,95 @@
+#include "entry/engine_links.hpp"
+
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+using clock_type = std::chrono::steady_clock;
+
+/// An engine that does not take a connection within this is left for another
+/// one: the way is at most 3 ms long, the handshake 1 ms, and a third of the
+/// shortest target latency (150 ms) is all that a call can spare.
+constexpr std::chrono::milliseconds connect_patience{250};
+/// Engines end idle connections after a time that they state in whole
+/// seconds; one of theirs that ends just as a call is sent would leave the
+/// call's fate open.
+constexpr std::chrono::milliseconds idle_at_most{3'500};
+
+} // namespace
+
+engine_links::engine_links(boost::asio::io_context& io) : io_(io) {}
+
+engine_links::~engine_links()
+{
+    for (auto& [id, conns] : engines_)
+    {
+        for (auto& link : conns.idle)
+            link->close();
+    }
+}
+
+engine_links::link_ptr engine_links::take(
+    target_name const& engine, std::string const& address,
+    std::uint32_t limit)
+{
+    auto& conns = engines_[engine];
+    auto const now = clock_type::now();
+    while (!conns.idle.empty())
+    {
+        // The one used last is the least likely to be ended by the engine.
+        auto link = std::move(conns.idle.back());
+        conns.idle.pop_back();
+        if (link->reusable() && now - link->idle_since < idle_at_most)
+        {
+            ++conns.in_use;
+            return link;
+        }
+        link->close();
+    }
+    auto const peer = endpoint_of(address);
+    if (!peer || conns.in_use >= limit)
+        return nullptr;
+    ++conns.in_use;
+    return std::make_shared<http_link>(io_, *peer, connect_patience);
+}
+
+void engine_links::give_back(target_name const& engine, link_ptr link)
+{
+    auto& conns = engines_[engine];
+    if (conns.in_use > 0)
+        --conns.in_use;
+    if (link->reusable())
+        conns.idle.push_back(std::move(link));
+    else
+        link->close();
+}
+
+void engine_links::sweep(
+    std::function<bool(target_name const&)> const& still_registered)
+{
+    auto const now = clock_type::now();
+    for (auto it = engines_.begin(); it != engines_.end();)
+    {
+        auto& conns = it->second;
+        auto const registered = still_registered(it->first);
+        std::vector<link_ptr> kept;
+        for (auto& link : conns.idle)
+        {
+            if (registered && link->reusable() &&
+                now - link->idle_since < idle_at_most)
+                kept.push_back(std::move(link));
+            else
+                link->close();
+        }
+        conns.idle = std::move(kept);
+        if (!registered && conns.in_use == 0)
+            it = engines_.erase(it);
+        else
+            ++it;
+    }
+}
+
+} // namespace walnutmill
--- /dev/null
+++ b/src/entry/engine_links.hpp
@@ -0,0 +1,64 @@
+#ifndef WALNUTMILL_SRC_ENTRY_ENGINE_LINKS_HPP
+#define WALNUTMILL_SRC_ENTRY_ENGINE_LINKS_HPP
+
+/// \file
+/// Connections to engines, kept for the next call, within this node's part of
+/// what an engine takes from all nodes.
+
+#include <walnutmill/ids.hpp>
+
+#include "entry/http_link.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace walnutmill
+{
+
+class engine_links
+{
+public:
+    using link_ptr = std::shared_ptr<http_link>;
+
+    explicit engine_links(boost::asio::io_context& io);
+    ~engine_links();
+    engine_links(engine_links const&) = delete;
+    engine_links& operator=(engine_links const&) = delete;
+
+    /// \return a kept connection, a new one, or null where this node already
+    /// has its part of the engine's connections in use.
+    /// \param limit connections this node may have to the engine
+    link_ptr take(
+        target_name const& engine, std::string const& address,
+        std::uint32_t limit);
+
+    /// The exchange is over: keeps the connection if it can be used again.
+    void give_back(target_name const& engine, link_ptr link);
+
+    /// Ends the idle connections to engines that are gone, and those that
+    /// have been idle for long.
+    void
+    sweep(std::function<bool(target_name const&)> const& still_registered);
+
+private:
+    struct engine_conns
+    {
+        std::vector<link_ptr> idle;
+        std::uint32_t in_use = 0;
+    };
+
+    boost::asio::io_context& io_;
+    std::unordered_map<target_name, engine_conns> engines_;
+};
+
+} // namespace walnutmill
+
+#endif
--- /dev/null
+++ b/src/entry/entry_node.cpp
@@ -0,0 +1,414 @@
+#include "entry/entry_node.hpp"
+
+#include <walnutmill/hash.hpp>
+
+#include <csignal>
+#include <random>
+#include <unistd.h>
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Connections that wait to be accepted: callers of a whole failure domain
+/// may come at once when its other nodes stop.
+constexpr int backlog = 1'024;
+/// How often idle budgets, idle connections and log lines are seen to.
+constexpr milliseconds tick_every{200};
+/// Every this many ticks idle engine connections are swept.
+constexpr std::uint64_t sweep_ticks = 5;
+/// The balancer asks once a second and needs two misses, so it still sends
+/// callers for this long after a stop began.
+constexpr milliseconds balancer_notices{2'600};
+/// Left of the grace when the process ends whatever is under way.
+constexpr milliseconds end_before_grace{700};
+constexpr milliseconds stop_step_every{50};
+/// A node that read nothing of the store for this long, itself or through
+/// others, can't start programs: the balancer should use others.
+constexpr milliseconds blind_after{3'500};
+/// Reads of the store that all nodes may spend on configuration and engines:
+/// a quarter of its rate, half a second apart at least on small sites.
+constexpr milliseconds read_interval{450};
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr int status_bad_request = 400;
+
+time_point steady_now()
+{
+    return std::chrono::time_point_cast<duration>(
+        std::chrono::steady_clock::now());
+}
+
+std::uint32_t seed_of(std::string const& text)
+{
+    return static_cast<std::uint32_t>(stable_hash(text));
+}
+
+/// \return a name of this process that no other one ever had.
+std::string new_incarnation(std::string const& node)
+{
+    std::random_device device;
+    std::uint64_t const drawn =
+        (static_cast<std::uint64_t>(device()) << 32U) | device();
+    constexpr int base = 36;
+    std::string text;
+    for (auto rest = drawn; rest > 0; rest /= base)
+        text.push_back("0123456789abcdefghijklmnopqrstuvwxyz"[rest % base]);
+    return node + "." + text;
+}
+
+std::string plain_answer(int status, std::string text)
+{
+    platform::own_answer answer;
+    answer.status = status;
+    answer.message = std::move(text);
+    return platform::encode_own_answer(answer, false);
+}
+
+} // namespace
+
+entry_node::entry_node(entry_settings settings, reread_fn reread)
+    : settings_(std::move(settings)), reread_(std::move(reread)),
+      clock_(steady_now), incarnation_(new_incarnation(settings_.node)),
+      log_(
+          settings_.node, clock_, descriptor_sink(STDOUT_FILENO),
+          line_budget()),
+      store_(
+          io_, settings_.store, seeded_random(seed_of(incarnation_)),
+          {[this](bool reachable, std::string_view why)
+           {
+               log_.write(
+                   line_weight::important,
+                   reachable ? "store.regained" : "store.lost",
+                   {{"why", why}});
+           },
+           &counters_}),
+      board_(
+          zone_name(settings_.domain), clock_,
+          seeded_random(seed_of(incarnation_ + "board"))),
+      links_(io_), ledger_(store_.calls(), clock_, incarnation_),
+      history_(store_.calls()),
+      services_{
+          io_,     clock_,   seeded_random(seed_of(incarnation_ + "calls")),
+          board_,  links_,   ledger_,
+          history_, log_,    counters_,
+          nullptr, 1,        false,
+          0},
+      view_(
+          io_, store_.calls(), clock_,
+          seeded_random(seed_of(incarnation_ + "view")), log_,
+          {settings_.node, settings_.listen_peers, settings_.domain},
+          read_interval,
+          {[this](std::shared_ptr<routing_table const> table)
+           { services_.table = std::move(table); },
+           [this](std::vector<engine_entry> const& engines)
+           { board_.set_engines(engines); },
+           [this](std::vector<entry_member> const& members)
+           { set_members(members); }}),
+      callers_(io_), ready_(io_), peers_(io_), metrics_(io_),
+      signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
+      stop_timer_(io_)
+{
+}
+
+entry_node::~entry_node() = default;
+
+bool entry_node::listen(acceptor& on, std::string const& address)
+{
+    auto const at = endpoint_of(address);
+    boost::system::error_code error;
+    if (!at)
+        return false;
+    on.open(at->protocol(), error);
+    if (!error)
+        on.set_option(acceptor::reuse_address(true), error);
+    if (!error)
+        on.bind(*at, error);
+    if (!error)
+        on.listen(backlog, error);
+    if (error)
+    {
+        log_.write(
+            line_weight::important, "listen.failed",
+            {{"address", address}, {"why", error.message()}});
+        log_.flush();
+    }
+    return !error;
+}
+
+void entry_node::accept(acceptor& on, caller_link::hooks hooks)
+{
+    on.async_accept(
+        [this, &on, hooks = std::move(hooks)](
+            boost::system::error_code const& error, tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error)
+            {
+                auto const link =
+                    std::make_shared<caller_link>(std::move(socket), hooks);
+                if (&on == &callers_)
+                    caller_links_.insert(link.get());
+                link->start();
+            }
+            accept(on, hooks);
+        });
+}
+
+caller_link::hooks entry_node::caller_hooks()
+{
+    caller_link::hooks to;
+    to.on_request = [this](link_ptr const& link, request_type&& request)
+    {
+        std::make_shared<call_flow>(services_, link, std::move(request))
+            ->start();
+    };
+    to.refuse = [this](int status, std::string_view why)
+    {
+        log_.write(
+            line_weight::important, "request.unreadable",
+            {{"status", status}, {"why", why}});
+        platform::own_answer answer;
+        answer.status = status;
+        answer.message = std::string(why);
+        return platform::encode_own_answer(answer, true);
+    };
+    to.limits = [this]
+    { return services_.table ? services_.table->limits : caller_limits(); };
+    to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
+    return to;
+}
+
+caller_link::hooks entry_node::service_hooks(
+    std::function<void(link_ptr const&, request_type const&)> answer)
+{
+    caller_link::hooks to;
+    to.on_request =
+        [answer = std::move(answer)](
+            link_ptr const& link, request_type&& request)
+    { answer(link, request); };
+    to.refuse = [](int status, std::string_view why)
+    { return plain_answer(status, std::string(why)); };
+    to.limits = [] { return caller_limits(); };
+    to.on_end = [](caller_link*) {};
+    return to;
+}
+
+bool entry_node::ready() const
+{
+    return services_.table && !services_.stopping &&
+           clock_() - view_.last_read() < blind_after;
+}
+
+void entry_node::answer_ready(link_ptr const& link)
+{
+    auto const is_ready = ready();
+    link->write(plain_answer(
+        is_ready ? status_ok : status_unavailable,
+        is_ready             ? "ready"
+        : services_.stopping ? "stopping"
+                             : "not in touch with the store"));
+    link->finish_answer(false);
+}
+
+void entry_node::answer_metrics(link_ptr const& link)
+{
+    counters_.gauge(
+        "walnutmill_calls_under_way",
+        static_cast<double>(services_.calls_under_way));
+    counters_.gauge(
+        "walnutmill_programs_known",
+        static_cast<double>(ledger_.programs()));
+    counters_.gauge(
+        "walnutmill_turn_cache_bytes",
+        static_cast<double>(history_.cached_bytes()));
+    counters_.gauge(
+        "walnutmill_log_lines_dropped",
+        static_cast<double>(log_.dropped()));
+    link->write(plain_answer(status_ok, counters_.prometheus_text()));
+    link->finish_answer(false);
+}
+
+void entry_node::carry_store_call(
+    link_ptr const& link, request_type const& request)
+{
+    platform::store_request call;
+    call.method = std::string(request.method_string());
+    call.target = std::string(request.target());
+    call.body = request.body();
+    store_.carry(
+        std::move(call),
+        [link](platform::store_reply const& reply)
+        {
+            if (reply.status == 0)
+            {
+                link->abort();
+                return;
+            }
+            link->write(plain_answer(reply.status, reply.body));
+            link->finish_answer(false);
+        });
+}
+
+void entry_node::set_members(std::vector<entry_member> const& members)
+{
+    std::vector<std::string> relays;
+    for (auto const& one : members)
+        relays.push_back(one.address);
+    services_.nodes = static_cast<std::uint32_t>(members.size() + 1);
+    store_.set_relays(std::move(relays));
+}
+
+bool entry_node::run()
+{
+    log_.write(
+        line_weight::important, "node.start",
+        {{"incarnation", incarnation_},
+         {"domain", settings_.domain},
+         {"store", settings_.store},
+         {"callers", settings_.listen_callers}});
+    if (!listen(callers_, settings_.listen_callers) ||
+        !listen(ready_, settings_.listen_ready) ||
+        !listen(peers_, settings_.listen_peers))
+        return false;
+    accept(callers_, caller_hooks());
+    accept(
+        ready_,
+        service_hooks(
+            [this](link_ptr const& link, request_type const&)
+            { answer_ready(link); }));
+    accept(
+        peers_,
+        service_hooks(
+            [this](link_ptr const& link, request_type const& request)
+            { carry_store_call(link, request); }));
+    if (!settings_.listen_metrics.empty() &&
+        listen(metrics_, settings_.listen_metrics))
+    {
+        accept(
+            metrics_,
+            service_hooks(
+                [this](link_ptr const& link, request_type const&)
+                { answer_metrics(link); }));
+    }
+    wait_for_signal();
+    view_.start();
+    tick();
+    io_.run();
+    log_.write(
+        line_weight::important, "node.stopped",
+        {{"calls_cut", services_.calls_under_way}});
+    log_.flush();
+    return true;
+}
+
+void entry_node::tick()
+{
+    ledger_.tick();
+    log_.flush();
+    if (++ticks_ % sweep_ticks == 0)
+    {
+        links_.sweep(
+            [this](target_name const& one) { return board_.known(one); });
+    }
+    tick_timer_.expires_after(tick_every);
+    tick_timer_.async_wait(
+        [this](boost::system::error_code const& error)
+        {
+            if (!error)
+                tick();
+        });
+}
+
+void entry_node::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](boost::system::error_code const& error, int signal)
+        {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                stop();
+            wait_for_signal();
+        });
+}
+
+void entry_node::reload()
+{
+    findings problems;
+    auto const fresh = reread_(problems);
+    if (!problems.empty())
+    {
+        log_.write(
+            line_weight::important, "settings.rejected",
+            {{"setting", problems.items().front().place},
+             {"why", problems.items().front().message}});
+        return;
+    }
+    // Addresses that the node listens on hold until its next start.
+    settings_.store = fresh.store;
+    settings_.stop_grace = fresh.stop_grace;
+    store_.set_address(fresh.store);
+    log_.write(
+        line_weight::important, "settings.reloaded",
+        {{"store", settings_.store}});
+}
+
+void entry_node::stop()
+{
+    if (services_.stopping)
+        return;
+    services_.stopping = true;
+    stop_began_ = clock_();
+    log_.write(
+        line_weight::important, "node.stopping",
+        {{"calls", services_.calls_under_way},
+         {"connections", caller_links_.size()}});
+    stop_step();
+}
+
+/// Callers that the balancer still sends are served; connections are ended
+/// only once no request can be on its way on them.
+void entry_node::stop_step()
+{
+    auto const since = clock_() - stop_began_;
+    auto const last = since > settings_.stop_grace - end_before_grace;
+    if (since > balancer_notices && !leaving_)
+    {
+        leaving_ = true;
+        ledger_.settle_all();
+        view_.leave([this] { left_ = true; });
+    }
+    if (since > balancer_notices)
+    {
+        auto const open = caller_links_;
+        for (auto* link : open)
+            link->retire();
+    }
+    auto const drained = left_ && services_.calls_under_way == 0 &&
+                         caller_links_.empty() && !ledger_.busy();
+    if (drained || last)
+    {
+        io_.stop();
+        return;
+    }
+    stop_timer_.expires_after(stop_step_every);
+    stop_timer_.async_wait(
+        [this](boost::system::error_code const& error)
+        {
+            if (!error)
+                stop_step();
+        });
+}
+
+} // namespace walnutmill
--- /dev/null
+++ b/src/entry/entry_node.hpp
@@ -0,0 +1,97 @@
+#ifndef WALNUTMILL_SRC_ENTRY_ENTRY_NODE_HPP
+#define WALNUTMILL_SRC_ENTRY_ENTRY_NODE_HPP
+
+/// \file
+/// One entry node: its listeners, what it believes of the platform, the calls
+/// under way, and its planned stop.
+
+#include "entry/call_flow.hpp"
+#include "entry/caller_link.hpp"
+#include "entry/engine_links.hpp"
+#include "entry/entry_settings.hpp"
+#include "entry/line_log.hpp"
+#include "entry/platform_view.hpp"
+#include "entry/store_client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace walnutmill
+{
+
+class entry_node
+{
+public:
+    using reread_fn = std::function<entry_settings(findings&)>;
+
+    /// \param reread reads the settings again, as they are now
+    entry_node(entry_settings settings, reread_fn reread);
+    ~entry_node();
+    entry_node(entry_node const&) = delete;
+    entry_node& operator=(entry_node const&) = delete;
+
+    /// Serves until a planned stop is over.
+    /// \return false where an address could not be listened on
+    bool run();
+
+private:
+    using acceptor = boost::asio::ip::tcp::acceptor;
+    using request_type = caller_link::request_type;
+    using link_ptr = std::shared_ptr<caller_link>;
+
+    bool listen(acceptor& on, std::string const& address);
+    void accept(acceptor& on, caller_link::hooks hooks);
+    caller_link::hooks caller_hooks();
+    caller_link::hooks service_hooks(
+        std::function<void(link_ptr const&, request_type const&)> answer);
+    void answer_ready(link_ptr const& link);
+    void answer_metrics(link_ptr const& link);
+    void carry_store_call(link_ptr const& link, request_type const& request);
+
+    bool ready() const;
+    void set_members(std::vector<entry_member> const& members);
+    void wait_for_signal();
+    void reload();
+    void stop();
+    void stop_step();
+    void tick();
+
+    boost::asio::io_context io_;
+    entry_settings settings_;
+    reread_fn reread_;
+    clock_fn clock_;
+    random_fn random_;
+    std::string incarnation_;
+    line_log log_;
+    metrics counters_;
+    store_client store_;
+    engine_board board_;
+    engine_links links_;
+    program_ledger ledger_;
+    turn_history history_;
+    entry_services services_;
+    platform_view view_;
+    acceptor callers_;
+    acceptor ready_;
+    acceptor peers_;
+    acceptor metrics_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer tick_timer_;
+    boost::asio::steady_timer stop_timer_;
+    std::unordered_set<caller_link*> caller_links_;
+    time_point stop_began_{};
+    bool left_ = false;
+    bool leaving_ = false;
+    std::uint64_t ticks_ = 0;
+};
+
+} // namespace walnutmill
+
+#endif
--- /dev/null
+++ b/src/entry/partitions.cpp
@@ -0,0 +1,19 @@
+#include "entry/partitions.hpp"
+
+#include <walnutmill/hash.hpp>
+
+namespace walnutmill
+{
+namespace
+{
+
+constexpr std::uint64_t partitions = 64;
+
+} // namespace
+
+std::string partition_of(std::string_view key)
+{
+    return "p" + std::to_string(stable_hash(key) % partitions);
+}
+
+} // namespace walnutmill
--- /dev/null
+++ b/src/entry/program_ledger.cpp
@@ -0,0 +1,398 @@
+#include <walnutmill/program_ledger.hpp>
+
+#include "entry/partitions.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr char const* table_name = "walnutmill-programs";
+
+/// What an account that can't be read is taken for: nothing may be handed out
+/// on the strength of a guess.
+program_account spent_up()
+{
+    program_account to;
+    to.spent = std::numeric_limits<std::uint32_t>::max();
+    return to;
+}
+
+} // namespace
+
+std::string_view to_string(admission_answer answer)
+{
+    switch (answer)
+    {
+    case admission_answer::admitted:
+        return "admitted";
+    case admission_answer::exhausted:
+        return "exhausted";
+    case admission_answer::contended:
+        return "contended";
+    case admission_answer::store_unavailable:
+        break;
+    }
+    return "store_unavailable";
+}
+
+std::uint64_t
+program_account::reserved_by_others(std::string_view self) const
+{
+    std::uint64_t sum = 0;
+    for (auto const& [node, one] : reserved)
+    {
+        if (node != self)
+            sum += one.tokens;
+    }
+    return sum;
+}
+
+std::string encode(program_account const& account)
+{
+    json nodes = json::object();
+    for (auto const& [node, one] : account.reserved)
+        nodes[node] = {one.tokens, one.change};
+    auto const bytes =
+        json::to_cbor(json{{"spent", account.spent}, {"nodes", nodes}});
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<program_account> decode_account(std::string_view bytes)
+{
+    try
+    {
+        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        program_account to;
+        to.spent = body.at("spent").get<std::uint64_t>();
+        for (auto const& [node, one] : body.at("nodes").items())
+        {
+            to.reserved[node] = {
+                one.at(0).get<std::uint64_t>(),
+                one.at(1).get<std::uint64_t>()};
+        }
+        return to;
+    }
+    catch (json::exception const&)
+    {
+        // The callers refuse the turn rather than trust a broken account.
+        return std::nullopt;
+    }
+}
+
+program_ledger::program_ledger(
+    versioned_store store, clock_fn clock, std::string self,
+    ledger_options options)
+    : store_(std::move(store)), clock_(std::move(clock)),
+      self_(std::move(self)), options_(options),
+      alive_(std::make_shared<bool>(true))
+{
+}
+
+row_address program_ledger::address(program_id const& program) const
+{
+    return {table_name, partition_of(program.str()), program.str()};
+}
+
+void program_ledger::admit(
+    program_id const& program, std::uint64_t budget,
+    std::uint64_t most_tokens, answer_fn answer)
+{
+    auto& state = programs_[program];
+    state.budget = budget;
+    state.last_use = clock_();
+    state.return_ahead = false;
+    state.queue.push_back({most_tokens, std::move(answer)});
+    if (!state.changing)
+        state.tries = 0;
+    pump(program, state);
+}
+
+/// Answers what can be answered, then asks the store for what the rest needs.
+void program_ledger::pump(program_id const& program, program_state& state)
+{
+    serve_queue(state);
+    if (!state.queue.empty() && !state.changing)
+        change(program, state);
+}
+
+bool program_ledger::fits_reservation(
+    program_state const& state, std::uint64_t most_tokens) const
+{
+    return state.used + state.open + most_tokens <= state.reserved;
+}
+
+/// Spent tokens and what this node's turns under way may still spend never
+/// shrink below this, so a turn that does not fit now never will.
+bool program_ledger::never_fits(
+    program_state const& state, std::uint64_t most_tokens) const
+{
+    auto const spent = state.account ? state.account->spent : 0;
+    return spent + state.used + most_tokens > state.budget;
+}
+
+void program_ledger::serve_queue(program_state& state)
+{
+    while (!state.queue.empty())
+    {
+        auto const most = state.queue.front().most_tokens;
+        auto const fits = fits_reservation(state, most);
+        if (!fits && !never_fits(state, most))
+            break;
+        auto const answer = std::move(state.queue.front().answer);
+        state.queue.pop_front();
+        if (fits)
+            state.open += most;
+        answer(
+            fits ? admission_answer::admitted : admission_answer::exhausted);
+    }
+}
+
+/// \return what this node should have reserved once its used tokens are
+/// settled: turns under way, turns that wait as far as they fit, and some
+/// turns ahead while the budget is ample.
+std::uint64_t program_ledger::wanted_reservation(
+    program_state const& state, std::uint64_t spent) const
+{
+    auto const others =
+        state.account ? state.account->reserved_by_others(self_) : 0;
+    auto const taken = spent + others;
+    auto wanted = state.open;
+    std::uint64_t largest = 0;
+    for (auto const& one : state.queue)
+    {
+        if (taken + wanted + one.most_tokens > state.budget)
+            break;
+        wanted += one.most_tokens;
+        largest = std::max(largest, one.most_tokens);
+    }
+    if (state.return_ahead)
+        return wanted;
+    auto const ample = static_cast<std::uint64_t>(
+        static_cast<double>(state.budget) * options_.ahead_until);
+    if (taken + wanted >= ample)
+        return wanted;
+    return wanted +
+           std::min(largest * options_.turns_ahead, ample - taken - wanted);
+}
+
+void program_ledger::change(program_id const& program, program_state& state)
+{
+    auto const spent =
+        (state.account ? state.account->spent : 0) + state.used;
+    auto const reservation = wanted_reservation(state, spent);
+    auto const first_waits =
+        !state.queue.empty() &&
+        reservation < state.open + state.queue.front().most_tokens;
+    // The account may be an old one: look again before turning a turn away.
+    if (first_waits && state.tries > 0)
+    {
+        answer_all(state, admission_answer::contended);
+        return;
+    }
+    ++state.tries;
+    if (first_waits)
+        reread(program);
+    else
+        send(program, state, reservation);
+}
+
+void program_ledger::send(
+    program_id const& program, program_state& state,
+    std::uint64_t reservation)
+{
+    sent_change sent;
+    sent.number = ++last_change_;
+    sent.on_version = state.version;
+    sent.reserved = reservation;
+    sent.settled = state.used;
+    auto account = state.account.value_or(program_account());
+    account.spent += state.used;
+    account.reserved[self_] = {reservation, sent.number};
+    row_transaction one;
+    auto const at = address(program);
+    one.conditions.push_back({at, state.version});
+    one.writes.push_back({at, encode(account)});
+    state.unresolved.push_back(sent);
+    state.changing = true;
+    ++changes_under_way_;
+    store_.commit(
+        std::move(one), options_.patience,
+        [this, alive = alive_, program, sent](transaction_result result)
+        {
+            if (*alive)
+                changed(program, sent, std::move(result));
+        });
+}
+
+void program_ledger::changed(
+    program_id const& program, sent_change sent, transaction_result result)
+{
+    --changes_under_way_;
+    auto& state = programs_[program];
+    state.changing = false;
+    if (result.outcome == store_outcome::done)
+    {
+        auto account = state.account.value_or(program_account());
+        account.spent += sent.settled;
+        account.reserved[self_] = {sent.reserved, sent.number};
+        stored_row const row{address(program), encode(account), result.version};
+        observe(state, &row);
+        state.tries = 0;
+        pump(program, state);
+        return;
+    }
+    if (result.outcome == store_outcome::conflict)
+    {
+        observe(
+            state, result.rows.empty() ? nullptr : &result.rows.front());
+        if (state.tries >= options_.conflict_tries)
+        {
+            answer_all(state, admission_answer::contended);
+            return;
+        }
+        pump(program, state);
+        return;
+    }
+    answer_all(state, admission_answer::store_unavailable);
+}
+
+void program_ledger::reread(program_id const& program)
+{
+    auto const at = address(program);
+    auto& state = programs_[program];
+    state.changing = true;
+    ++changes_under_way_;
+    store_.read(
+        {at.table, at.partition, at.key, at.key + '\0'}, options_.patience,
+        [this, alive = alive_, program](range_result result)
+        {
+            if (!*alive)
+                return;
+            --changes_under_way_;
+            auto& found = programs_[program];
+            found.changing = false;
+            if (result.outcome != store_outcome::done)
+            {
+                answer_all(found, admission_answer::store_unavailable);
+                return;
+            }
+            observe(
+                found, result.rows.empty() ? nullptr : &result.rows.front());
+            pump(program, found);
+        });
+}
+
+/// Takes in the row as the store has it; a null pointer: there is none.
+void program_ledger::observe(program_state& state, stored_row const* row)
+{
+    auto const version = row != nullptr ? row->version : 0;
+    if (row != nullptr)
+        state.account = decode_account(row->value).value_or(spent_up());
+    else
+        state.account.reset();
+    state.version = version;
+    auto const own = state.account
+                         ? state.account->reserved[self_]
+                         : program_account::reservation();
+    for (auto const& one : state.unresolved)
+    {
+        if (row != nullptr && one.number == own.change)
+            apply(state, one);
+    }
+    // A change whose condition can't hold any more will never take effect.
+    state.unresolved.erase(
+        std::remove_if(
+            state.unresolved.begin(), state.unresolved.end(),
+            [&](sent_change const& one)
+            {
+                return one.on_version != version || one.number == own.change;
+            }),
+        state.unresolved.end());
+}
+
+void program_ledger::apply(program_state& state, sent_change const& sent)
+{
+    state.reserved = sent.reserved;
+    state.used -= std::min(state.used, sent.settled);
+}
+
+void program_ledger::answer_all(
+    program_state& state, admission_answer answer)
+{
+    auto queue = std::move(state.queue);
+    state.queue.clear();
+    for (auto const& one : queue)
+        one.answer(answer);
+}
+
+void program_ledger::settle(
+    program_id const& program, std::uint64_t most_tokens,
+    std::uint64_t handed_out)
+{
+    auto const found = programs_.find(program);
+    if (found == programs_.end())
+        return;
+    auto& state = found->second;
+    state.open -= std::min(state.open, most_tokens);
+    state.used += handed_out;
+    state.last_use = clock_();
+    auto const ample = static_cast<std::uint64_t>(
+        static_cast<double>(state.budget) * options_.ahead_until);
+    auto const claimed =
+        state.account ? state.account->spent + state.reserved +
+                            state.account->reserved_by_others(self_)
+                      : state.reserved;
+    if (claimed > ample && !state.changing)
+    {
+        state.return_ahead = true;
+        state.tries = 0;
+        change(program, state);
+    }
+}
+
+void program_ledger::tick()
+{
+    auto const now = clock_();
+    for (auto it = programs_.begin(); it != programs_.end();)
+    {
+        auto& state = it->second;
+        auto const quiet = now - state.last_use;
+        auto const idle =
+            state.open == 0 && state.queue.empty() && !state.changing;
+        auto const unsettled = state.reserved > 0 || state.used > 0;
+        if (idle && unsettled && quiet >= options_.idle_return)
+        {
+            state.return_ahead = true;
+            state.tries = 0;
+            state.last_use = now;
+            change(it->first, state);
+        }
+        if (idle && !unsettled && quiet >= options_.forget_after)
+            it = programs_.erase(it);
+        else
+            ++it;
+    }
+}
+
+void program_ledger::settle_all()
+{
+    for (auto& [program, state] : programs_)
+    {
+        if (state.changing || (state.reserved <= state.open && state.used == 0))
+            continue;
+        state.return_ahead = true;
+        state.tries = 0;
+        change(program, state);
+    }
+}
+
+} // namespace walnutmill
--- /dev/null
+++ b/src/entry/store_client.hpp
@@ -0,0 +1,103 @@
+#ifndef WALNUTMILL_SRC_ENTRY_STORE_CLIENT_HPP
+#define WALNUTMILL_SRC_ENTRY_STORE_CLIENT_HPP
+
+/// \file
+/// The one client of the platform's store: keeps connections, times attempts,
+/// repeats them, and goes through another node where the store turns this
+/// one away.
+
+#include <walnutmill/clock.hpp>
+#include <walnutmill/metrics.hpp>
+#include <walnutmill/random.hpp>
+#include <walnutmill/versioned_store.hpp>
+
+#include "entry/http_link.hpp"
+#include "entry/store_paths.hpp"
+#include "platform/store_codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace walnutmill
+{
+
+class store_client
+{
+public:
+    using reply_fn = std::function<void(platform::store_reply)>;
+
+    struct hooks
+    {
+        /// The store became reachable or unreachable over all ways.
+        std::function<void(bool reachable, std::string_view why)> on_change;
+        metrics* counters = nullptr;
+    };
+
+    store_client(
+        boost::asio::io_context& io, std::string address, random_fn random,
+        hooks to);
+    ~store_client();
+    store_client(store_client const&) = delete;
+    store_client& operator=(store_client const&) = delete;
+
+    void set_address(std::string address);
+    void set_relays(std::vector<std::string> relays);
+
+    /// \return the calls; they end when the client does.
+    versioned_store calls();
+
+    /// Carries another node's call, straight only.
+    /// \param to gets status 503 where the store could not be reached
+    void carry(platform::store_request request, reply_fn to);
+
+    /// \return since when no call has succeeded; the clock's epoch while the
+    /// last one did.
+    time_point failing_since() const { return failing_since_; }
+
+private:
+    struct pending;
+    struct attempt;
+    using pending_ptr = std::shared_ptr<pending>;
+    using link_ptr = std::shared_ptr<http_link>;
+
+    void start(pending_ptr const& one);
+    void try_once(pending_ptr const& one);
+    void attempt_ended(
+        pending_ptr const& one, store_path const& path, bool answered,
+        bool sent, platform::store_reply reply);
+    void retry_later(pending_ptr const& one);
+    void give_up(pending_ptr const& one);
+    void deliver(pending_ptr const& one, platform::store_reply const& reply);
+    void note_success();
+    void note_failure(std::string_view why);
+
+    link_ptr take_link(std::string const& address);
+    void return_link(std::string const& address, link_ptr link);
+    duration attempt_patience(pending const& one) const;
+    void send_attempt(
+        std::string const& address, platform::store_request const& request,
+        duration patience,
+        std::function<
+            void(bool answered, bool sent, platform::store_reply)>
+            done);
+
+    boost::asio::io_context& io_;
+    std::string address_;
+    random_fn random_;
+    hooks hooks_;
+    store_paths paths_;
+    std::unordered_map<std::string, std::vector<link_ptr>> idle_;
+    /// Moving average of answers' times; sets how long attempts wait.
+    duration usual_time_;
+    time_point failing_since_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace walnutmill
+
+#endif
--- /dev/null
+++ b/src/entry/turn_history.cpp
@@ -0,0 +1,337 @@
+#include <walnutmill/turn_history.hpp>
+
+#include "entry/partitions.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+using nlohmann::json;
+using bytes_type = json::binary_t;
+
+constexpr char const* table_name = "walnutmill-turns";
+/// Bytes of values in one transaction; the platform takes 1 MB with base64
+/// and names, which a value of half of that stays below.
+constexpr std::size_t transaction_bytes = 500'000;
+/// Overhead of a cached turn beside its text, from the size of its parts.
+constexpr std::size_t turn_overhead = 256;
+
+json binary(std::string const& text)
+{
+    return json::binary(bytes_type::container_type(text.begin(), text.end()));
+}
+
+std::string text_of(json const& value)
+{
+    auto const& bytes = value.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+row_address piece_address(request_id const& id, std::size_t piece)
+{
+    // Slashes don't occur in ids that callers send in hexadecimal; a caller
+    // that uses one only collides with itself.
+    auto key = id.str();
+    if (piece > 0)
+        key += "/" + std::to_string(piece);
+    return {table_name, partition_of(id.str()), std::move(key)};
+}
+
+/// The first row says how many pieces follow it.
+std::vector<row_value>
+rows_of(kept_turn const& turn, std::size_t row_bytes)
+{
+    auto const bytes = encode(turn);
+    auto const pieces = std::max<std::size_t>(
+        1, (bytes.size() + row_bytes - 1) / row_bytes);
+    std::vector<row_value> rows;
+    for (std::size_t i = pieces; i-- > 0;)
+    {
+        auto value = bytes.substr(i * row_bytes, row_bytes);
+        if (i == 0)
+            value.insert(0, std::to_string(pieces) + "\n");
+        rows.push_back({piece_address(turn.id, i), std::move(value)});
+    }
+    return rows;
+}
+
+} // namespace
+
+std::size_t kept_turn::bytes() const
+{
+    constexpr std::size_t id_bytes = 48;
+    return turn_overhead + chain.size() * id_bytes + input.size() +
+           output.size();
+}
+
+std::string encode(kept_turn const& turn)
+{
+    json chain = json::array();
+    for (auto const& id : turn.chain)
+        chain.push_back(id.str());
+    auto const bytes = json::to_cbor(json{
+        {"chain", std::move(chain)},
+        {"input", binary(turn.input)},
+        {"output", binary(turn.output)}});
+    return {bytes.begin(), bytes.end()};
+}
+
+std::shared_ptr<kept_turn const>
+decode_turn(request_id const& id, std::string_view bytes)
+{
+    try
+    {
+        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto to = std::make_shared<kept_turn>();
+        to->id = id;
+        for (auto const& one : body.at("chain"))
+            to->chain.emplace_back(one.get<std::string>());
+        to->input = text_of(body.at("input"));
+        to->output = text_of(body.at("output"));
+        return to;
+    }
+    catch (json::exception const&)
+    {
+        // Callers answer that they can't tell, and come back.
+        return nullptr;
+    }
+}
+
+struct turn_history::loading
+{
+    turn_ptr last;
+    std::vector<turn_ptr> turns;
+    std::size_t missing = 0;
+    bool failed = false;
+    chain_fn done;
+};
+
+turn_history::turn_history(versioned_store store, history_options options)
+    : store_(std::move(store)), options_(options),
+      alive_(std::make_shared<bool>(true))
+{
+}
+
+turn_history::turn_ptr turn_history::find(request_id const& id)
+{
+    auto const found = cache_.find(id);
+    if (found == cache_.end())
+        return nullptr;
+    uses_.splice(uses_.end(), uses_, found->second.use);
+    return found->second.turn;
+}
+
+void turn_history::remember(turn_ptr turn)
+{
+    if (cache_.count(turn->id) > 0)
+        return;
+    cached_bytes_ += turn->bytes();
+    auto const use = uses_.insert(uses_.end(), turn->id);
+    auto const id = turn->id;
+    cache_.emplace(id, cached{std::move(turn), use});
+    while (cached_bytes_ > options_.cache_bytes && uses_.size() > 1)
+    {
+        auto const oldest = cache_.find(uses_.front());
+        cached_bytes_ -= oldest->second.turn->bytes();
+        cache_.erase(oldest);
+        uses_.pop_front();
+    }
+}
+
+void turn_history::load(request_id const& last, chain_fn done)
+{
+    auto const one = std::make_shared<loading>();
+    one->done = std::move(done);
+    one->last = find(last);
+    if (one->last)
+    {
+        load_chain(one);
+        return;
+    }
+    fetch(
+        last,
+        [this, one](history_answer answer, turn_ptr const& turn)
+        {
+            if (answer != history_answer::found)
+            {
+                one->done(answer, {});
+                return;
+            }
+            one->last = turn;
+            load_chain(one);
+        });
+}
+
+void turn_history::load_chain(loading_ptr const& one)
+{
+    auto const& ids = one->last->chain;
+    one->turns.resize(ids.size());
+    one->missing = 1;
+    for (std::size_t i = 0; i < ids.size(); ++i)
+    {
+        one->turns[i] = find(ids[i]);
+        if (one->turns[i])
+            continue;
+        ++one->missing;
+        fetch(
+            ids[i],
+            [this, one, i](history_answer answer, turn_ptr const& turn)
+            {
+                one->turns[i] = turn;
+                // A turn that lost one before it can't go on, whatever the
+                // reason: only the last one's absence is certain.
+                one->failed = one->failed || answer != history_answer::found;
+                one_loaded(one);
+            });
+    }
+    one_loaded(one);
+}
+
+void turn_history::one_loaded(loading_ptr const& one)
+{
+    if (--one->missing > 0)
+        return;
+    if (one->failed)
+    {
+        one->done(history_answer::store_unavailable, {});
+        return;
+    }
+    turn_chain chain;
+    chain.ids = one->last->chain;
+    chain.ids.push_back(one->last->id);
+    for (auto const& turn : one->turns)
+        chain.text.append(turn->input).append(turn->output);
+    chain.text.append(one->last->input).append(one->last->output);
+    one->done(history_answer::found, std::move(chain));
+}
+
+void turn_history::fetch(
+    request_id const& id, std::function<void(history_answer, turn_ptr)> done)
+{
+    auto const at = piece_address(id, 0);
+    store_.read(
+        {at.table, at.partition, at.key, at.key + '\0'}, options_.patience,
+        [this, alive = alive_, id,
+         done = std::move(done)](range_result const& result)
+        {
+            if (!*alive)
+                return;
+            if (result.outcome != store_outcome::done)
+            {
+                done(history_answer::store_unavailable, nullptr);
+                return;
+            }
+            if (result.rows.empty())
+            {
+                done(history_answer::unknown_turn, nullptr);
+                return;
+            }
+            auto const& value = result.rows.front().value;
+            auto const line = value.find('\n');
+            auto const pieces =
+                std::strtoul(value.substr(0, line).c_str(), nullptr, 10);
+            fetch_pieces(
+                id, line == std::string::npos ? "" : value.substr(line + 1),
+                pieces, done);
+        });
+}
+
+void turn_history::fetch_pieces(
+    request_id const& id, std::string first, std::size_t pieces,
+    std::function<void(history_answer, turn_ptr)> done)
+{
+    struct gathered
+    {
+        std::vector<std::string> parts;
+        std::size_t missing = 1;
+        bool failed = false;
+    };
+    auto const all = std::make_shared<gathered>();
+    all->parts.resize(std::max<std::size_t>(pieces, 1));
+    all->parts[0] = std::move(first);
+    auto const one_done = [this, all, id, done]
+    {
+        if (--all->missing > 0)
+            return;
+        std::string bytes;
+        for (auto const& part : all->parts)
+            bytes += part;
+        auto const turn = all->failed ? nullptr : decode_turn(id, bytes);
+        if (turn)
+            remember(turn);
+        done(
+            turn ? history_answer::found : history_answer::store_unavailable,
+            turn);
+    };
+    for (std::size_t i = 1; i < pieces; ++i)
+    {
+        ++all->missing;
+        auto const at = piece_address(id, i);
+        store_.read(
+            {at.table, at.partition, at.key, at.key + '\0'},
+            options_.patience,
+            [all, i, one_done](range_result const& result)
+            {
+                if (result.rows.empty())
+                    all->failed = true;
+                else
+                    all->parts[i] = result.rows.front().value;
+                one_done();
+            });
+    }
+    one_done();
+}
+
+void turn_history::keep(
+    kept_turn turn, std::chrono::milliseconds patience, kept_fn done)
+{
+    auto const rows = std::make_shared<std::vector<row_value>>(
+        rows_of(turn, options_.row_bytes));
+    auto const whole = std::make_shared<kept_turn const>(std::move(turn));
+    write_pieces(
+        rows, 0, patience,
+        [this, whole, done = std::move(done)](bool durable)
+        {
+            if (durable)
+                remember(whole);
+            done(durable);
+        });
+}
+
+/// The first piece is written last: once it stands, all do.
+void turn_history::write_pieces(
+    std::shared_ptr<std::vector<row_value>> rows, std::size_t from,
+    std::chrono::milliseconds patience, kept_fn done)
+{
+    row_transaction one;
+    std::size_t bytes = 0;
+    auto next = from;
+    while (next < rows->size() && bytes < transaction_bytes)
+    {
+        bytes += (*rows)[next].value.size();
+        one.writes.push_back((*rows)[next]);
+        ++next;
+    }
+    store_.commit(
+        std::move(one), patience,
+        [this, alive = alive_, rows, next, patience,
+         done = std::move(done)](transaction_result const& result)
+        {
+            if (!*alive)
+                return;
+            if (result.outcome != store_outcome::done)
+                done(false);
+            else if (next < rows->size())
+                write_pieces(rows, next, patience, done);
+            else
+                done(true);
+        });
+}
+
+} // namespace walnutmill
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 #include "cli_check.hpp"
 #include "cli_ctl.hpp"
+#include "cli_entry.hpp"
 #include "cli_explain.hpp"
 #include "cli_serve.hpp"
 
@@ -24,7 +25,8 @@
 
 constexpr int exit_usage = 2;
 
-constexpr std::array<subcommand, 5> subcommands{{
+constexpr std::array<subcommand, 6> subcommands{{
+    {"entry", "serve callers on the users' platform", walnutmill::run_entry},
     {"serve", "run an entry node", walnutmill::run_serve},
     {"check", "check settings and a configuration", walnutmill::run_check},
     {"init", "write the first configuration", walnutmill::run_init},
