Write answers out before a stopping node ends its connections

A connection with bytes still unwritten counted as idle, and retiring it shut the sending side. Ruled out: the exit itself, which waits for calls and connections. Change: idle needs all bytes written; no call is taken that could not end before the process does. While the store has answered nobody for 0.3 s, calls that need it are refused at once with a second to come back.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -31,6 +31,10 @@
 /// engine's calls end within half a second.
 constexpr milliseconds come_back_soon{120};
 constexpr milliseconds come_back_spread{250};
+/// While the store is lost nothing is gained by coming back soon: outages
+/// last seconds. Callers wait a third of their time left at most, 1 s on the
+/// sites' routes, so three tries of one turn bridge some 4 s.
+constexpr milliseconds come_back_later{900};
 
 constexpr int status_ok_end = 300;
 constexpr int status_bad_request = 400;
@@ -113,6 +117,12 @@
         refuse("no configuration is known yet", come_back_soon);
         return;
     }
+    if (!node_.takes_calls)
+    {
+        // Another node will take it: the connection ends with this answer.
+        refuse("this node is about to stop", milliseconds(0));
+        return;
+    }
     story_["configuration"] = table_->version;
     if (!route_call())
         return;
@@ -197,6 +207,8 @@
     most_tokens_ =
         (std::max<std::uint64_t>(call_.max_output_tokens, 1) + per_event - 1) /
         per_event * per_event;
+    story_["budget_tokens"] = *program.token_budget;
+    story_["most_tokens"] = most_tokens_;
     node_.ledger.admit(
         program.program, *program.token_budget, most_tokens_,
         [self = shared_from_this()](admission_answer answer)
@@ -216,14 +228,18 @@
             if (answer == admission_answer::exhausted)
                 self->answer_own(status_budget, "the budget is spent");
             else
-                self->refuse(
-                    answer == admission_answer::contended
-                        ? "the budget is taken by turns under way"
-                        : "the store of budgets does not answer",
-                    come_back_spread);
+                self->refuse_for_budget(answer);
         });
 }
 
+void call_flow::refuse_for_budget(admission_answer answer)
+{
+    if (answer == admission_answer::contended)
+        refuse("the budget is taken by turns under way", come_back_spread);
+    else
+        refuse("the store of budgets does not answer", come_back_later);
+}
+
 void call_flow::load_history()
 {
     if (!route_->keeps_turns || call_.program.previous_turn.empty())
@@ -251,7 +267,7 @@
                 self->answer_own(status_not_found, "no such turn is kept");
             else
                 self->refuse(
-                    "the store of turns does not answer", come_back_spread);
+                    "the store of turns does not answer", come_back_later);
         });
 }
 
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -47,6 +47,8 @@
     /// Nodes that share the engines' connections, this one included.
     std::uint32_t nodes = 1;
     bool stopping = false;
+    /// False once a call taken now could not end before the process does.
+    bool takes_calls = true;
     std::size_t calls_under_way = 0;
 };
 
@@ -81,6 +83,7 @@
     void choose_service();
     void arm_deadline();
     void admit();
+    void refuse_for_budget(admission_answer answer);
     void load_history();
     void try_engine();
     void exchange(attempt_ptr const& one);
--- a/src/entry/caller_link.hpp
+++ b/src/entry/caller_link.hpp
@@ -56,8 +56,12 @@
     /// Called once if the caller leaves before its answer is whole.
     std::function<void()> on_gone;
 
-    /// \return true while no request is being read or answered.
-    bool idle() const { return !answering_ && !reading_request(); }
+    /// \return true while no request is being read or answered and all of the
+    /// last answer has been written.
+    bool idle() const
+    {
+        return !answering_ && !reading_request() && unsent() == 0;
+    }
     /// The caller asked to end the connection after this answer.
     bool wants_close() const { return wants_close_; }
     /// Bytes waiting to be written.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds balancer_notices{2'600};
 /// Left of the grace when the process ends whatever is under way.
 constexpr milliseconds end_before_grace{700};
+/// Left of the grace when no further call is taken: the longest one on the
+/// sites' routes takes 3 s.
+constexpr milliseconds last_call_before_end{3'100};
 constexpr milliseconds stop_step_every{50};
 /// A node that read nothing of the store for this long, itself or through
 /// others, can't start programs: the balancer should use others.
@@ -64,6 +67,15 @@
     return node + "." + text;
 }
 
+/// A turn that was served is kept if that is possible at all; one that needs
+/// its history is refused at once while there is no reading it.
+versioned_store history_calls(store_client& store)
+{
+    auto to = store.calls(store_client::when_lost::fail_at_once);
+    to.commit = store.calls(store_client::when_lost::try_on).commit;
+    return to;
+}
+
 std::string plain_answer(int status, std::string text)
 {
     platform::own_answer answer;
@@ -93,16 +105,19 @@
       board_(
           zone_name(settings_.domain), clock_,
           seeded_random(seed_of(incarnation_ + "board"))),
-      links_(io_), ledger_(store_.calls(), clock_, incarnation_),
-      history_(store_.calls()),
+      links_(io_),
+      ledger_(
+          store_.calls(store_client::when_lost::fail_at_once), clock_,
+          incarnation_),
+      history_(history_calls(store_)),
       services_{
           io_,     clock_,   seeded_random(seed_of(incarnation_ + "calls")),
           board_,  links_,   ledger_,
           history_, log_,    counters_,
           nullptr, 1,        false,
-          0},
+          true,    0},
       view_(
-          io_, store_.calls(), clock_,
+          io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
           {settings_.node, settings_.listen_peers, settings_.domain},
           read_interval,
@@ -383,6 +398,12 @@
 {
     auto const since = clock_() - stop_began_;
     auto const last = since > settings_.stop_grace - end_before_grace;
+    if (since > settings_.stop_grace - end_before_grace - last_call_before_end)
+    {
+        services_.takes_calls = false;
+        boost::system::error_code ignored; // it may be closed already
+        callers_.close(ignored);
+    }
     if (since > balancer_notices && !leaving_)
     {
         leaving_ = true;
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -31,6 +31,11 @@
 /// Idle connections kept to one address.
 constexpr std::size_t idle_links = 4;
 constexpr milliseconds first_usual_time{10};
+/// The store counts as lost when nothing has been answered, over any way, for
+/// this long: longer than a spell of refusals by rate (100 ms), shorter than a
+/// caller's target latency. Readings of configuration and engines, some four a
+/// second, go on and find it again.
+constexpr milliseconds lost_after{300};
 constexpr int status_turned_away = 503;
 
 time_point now()
@@ -81,10 +86,10 @@
     paths_.set_relays(std::move(relays));
 }
 
-versioned_store store_client::calls()
+versioned_store store_client::calls(when_lost then)
 {
     versioned_store to;
-    to.commit = [this](
+    to.commit = [this, then](
                     row_transaction one, milliseconds patience,
                     std::function<void(transaction_result)> done)
     {
@@ -104,9 +109,9 @@
                 in_doubt || (outcome != result.outcome);
             done(std::move(result));
         };
-        start(call);
+        start(call, then);
     };
-    to.read = [this](
+    to.read = [this, then](
                   row_range range, milliseconds patience,
                   std::function<void(range_result)> done)
     {
@@ -124,19 +129,29 @@
                 result.outcome = store_outcome::unavailable;
             done(std::move(result));
         };
-        start(call);
+        start(call, then);
     };
     return to;
 }
 
-void store_client::start(pending_ptr const& one)
+bool store_client::lost() const
+{
+    return failing_since_ != time_point{} &&
+           now() - failing_since_ >= lost_after;
+}
+
+void store_client::start(pending_ptr const& one, when_lost then)
 {
     // Never from within the caller's own call: its state may be half set.
     boost::asio::post(
         io_,
-        [this, alive = alive_, one]
+        [this, alive = alive_, one, then]
         {
-            if (*alive)
+            if (!*alive)
+                return;
+            if (then == when_lost::fail_at_once && lost())
+                give_up(one);
+            else
                 try_once(one);
         });
 }
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -48,8 +48,17 @@
     void set_address(std::string address);
     void set_relays(std::vector<std::string> relays);
 
+    /// What a call does while the store answers nobody.
+    enum class when_lost
+    {
+        /// Goes on trying until its patience ends.
+        try_on,
+        /// Ends at once, so that its caller can be told to come back.
+        fail_at_once
+    };
+
     /// \return the calls; they end when the client does.
-    versioned_store calls();
+    versioned_store calls(when_lost then);
 
     /// Carries another node's call, straight only.
     /// \param to gets status 503 where the store could not be reached
@@ -65,7 +74,8 @@
     using pending_ptr = std::shared_ptr<pending>;
     using link_ptr = std::shared_ptr<http_link>;
 
-    void start(pending_ptr const& one);
+    void start(pending_ptr const& one, when_lost then);
+    bool lost() const;
     void try_once(pending_ptr const& one);
     void attempt_ended(
         pending_ptr const& one, store_path const& path, bool answered,
