Place turns by shared parts, summed loads and few random candidates

Cause: on the grown sites half of all prompt tokens read were shared parts read again and up to 4,500 calls were preempted: all engines held all shared parts, and nodes knew an engine's load from answers five seconds old. Change: each shared part has engines of its own in each failure domain, by rendezvous hashing; nodes sum up their calls at one node by datagrams; a few candidates are drawn at random.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -16,6 +16,13 @@
 /// what is not cached, generating at the pace of its load, what that slows
 /// down the calls beside it, waiting for a slot, and penalties for another
 /// failure domain and for recent failures.
+///
+/// A prompt's first part, shared by many programs, has its own engines in each
+/// failure domain: those first in an order by hash that all nodes compute
+/// alike, as many as its share of the calls. Where every engine held every
+/// shared part, 12 calls of 15,000 tokens each filled an engine's memory
+/// (233,774 tokens) and half of all prompt tokens read were shared parts read
+/// again (grown sites, measured).
 
 #include <walnutmill/call.hpp>
 #include <walnutmill/clock.hpp>
@@ -23,6 +30,7 @@
 #include <walnutmill/routing_table.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <optional>
 #include <string>
@@ -67,6 +75,22 @@
     /// An engine that said it was full is left alone this long: a twentieth
     /// of a call's time on all its slots.
     duration full_rest = std::chrono::milliseconds(30);
+    /// Engines compared for a call, drawn at random from those of the own
+    /// failure domain and of the others that have its shared part. All nodes
+    /// see the same loads, up to 200 ms old: were all engines compared, all
+    /// nodes would choose the one that looked idle. Few random choices come
+    /// close to the best and don't herd (Mitzenmacher 2000).
+    std::size_t near_candidates = 3;
+    std::size_t far_candidates = 1;
+    /// Engines for a shared part beyond its share of the calls, so that a
+    /// node whose share of it is above the others' finds room.
+    double share_margin = 1.5;
+    /// Weight of the newest call in the moving share of a shared part: some
+    /// 200 calls, a quarter of a minute of a node's turns.
+    double share_weight = 0.005;
+    /// How long an order of engines for a part is used before it is made
+    /// anew.
+    duration order_lasts = std::chrono::seconds(1);
     /// Prompt parts whose place is remembered: a minute of turns of a node.
     std::size_t remembered_parts = 4'096;
 };
@@ -135,8 +159,10 @@
         target_name const& engine, placement_need const& need,
         engine_outcome outcome, duration took);
     void told_load(target_name const& engine, engine_load const& load);
-    /// Calls of other nodes there, as those told each other just now.
-    void set_peer_load(target_name const& engine, double calls);
+    /// Calls of other nodes at each engine, as those told each other just
+    /// now.
+    void set_peer_loads(
+        std::function<std::uint32_t(target_name const&)> const& calls_at);
 
     /// \return true while the engine is registered.
     bool known(target_name const& engine) const;
@@ -174,6 +200,28 @@
         std::list<std::string>::iterator use;
     };
 
+    /// The engines that a shared part belongs to, and its share of calls.
+    struct shared_part
+    {
+        double share = 0;
+        time_point ordered_at{};
+        std::uint64_t engines_version = 0;
+        std::vector<target_name> engines;
+    };
+
+    std::vector<target_name> draw(
+        std::vector<target_name> const& engines, placement_need const& need,
+        time_point now, bool even_resting);
+    void draw_some(
+        std::vector<target_name>& from, std::size_t most,
+        std::vector<target_name>& to);
+    bool
+    has_line(target_name const& engine, placement_need const& need) const;
+    bool belongs(std::string const& part, target_name const& engine) const;
+    void count_shared(placement_need const& need);
+    void order_engines(
+        shared_part& one, std::string const& part,
+        service_name const& service) const;
     double load_of(engine_record const& one, time_point now) const;
     double cost_of(
         engine_record const& one, placement_need const& need,
@@ -197,6 +245,9 @@
     board_options options_;
     std::unordered_map<target_name, engine_record> engines_;
     std::unordered_map<service_name, std::vector<target_name>> by_service_;
+    /// Grows when engines come or go.
+    std::uint64_t engines_version_ = 1;
+    std::unordered_map<std::string, shared_part> shared_;
     std::unordered_map<std::string, part_place> parts_;
     /// Least recently used first.
     std::list<std::string> part_uses_;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -208,6 +208,9 @@
         (std::max<std::uint64_t>(call_.max_output_tokens, 1) + per_event - 1) /
         per_event * per_event;
     story_["budget_tokens"] = *program.token_budget;
+    story_["prompt_parts"] = call_.prompt.size();
+    if (program.finish_in)
+        story_["finish_in_ms"] = program.finish_in->count();
     story_["most_tokens"] = most_tokens_;
     node_.budgets.admit(
         program.program, *program.token_budget, most_tokens_,
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -1,5 +1,7 @@
 #include <walnutmill/engine_board.hpp>
 
+#include <walnutmill/hash.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -48,12 +50,19 @@
     for (auto const& entry : engines)
     {
         auto const found = engines_.find(entry.id);
-        auto state = found == engines_.end() ? engine_record()
-                                             : std::move(found->second);
+        auto state =
+            found == engines_.end() ? engine_record() : found->second;
         state.entry = entry;
         by_service_[entry.service].push_back(entry.id);
         kept.emplace(entry.id, std::move(state));
     }
+    auto const same = kept.size() == engines_.size() &&
+                      std::all_of(
+                          kept.begin(), kept.end(),
+                          [this](auto const& one)
+                          { return engines_.count(one.first) > 0; });
+    if (!same)
+        ++engines_version_;
     engines_ = std::move(kept);
 }
 
@@ -118,7 +127,7 @@
         cost += one.speed * load *
                 (static_cast<double>(need.output_tokens) *
                      options_.step_ms_per_call +
-                 unread / options_.prefill_tokens_per_ms * 0.5);
+                 unread / options_.prefill_tokens_per_ms);
     }
     else
     {
@@ -140,14 +149,84 @@
     // A part counts only while all before it lie there too.
     for (auto const& part : *need.prompt)
     {
+        auto const first = &part == &need.prompt->front();
         auto const found = parts_.find(part.id);
-        if (found == parts_.end() || !listed(found->second.engines, engine))
+        auto const lies_there =
+            first ? belongs(part.id, engine)
+                  : found != parts_.end() &&
+                        listed(found->second.engines, engine);
+        if (!lies_there)
             break;
         tokens += part.tokens;
     }
     return tokens;
 }
 
+bool engine_board::belongs(
+    std::string const& part, target_name const& engine) const
+{
+    auto const found = shared_.find(part);
+    return found != shared_.end() && listed(found->second.engines, engine);
+}
+
+/// Keeps the share of a prompt's first part, and the order of its engines.
+void engine_board::count_shared(placement_need const& need)
+{
+    if (need.prompt == nullptr || need.prompt->empty())
+        return;
+    auto const& part = need.prompt->front().id;
+    auto const now = clock_();
+    for (auto it = shared_.begin(); it != shared_.end();)
+    {
+        // Parts that no call asks for any more fade out.
+        it->second.share *= 1 - options_.share_weight;
+        constexpr double forgotten = 0.0005;
+        if (it->second.share < forgotten && it->first != part)
+            it = shared_.erase(it);
+        else
+            ++it;
+    }
+    auto& one = shared_[part];
+    one.share += options_.share_weight;
+    if (one.engines_version == engines_version_ &&
+        now - one.ordered_at < options_.order_lasts)
+        return;
+    order_engines(one, part, need.service);
+    one.ordered_at = now;
+    one.engines_version = engines_version_;
+}
+
+void engine_board::order_engines(
+    shared_part& one, std::string const& part,
+    service_name const& service) const
+{
+    auto const found = by_service_.find(service);
+    one.engines.clear();
+    if (found == by_service_.end())
+        return;
+    double all_shares = 0;
+    for (auto const& [key, other] : shared_)
+        all_shares += other.share;
+    auto const share = one.share / std::max(all_shares, one.share);
+    std::unordered_map<
+        zone_name, std::vector<std::pair<std::uint64_t, target_name>>>
+        by_domain;
+    for (auto const& id : found->second)
+    {
+        by_domain[engines_.at(id).entry.zone].emplace_back(
+            rendezvous_weight(part, id.str()), id);
+    }
+    for (auto& [domain, order] : by_domain)
+    {
+        std::sort(order.rbegin(), order.rend());
+        auto const wanted = static_cast<std::size_t>(std::ceil(
+            share * options_.share_margin *
+            static_cast<double>(order.size())));
+        for (std::size_t i = 0; i < std::min(wanted, order.size()); ++i)
+            one.engines.push_back(order[i].second);
+    }
+}
+
 bool engine_board::usable(
     engine_record const& one, placement_need const& need, time_point now,
     bool even_resting) const
@@ -158,29 +237,85 @@
            (even_resting || one.rests_until <= now);
 }
 
+/// \return the engines to compare: those that have the call's line, and some
+/// drawn at random from each group that has the shared part.
+std::vector<target_name> engine_board::draw(
+    std::vector<target_name> const& engines, placement_need const& need,
+    time_point now, bool even_resting)
+{
+    std::vector<target_name> drawn;
+    std::vector<target_name> near;
+    std::vector<target_name> far;
+    std::vector<target_name> others;
+    auto const has_prompt = need.prompt != nullptr && !need.prompt->empty();
+    for (auto const& id : engines)
+    {
+        auto const& one = engines_.at(id);
+        if (!usable(one, need, now, even_resting))
+            continue;
+        auto const same_domain = one.entry.zone == own_domain_;
+        if (has_prompt && need.prompt->size() > 1 && has_line(id, need))
+            drawn.push_back(id);
+        else if (has_prompt && !belongs(need.prompt->front().id, id))
+            others.push_back(id);
+        else
+            (same_domain ? near : far).push_back(id);
+    }
+    draw_some(near, options_.near_candidates, drawn);
+    draw_some(far, options_.far_candidates, drawn);
+    draw_some(others, drawn.empty() ? options_.near_candidates : 1, drawn);
+    return drawn;
+}
+
+/// Moves up to so many of the engines, drawn at random, to `to`.
+void engine_board::draw_some(
+    std::vector<target_name>& from, std::size_t most,
+    std::vector<target_name>& to)
+{
+    for (std::size_t i = 0; i < most && !from.empty(); ++i)
+    {
+        auto const at = std::min(
+            from.size() - 1,
+            static_cast<std::size_t>(
+                random_() * static_cast<double>(from.size())));
+        to.push_back(std::move(from[at]));
+        from[at] = std::move(from.back());
+        from.pop_back();
+    }
+}
+
+/// \return true where the part before the call's own was read.
+bool engine_board::has_line(
+    target_name const& engine, placement_need const& need) const
+{
+    auto const& last = need.prompt->back();
+    auto const found = parts_.find(last.id);
+    return found != parts_.end() && listed(found->second.engines, engine);
+}
+
 std::optional<placement> engine_board::choose(placement_need const& need)
 {
     auto const now = clock_();
     auto const service = by_service_.find(need.service);
     if (service == by_service_.end())
         return std::nullopt;
+    count_shared(need);
     engine_record const* best = nullptr;
     double best_cost = 0;
-    for (auto const even_resting : {false, true})
+    auto const consider = [&](target_name const& id)
     {
-        for (auto const& id : service->second)
+        auto const& one = engines_.at(id);
+        auto const cost = cost_of(one, need, cached_tokens(id, need), now);
+        if (best == nullptr || cost < best_cost)
         {
-            auto const& one = engines_.at(id);
-            if (!usable(one, need, now, even_resting))
-                continue;
-            auto const cost =
-                cost_of(one, need, cached_tokens(id, need), now);
-            if (best == nullptr || cost < best_cost)
-            {
-                best = &one;
-                best_cost = cost;
-            }
+            best = &one;
+            best_cost = cost;
         }
+    };
+    for (auto const even_resting : {false, true})
+    {
+        for (auto const& id : draw(service->second, need, now, even_resting))
+            consider(id);
         if (best != nullptr)
             break;
     }
@@ -305,13 +440,15 @@
     one.told_at = clock_();
 }
 
-void engine_board::set_peer_load(target_name const& engine, double calls)
+void engine_board::set_peer_loads(
+    std::function<std::uint32_t(target_name const&)> const& calls_at)
 {
-    auto const found = engines_.find(engine);
-    if (found == engines_.end())
-        return;
-    found->second.peer_calls = calls;
-    found->second.peers_told_at = clock_();
+    auto const now = clock_();
+    for (auto& [id, one] : engines_)
+    {
+        one.peer_calls = calls_at(id);
+        one.peers_told_at = now;
+    }
 }
 
 std::vector<std::pair<target_name, std::uint32_t>>
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -111,6 +111,7 @@
           incarnation_),
       budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
       history_(history_calls(store_)),
+      loads_(io_, board_, clock_, settings_.node),
       services_{
           io_,     clock_,   seeded_random(seed_of(incarnation_ + "calls")),
           board_,  links_,   budgets_,
@@ -302,6 +303,7 @@
         relays.push_back(one.address);
         homes.push_back({one.node, one.address});
     }
+    loads_.set_nodes(homes);
     budgets_.set_nodes(std::move(homes));
     services_.nodes = static_cast<std::uint32_t>(members.size() + 1);
     store_.set_relays(std::move(relays));
@@ -317,7 +319,8 @@
          {"callers", settings_.listen_callers}});
     if (!listen(callers_, settings_.listen_callers) ||
         !listen(ready_, settings_.listen_ready) ||
-        !listen(peers_, settings_.listen_peers))
+        !listen(peers_, settings_.listen_peers) ||
+        !loads_.listen(settings_.listen_peers))
         return false;
     accept(callers_, caller_hooks());
     accept(
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -10,6 +10,7 @@
 #include "entry/engine_links.hpp"
 #include "entry/entry_settings.hpp"
 #include "entry/line_log.hpp"
+#include "entry/load_exchange.hpp"
 #include "entry/platform_view.hpp"
 #include "entry/store_client.hpp"
 
@@ -78,6 +79,7 @@
     program_ledger ledger_;
     budget_desk budgets_;
     turn_history history_;
+    load_exchange loads_;
     entry_services services_;
     platform_view view_;
     acceptor callers_;
--- /dev/null
+++ b/src/entry/load_summary.hpp
@@ -0,0 +1,71 @@
+#ifndef WALNUTMILL_SRC_ENTRY_LOAD_SUMMARY_HPP
+#define WALNUTMILL_SRC_ENTRY_LOAD_SUMMARY_HPP
+
+/// \file
+/// Adds up the calls that all nodes have at each engine.
+///
+/// Load pattern: 13 to 80 nodes place calls on the same engines. An engine
+/// tells its load in its answers, but with 80 nodes and 45 engines a node
+/// hears of an engine once in five seconds, ten times as long as a call
+/// lasts. Without the sum nodes can't tell a full fleet from an idle one.
+
+#include <walnutmill/clock.hpp>
+#include <walnutmill/ids.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace walnutmill
+{
+
+/// Calls at engines, by the engines' short keys.
+using engine_counts = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
+
+/// \return a key short enough for datagrams. Two engines of a few thousand
+/// share one with a chance of one in a thousand, and then share their loads.
+std::uint32_t short_key(target_name const& engine);
+
+/// A node's calls, or the sum over all nodes, as sent between nodes.
+struct load_message
+{
+    /// The sender asks for the sum; otherwise this is the sum.
+    bool asks = false;
+    std::string node;
+    /// Numbers the sender's questions; the answer bears the same.
+    std::uint64_t number = 0;
+    engine_counts counts;
+};
+
+std::string encode(load_message const& message);
+/// \return empty where the bytes are no such message.
+std::optional<load_message> decode_load_message(std::string_view bytes);
+
+class load_summary
+{
+public:
+    /// How long a node's counts are used: calls last half a second.
+    explicit load_summary(
+        duration keeps = std::chrono::milliseconds(1'000));
+
+    void set(std::string const& node, engine_counts counts, time_point now);
+    engine_counts sum(time_point now);
+
+private:
+    struct node_counts
+    {
+        time_point at;
+        engine_counts counts;
+    };
+
+    duration keeps_;
+    std::unordered_map<std::string, node_counts> nodes_;
+};
+
+} // namespace walnutmill
+
+#endif
