--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -170,13 +170,10 @@
     /// Calls under way from this node, by engine.
     std::vector<std::pair<target_name, std::uint32_t>> own_calls() const;
 
-    /// How full a service is, as this node knows.
-    struct fill
-    {
-        double calls = 0;
-        double slots = 0;
-    };
-    fill fill_of(service_name const& service) const;
+    /// \return calls at a service's engines, of all nodes, for each slot of
+    /// theirs: above 1, calls wait. As of the last sum of the nodes' loads;
+    /// empty while there is no fresh one.
+    std::optional<double> pressure(service_name const& service) const;
 
 private:
     struct engine_record
@@ -200,23 +197,31 @@
         std::list<std::string>::iterator use;
     };
 
+    /// Engines by where they are.
+    struct engine_group
+    {
+        std::vector<target_name> near;
+        std::vector<target_name> far;
+    };
+
     /// The engines that a shared part belongs to, and its share of calls.
     struct shared_part
     {
         double share = 0;
         time_point ordered_at{};
         std::uint64_t engines_version = 0;
-        std::vector<target_name> engines;
+        engine_group engines;
     };
 
-    std::vector<target_name> draw(
-        std::vector<target_name> const& engines, placement_need const& need,
-        time_point now, bool even_resting);
+    std::vector<target_name>
+    draw(engine_group const& all, placement_need const& need, time_point now);
     void draw_some(
-        std::vector<target_name>& from, std::size_t most,
+        std::vector<target_name> const& from, std::size_t most,
+        placement_need const& need, time_point now,
         std::vector<target_name>& to);
-    bool
-    has_line(target_name const& engine, placement_need const& need) const;
+    void add_line(
+        placement_need const& need, time_point now,
+        std::vector<target_name>& to) const;
     bool belongs(std::string const& part, target_name const& engine) const;
     void count_shared(placement_need const& need);
     void order_engines(
@@ -229,8 +234,7 @@
     double expected_ms(
         engine_record const& one, placement_need const& need,
         std::uint32_t cached, double load) const;
-    double
-    wait_ms(engine_record const& one, double load, double call_ms) const;
+    double wait_ms(engine_record const& one, double load, double call_ms) const;
     std::uint32_t
     cached_tokens(target_name const& engine, placement_need const& need) const;
     void remember_part(std::string const& key, target_name const& engine);
@@ -244,7 +248,14 @@
     random_fn random_;
     board_options options_;
     std::unordered_map<target_name, engine_record> engines_;
-    std::unordered_map<service_name, std::vector<target_name>> by_service_;
+    std::unordered_map<service_name, engine_group> by_service_;
+    struct service_pressure
+    {
+        double calls = 0;
+        double slots = 0;
+    };
+    std::unordered_map<service_name, service_pressure> pressures_;
+    time_point pressures_at_{};
     /// Grows when engines come or go.
     std::uint64_t engines_version_ = 1;
     std::unordered_map<std::string, shared_part> shared_;
--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -69,7 +69,9 @@
     /// What is left depends on turns under way at other nodes: come back.
     contended,
     /// The store did not answer in time.
-    store_unavailable
+    store_unavailable,
+    /// The program has not begun, and no new one was to start.
+    not_begun
 };
 std::string_view to_string(admission_answer answer);
 
@@ -116,6 +118,9 @@
         program_id const& program, std::uint64_t budget,
         std::uint64_t most_tokens, answer_fn answer);
 
+    /// \return true where a turn of the program was asked for lately.
+    bool knows(program_id const& program) const;
+
     /// A turn that was admitted has ended.
     /// \param handed_out tokens that reached the caller
     void settle(
@@ -175,8 +180,8 @@
     void serve_queue(program_state& state);
     bool fits_reservation(
         program_state const& state, std::uint64_t most_tokens) const;
-    bool never_fits(
-        program_state const& state, std::uint64_t most_tokens) const;
+    bool
+    never_fits(program_state const& state, std::uint64_t most_tokens) const;
     void change(program_id const& program, program_state& state);
     bool held_by_the_dead(program_state& state) const;
     std::uint64_t
@@ -185,8 +190,7 @@
         program_id const& program, program_state& state,
         std::uint64_t reservation);
     void changed(
-        program_id const& program, sent_change sent,
-        transaction_result result);
+        program_id const& program, sent_change sent, transaction_result result);
     void reread(program_id const& program);
     void observe(program_state& state, stored_row const* row);
     void apply(program_state& state, sent_change const& sent);
--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -79,8 +79,7 @@
     using chain_fn = std::function<void(history_answer, turn_chain)>;
     using kept_fn = std::function<void(bool durable)>;
 
-    explicit turn_history(
-        versioned_store store, history_options options = {});
+    explicit turn_history(versioned_store store, history_options options = {});
     ~turn_history();
     turn_history(turn_history const&) = delete;
     turn_history& operator=(turn_history const&) = delete;
--- a/src/cli_entry.cpp
+++ b/src/cli_entry.cpp
@@ -63,8 +63,7 @@
     // A caller or engine that closes first must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     entry_node node(
-        settings,
-        [flags, environment](findings& found)
+        settings, [flags, environment](findings& found)
         { return read_entry_settings(flags, environment, found); });
     return node.run() ? 0 : exit_listen;
 }
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -30,8 +30,8 @@
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 
-std::string http_post(
-    std::string_view path, std::string const& address, json const& body)
+std::string
+http_post(std::string_view path, std::string const& address, json const& body)
 {
     auto const bytes = json::to_cbor(body);
     std::string out = "POST ";
@@ -46,7 +46,7 @@
 {
     for (auto const one :
          {admission_answer::admitted, admission_answer::exhausted,
-          admission_answer::contended})
+          admission_answer::contended, admission_answer::not_begun})
     {
         if (text == to_string(one))
             return one;
@@ -69,58 +69,58 @@
     homes_.set_nodes(std::move(others));
 }
 
-void budget_desk::admit_here(
-    program_id const& program, std::uint64_t budget,
-    std::uint64_t most_tokens, answer_fn answer)
+void budget_desk::admit_here(wish const& one, answer_fn answer)
 {
+    if (one.only_begun && !ledger_.knows(one.program))
+    {
+        answer(admission_answer::not_begun, {});
+        return;
+    }
     ledger_.admit(
-        program, budget, most_tokens,
-        [program, most_tokens,
-         answer = std::move(answer)](admission_answer what)
-        { answer(what, {program, most_tokens, {}, {}, {}}); });
+        one.program, one.budget, one.most_tokens,
+        [one, answer = std::move(answer)](admission_answer what) {
+            answer(what, {one.program, one.most_tokens, {}, {}, {}});
+        });
 }
 
-void budget_desk::admit(
-    program_id const& program, std::uint64_t budget,
-    std::uint64_t most_tokens, answer_fn answer)
+void budget_desk::admit(wish const& one, answer_fn answer)
 {
-    auto const* home = homes_.home_of(program, clock_());
+    auto const* home = homes_.home_of(one.program, clock_());
     if (home == nullptr)
     {
-        admit_here(program, budget, most_tokens, std::move(answer));
+        admit_here(one, std::move(answer));
         return;
     }
     grant const wanted{
-        program, most_tokens,
+        one.program, one.most_tokens,
         incarnation_ + "/" + std::to_string(++last_turn_), home->node,
         home->address};
     caller_.call(
         home->address,
         http_post(
             admit_path, home->address,
-            {{"program", program.str()},
-             {"budget", budget},
-             {"most", most_tokens},
+            {{"program", one.program.str()},
+             {"budget", one.budget},
+             {"most", one.most_tokens},
+             {"only_begun", one.only_begun},
              {"turn", wanted.turn}}),
         admission_patience,
-        [this, wanted, budget, answer = std::move(answer)](http_reply reply)
+        [this, one, wanted, answer = std::move(answer)](http_reply reply)
         {
-            auto const body =
-                reply.answered && reply.status == status_ok
-                    ? json::from_cbor(reply.body, true, false)
-                    : json();
+            auto const body = reply.answered && reply.status == status_ok
+                                  ? json::from_cbor(reply.body, true, false)
+                                  : json();
             if (body.is_object())
             {
                 homes_.answered(wanted.home);
-                answer(
-                    answer_of(body.value("answer", std::string())), wanted);
+                answer(answer_of(body.value("answer", std::string())), wanted);
                 return;
             }
             homes_.did_not_answer(wanted.home, clock_());
             // It may have admitted the turn all the same.
             if (reply.sent)
                 send_settlement(wanted, 0, 1);
-            admit_here(wanted.program, budget, wanted.most_tokens, answer);
+            admit_here(one, answer);
         });
 }
 
@@ -175,18 +175,23 @@
         reply(status_bad_request, {});
         return;
     }
-    program_id const program(asked.value("program", std::string()));
-    auto const most = asked.value("most", std::uint64_t{0});
+    wish one;
+    one.program = program_id(asked.value("program", std::string()));
+    one.budget = asked.value("budget", std::uint64_t{0});
+    one.most_tokens = asked.value("most", std::uint64_t{0});
+    one.only_begun = asked.value("only_begun", false);
     auto const turn = asked.value("turn", std::string());
-    ledger_.admit(
-        program, asked.value("budget", std::uint64_t{0}), most,
-        [this, alive = alive_, program, most, turn,
-         reply = std::move(reply)](admission_answer what)
+    admit_here(
+        one,
+        [this, alive = alive_, one, turn,
+         reply = std::move(reply)](admission_answer what, grant const&)
         {
             if (*alive && what == admission_answer::admitted)
-                open_[turn] = {program, most, clock_() + open_at_most};
-            auto const bytes =
-                json::to_cbor(json{{"answer", to_string(what)}});
+            {
+                open_[turn] = {
+                    one.program, one.most_tokens, clock_() + open_at_most};
+            }
+            auto const bytes = json::to_cbor(json{{"answer", to_string(what)}});
             reply(status_ok, std::string(bytes.begin(), bytes.end()));
         });
 }
@@ -206,8 +211,7 @@
         auto const one = found->second;
         open_.erase(found);
         ledger_.settle(
-            one.program, one.most_tokens,
-            told.value("used", one.most_tokens));
+            one.program, one.most_tokens, told.value("used", one.most_tokens));
     }
     reply(status_ok, {});
 }
--- a/src/entry/budget_desk.hpp
+++ b/src/entry/budget_desk.hpp
@@ -34,6 +34,16 @@
         std::string home_address;
     };
 
+    /// What is asked for a turn.
+    struct wish
+    {
+        program_id program;
+        std::uint64_t budget = 0;
+        std::uint64_t most_tokens = 0;
+        /// Only if the program has begun.
+        bool only_begun = false;
+    };
+
     using answer_fn = std::function<void(admission_answer, grant)>;
 
     budget_desk(
@@ -44,9 +54,7 @@
 
     /// Asks for a turn, at the program's home or, where that does not answer,
     /// at this node's own ledger.
-    void admit(
-        program_id const& program, std::uint64_t budget,
-        std::uint64_t most_tokens, answer_fn answer);
+    void admit(wish const& one, answer_fn answer);
 
     void settle(grant const& one, std::uint64_t handed_out);
 
@@ -69,9 +77,7 @@
         time_point until;
     };
 
-    void admit_here(
-        program_id const& program, std::uint64_t budget,
-        std::uint64_t most_tokens, answer_fn answer);
+    void admit_here(wish const& one, answer_fn answer);
     void send_settlement(grant const& one, std::uint64_t handed_out, int tries);
     void serve_admission(
         std::string_view body, std::function<void(int, std::string)> reply);
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -1,6 +1,7 @@
 #include "entry/call_flow.hpp"
 
 #include "entry/call_rank.hpp"
+#include "entry/start_gate.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -35,6 +36,10 @@
 /// last seconds. Callers wait a third of their time left at most, 1 s on the
 /// sites' routes, so three tries of one turn bridge some 4 s.
 constexpr milliseconds come_back_later{900};
+/// While the engines are full a call's length (0.3 to 0.5 s) changes what is
+/// free; bursts last some seconds, and a caller comes back a few times at
+/// most.
+constexpr milliseconds come_back_when_full{600};
 
 constexpr int status_ok_end = 300;
 constexpr int status_bad_request = 400;
@@ -212,8 +217,13 @@
     if (program.finish_in)
         story_["finish_in_ms"] = program.finish_in->count();
     story_["most_tokens"] = most_tokens_;
+    auto const pressure = node_.board.pressure(need_.service);
+    if (pressure)
+        story_["pressure"] = *pressure;
+    auto const only_begun =
+        node_.random() < refusal_chance(pressure, route_->rank);
     node_.budgets.admit(
-        program.program, *program.token_budget, most_tokens_,
+        {program.program, *program.token_budget, most_tokens_, only_begun},
         [self = shared_from_this()](
             admission_answer answer, budget_desk::grant const& grant)
         {
@@ -242,7 +252,9 @@
 
 void call_flow::refuse_for_budget(admission_answer answer)
 {
-    if (answer == admission_answer::contended)
+    if (answer == admission_answer::not_begun)
+        refuse("the engines are full", come_back_when_full);
+    else if (answer == admission_answer::contended)
         refuse("the budget is taken by turns under way", come_back_spread);
     else
         refuse("the store of budgets does not answer", come_back_later);
@@ -286,8 +298,8 @@
     // carry twice its share, as callers are spread unevenly.
     constexpr std::uint32_t least = 4;
     constexpr std::uint32_t uneven = 2;
-    auto const part = service_->max_connections * 4 / 5 * uneven /
-                      std::max(node_.nodes, 1U);
+    auto const part =
+        service_->max_connections * 4 / 5 * uneven / std::max(node_.nodes, 1U);
     return std::clamp(part, least, std::max(service_->max_connections, least));
 }
 
@@ -320,8 +332,7 @@
     }
     auto const one = std::make_shared<attempt>();
     one->at = *at;
-    one->link =
-        node_.links.take(at->engine, at->address, connection_limit());
+    one->link = node_.links.take(at->engine, at->address, connection_limit());
     if (!one->link)
     {
         need_.avoid.push_back(at->engine);
@@ -339,14 +350,12 @@
 {
     platform::send_fields send;
     send.engine = one->at.engine;
-    send.deadline_left =
-        std::chrono::duration_cast<milliseconds>(time_left());
+    send.deadline_left = std::chrono::duration_cast<milliseconds>(time_left());
     send.rank = rank();
     send.resume_after = last_event_ ? last_event_ : call_.resume_after;
     auto bytes = platform::encode_request(
         call_, send,
-        chain_.text.empty() ? request_.body()
-                            : chain_.text + request_.body());
+        chain_.text.empty() ? request_.body() : chain_.text + request_.body());
     http_link::handlers to;
     auto const self = shared_from_this();
     to.on_head = [self, one](platform::response_head const& head)
@@ -385,8 +394,7 @@
     }
 }
 
-void call_flow::forward_event(
-    attempt_ptr const& one, stream_event const& event)
+void call_flow::forward_event(attempt_ptr const& one, stream_event const& event)
 {
     if (event.id && last_event_)
     {
@@ -457,6 +465,12 @@
     if (one->ended)
         return;
     one->ended = true;
+    // The engine's pace is judged by what it generated, not by the guess.
+    if (outcome == engine_outcome::answered && service_->model)
+    {
+        need_.output_tokens =
+            static_cast<std::uint32_t>(std::max<std::uint64_t>(handed_out_, 1));
+    }
     node_.board.ended(
         one->at.engine, need_, outcome, node_.clock() - one->sent_at);
     node_.links.give_back(one->at.engine, one->link);
@@ -523,8 +537,7 @@
 
 /// An engine may have run the call without bringing it to its end.
 /// \param complete_failure it answered that it failed, and said so whole
-void call_flow::retry_or_fail(
-    attempt_ptr const& one, bool complete_failure)
+void call_flow::retry_or_fail(attempt_ptr const& one, bool complete_failure)
 {
     if (done_)
         return;
@@ -585,14 +598,12 @@
     turn.output = std::move(output_);
     auto const began = node_.clock();
     node_.history.keep(
-        std::move(turn),
-        std::chrono::duration_cast<milliseconds>(time_left()),
+        std::move(turn), std::chrono::duration_cast<milliseconds>(time_left()),
         [self = shared_from_this(), began](bool durable)
         {
             if (self->done_)
                 return;
-            self->story_["keep_ms"] =
-                ms_count(self->node_.clock() - began);
+            self->story_["keep_ms"] = ms_count(self->node_.clock() - began);
             if (!durable)
             {
                 self->break_off("the turn could not be kept");
@@ -675,8 +686,7 @@
     if (!head_written_)
     {
         answer_own(
-            time_left() < deadline_margin ? status_timeout
-                                          : status_bad_gateway,
+            time_left() < deadline_margin ? status_timeout : status_bad_gateway,
             why);
         return;
     }
@@ -713,8 +723,7 @@
         std::chrono::duration<double>(node_.clock() - arrived_).count());
 }
 
-void call_flow::note_attempt(
-    attempt_ptr const& one, std::string_view outcome)
+void call_flow::note_attempt(attempt_ptr const& one, std::string_view outcome)
 {
     story_["engine"] = one->at.engine.str();
     story_["engine_load"] = one->at.load;
@@ -723,8 +732,8 @@
     if (outcome == "answered")
         return;
     node_.counters.count(
-        "walnutmill_attempts_failed_total{outcome=\"" +
-        std::string(outcome) + "\"}");
+        "walnutmill_attempts_failed_total{outcome=\"" + std::string(outcome) +
+        "\"}");
     node_.log.write(
         line_weight::important, "call.attempt",
         {{"request", call_.id.str()},
--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -125,8 +125,9 @@
     }
     if (parser_->is_done())
         request_done();
-    else if (parser_->is_header_done() && !continue_sent_ &&
-             parser_->get()[http::field::expect] == "100-continue")
+    else if (
+        parser_->is_header_done() && !continue_sent_ &&
+        parser_->get()[http::field::expect] == "100-continue")
     {
         continue_sent_ = true;
         write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/src/entry/caller_link.hpp
+++ b/src/entry/caller_link.hpp
@@ -72,8 +72,8 @@
 
 private:
     using error_code = boost::system::error_code;
-    using parser_type = boost::beast::http::request_parser<
-        boost::beast::http::string_body>;
+    using parser_type =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     bool reading_request() const { return !incoming_.empty() || head_begun_; }
     void start_parser();
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -23,6 +23,12 @@
 /// don't all choose the same.
 constexpr double spread_ms = 4.0;
 
+/// A part's engines are kept for each service: a route may lead to two.
+std::string shared_key(placement_need const& need)
+{
+    return need.service.str() + "/" + need.prompt->front().id;
+}
+
 double ms_of(duration time)
 {
     return std::chrono::duration<double, std::milli>(time).count();
@@ -50,17 +56,18 @@
     for (auto const& entry : engines)
     {
         auto const found = engines_.find(entry.id);
-        auto state =
-            found == engines_.end() ? engine_record() : found->second;
+        auto state = found == engines_.end() ? engine_record() : found->second;
         state.entry = entry;
-        by_service_[entry.service].push_back(entry.id);
+        auto& group = by_service_[entry.service];
+        (entry.zone == own_domain_ ? group.near : group.far)
+            .push_back(entry.id);
         kept.emplace(entry.id, std::move(state));
     }
-    auto const same = kept.size() == engines_.size() &&
-                      std::all_of(
-                          kept.begin(), kept.end(),
-                          [this](auto const& one)
-                          { return engines_.count(one.first) > 0; });
+    auto const same =
+        kept.size() == engines_.size() &&
+        std::all_of(
+            kept.begin(), kept.end(),
+            [this](auto const& one) { return engines_.count(one.first) > 0; });
     if (!same)
         ++engines_version_;
     engines_ = std::move(kept);
@@ -74,7 +81,9 @@
 std::size_t engine_board::engines_of(service_name const& service) const
 {
     auto const found = by_service_.find(service);
-    return found == by_service_.end() ? 0 : found->second.size();
+    return found == by_service_.end()
+               ? 0
+               : found->second.near.size() + found->second.far.size();
 }
 
 double engine_board::load_of(engine_record const& one, time_point now) const
@@ -97,11 +106,10 @@
     auto const batch = std::min(load + 1, slots);
     auto const unread = static_cast<double>(
         need.prompt_tokens - std::min(need.prompt_tokens, cached));
-    auto const step =
-        options_.step_ms + options_.step_ms_per_call * batch;
-    return one.speed * (options_.first_ms +
-                        unread / options_.prefill_tokens_per_ms +
-                        static_cast<double>(need.output_tokens) * step);
+    auto const step = options_.step_ms + options_.step_ms_per_call * batch;
+    return one.speed *
+           (options_.first_ms + unread / options_.prefill_tokens_per_ms +
+            static_cast<double>(need.output_tokens) * step);
 }
 
 double engine_board::wait_ms(
@@ -151,10 +159,10 @@
     {
         auto const first = &part == &need.prompt->front();
         auto const found = parts_.find(part.id);
-        auto const lies_there =
-            first ? belongs(part.id, engine)
-                  : found != parts_.end() &&
-                        listed(found->second.engines, engine);
+        auto const lies_there = first
+                                    ? belongs(shared_key(need), engine)
+                                    : found != parts_.end() &&
+                                          listed(found->second.engines, engine);
         if (!lies_there)
             break;
         tokens += part.tokens;
@@ -166,7 +174,9 @@
     std::string const& part, target_name const& engine) const
 {
     auto const found = shared_.find(part);
-    return found != shared_.end() && listed(found->second.engines, engine);
+    return found != shared_.end() &&
+           (listed(found->second.engines.near, engine) ||
+            listed(found->second.engines.far, engine));
 }
 
 /// Keeps the share of a prompt's first part, and the order of its engines.
@@ -174,7 +184,7 @@
 {
     if (need.prompt == nullptr || need.prompt->empty())
         return;
-    auto const& part = need.prompt->front().id;
+    auto const part = shared_key(need);
     auto const now = clock_();
     for (auto it = shared_.begin(); it != shared_.end();)
     {
@@ -201,7 +211,7 @@
     service_name const& service) const
 {
     auto const found = by_service_.find(service);
-    one.engines.clear();
+    one.engines = {};
     if (found == by_service_.end())
         return;
     double all_shares = 0;
@@ -211,19 +221,22 @@
     std::unordered_map<
         zone_name, std::vector<std::pair<std::uint64_t, target_name>>>
         by_domain;
-    for (auto const& id : found->second)
+    for (auto const* group : {&found->second.near, &found->second.far})
     {
-        by_domain[engines_.at(id).entry.zone].emplace_back(
-            rendezvous_weight(part, id.str()), id);
+        for (auto const& id : *group)
+        {
+            by_domain[engines_.at(id).entry.zone].emplace_back(
+                rendezvous_weight(part, id.str()), id);
+        }
     }
     for (auto& [domain, order] : by_domain)
     {
         std::sort(order.rbegin(), order.rend());
         auto const wanted = static_cast<std::size_t>(std::ceil(
-            share * options_.share_margin *
-            static_cast<double>(order.size())));
+            share * options_.share_margin * static_cast<double>(order.size())));
+        auto& to = domain == own_domain_ ? one.engines.near : one.engines.far;
         for (std::size_t i = 0; i < std::min(wanted, order.size()); ++i)
-            one.engines.push_back(order[i].second);
+            to.push_back(order[i].second);
     }
 }
 
@@ -232,65 +245,92 @@
     bool even_resting) const
 {
     return one.entry.state == engine_state::ready &&
+           one.entry.service == need.service &&
            !listed(need.avoid, one.entry.id) &&
            (need.only.empty() || need.only == one.entry.id) &&
            (even_resting || one.rests_until <= now);
 }
 
 /// \return the engines to compare: those that have the call's line, and some
-/// drawn at random from each group that has the shared part.
+/// drawn at random from those that have its shared part and from all.
 std::vector<target_name> engine_board::draw(
-    std::vector<target_name> const& engines, placement_need const& need,
-    time_point now, bool even_resting)
+    engine_group const& all, placement_need const& need, time_point now)
 {
     std::vector<target_name> drawn;
-    std::vector<target_name> near;
-    std::vector<target_name> far;
-    std::vector<target_name> others;
     auto const has_prompt = need.prompt != nullptr && !need.prompt->empty();
-    for (auto const& id : engines)
+    if (!has_prompt)
     {
-        auto const& one = engines_.at(id);
-        if (!usable(one, need, now, even_resting))
-            continue;
-        auto const same_domain = one.entry.zone == own_domain_;
-        if (has_prompt && need.prompt->size() > 1 && has_line(id, need))
-            drawn.push_back(id);
-        else if (has_prompt && !belongs(need.prompt->front().id, id))
-            others.push_back(id);
-        else
-            (same_domain ? near : far).push_back(id);
+        draw_some(all.near, options_.near_candidates, need, now, drawn);
+        draw_some(all.far, options_.far_candidates, need, now, drawn);
+    }
+    else
+    {
+        add_line(need, now, drawn);
+        auto const& shared = shared_[shared_key(need)].engines;
+        draw_some(shared.near, options_.near_candidates, need, now, drawn);
+        draw_some(shared.far, options_.far_candidates, need, now, drawn);
+        draw_some(all.near, 1, need, now, drawn);
+    }
+    if (!drawn.empty())
+        return drawn;
+    // Nearly all rest, are avoided or leave: look at each, then even at those
+    // that rest.
+    for (auto const even_resting : {false, true})
+    {
+        for (auto const* group : {&all.near, &all.far})
+        {
+            for (auto const& id : *group)
+            {
+                if (usable(engines_.at(id), need, now, even_resting))
+                    drawn.push_back(id);
+            }
+        }
+        if (!drawn.empty())
+            break;
     }
-    draw_some(near, options_.near_candidates, drawn);
-    draw_some(far, options_.far_candidates, drawn);
-    draw_some(others, drawn.empty() ? options_.near_candidates : 1, drawn);
     return drawn;
 }
 
-/// Moves up to so many of the engines, drawn at random, to `to`.
+/// Adds up to so many usable engines drawn at random.
 void engine_board::draw_some(
-    std::vector<target_name>& from, std::size_t most,
-    std::vector<target_name>& to)
+    std::vector<target_name> const& from, std::size_t most,
+    placement_need const& need, time_point now, std::vector<target_name>& to)
 {
-    for (std::size_t i = 0; i < most && !from.empty(); ++i)
+    // Draws that hit an engine twice or an unusable one are made again, but
+    // not for long.
+    constexpr std::size_t draws_each = 4;
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < most * draws_each && found < most; ++i)
     {
+        if (from.empty() || found == from.size())
+            return;
         auto const at = std::min(
-            from.size() - 1,
-            static_cast<std::size_t>(
-                random_() * static_cast<double>(from.size())));
-        to.push_back(std::move(from[at]));
-        from[at] = std::move(from.back());
-        from.pop_back();
+            from.size() - 1, static_cast<std::size_t>(
+                                 random_() * static_cast<double>(from.size())));
+        if (listed(to, from[at]) ||
+            !usable(engines_.at(from[at]), need, now, false))
+            continue;
+        to.push_back(from[at]);
+        ++found;
     }
 }
 
-/// \return true where the part before the call's own was read.
-bool engine_board::has_line(
-    target_name const& engine, placement_need const& need) const
+/// Adds the engines at which the call's last part was read.
+void engine_board::add_line(
+    placement_need const& need, time_point now,
+    std::vector<target_name>& to) const
 {
-    auto const& last = need.prompt->back();
-    auto const found = parts_.find(last.id);
-    return found != parts_.end() && listed(found->second.engines, engine);
+    auto const found = parts_.find(need.prompt->back().id);
+    if (need.prompt->size() < 2 || found == parts_.end())
+        return;
+    for (auto const& id : found->second.engines)
+    {
+        auto const engine = engines_.find(id);
+        if (engine != engines_.end() &&
+            engine->second.entry.service == need.service &&
+            usable(engine->second, need, now, false))
+            to.push_back(id);
+    }
 }
 
 std::optional<placement> engine_board::choose(placement_need const& need)
@@ -312,13 +352,8 @@
             best_cost = cost;
         }
     };
-    for (auto const even_resting : {false, true})
-    {
-        for (auto const& id : draw(service->second, need, now, even_resting))
-            consider(id);
-        if (best != nullptr)
-            break;
-    }
+    for (auto const& id : draw(service->second, need, now))
+        consider(id);
     if (best == nullptr)
         return std::nullopt;
     placement to;
@@ -404,10 +439,8 @@
         one.rest = duration(0);
         one.failures *= 1 - weight / 2;
         auto const cached = cached_tokens(engine, need);
-        auto const expected =
-            expected_ms(one, need, cached, load) / one.speed;
-        auto const ratio =
-            std::clamp(ms_of(took) / expected, fastest, slowest);
+        auto const expected = expected_ms(one, need, cached, load) / one.speed;
+        auto const ratio = std::clamp(ms_of(took) / expected, fastest, slowest);
         one.speed += (ratio - one.speed) * options_.speed_weight;
         break;
     }
@@ -425,8 +458,7 @@
     }
 }
 
-void engine_board::told_load(
-    target_name const& engine, engine_load const& load)
+void engine_board::told_load(target_name const& engine, engine_load const& load)
 {
     auto const found = engines_.find(engine);
     if (found == engines_.end())
@@ -434,8 +466,7 @@
     constexpr double usual_weight = 0.1;
     auto& one = found->second;
     auto const all = static_cast<double>(load.running + load.waiting);
-    one.told_others =
-        std::max(0.0, all - static_cast<double>(one.own_calls));
+    one.told_others = std::max(0.0, all - static_cast<double>(one.own_calls));
     one.usual_others += (one.told_others - one.usual_others) * usual_weight;
     one.told_at = clock_();
 }
@@ -444,10 +475,17 @@
     std::function<std::uint32_t(target_name const&)> const& calls_at)
 {
     auto const now = clock_();
+    pressures_.clear();
+    pressures_at_ = now;
     for (auto& [id, one] : engines_)
     {
         one.peer_calls = calls_at(id);
         one.peers_told_at = now;
+        if (one.entry.state != engine_state::ready)
+            continue;
+        auto& sum = pressures_[one.entry.service];
+        sum.calls += one.peer_calls + static_cast<double>(one.own_calls);
+        sum.slots += static_cast<double>(one.entry.slots);
     }
 }
 
@@ -463,22 +501,13 @@
     return calls;
 }
 
-engine_board::fill engine_board::fill_of(service_name const& service) const
+std::optional<double> engine_board::pressure(service_name const& service) const
 {
-    fill sum;
-    auto const now = clock_();
-    auto const found = by_service_.find(service);
-    if (found == by_service_.end())
-        return sum;
-    for (auto const& id : found->second)
-    {
-        auto const& one = engines_.at(id);
-        if (one.entry.state != engine_state::ready)
-            continue;
-        sum.calls += load_of(one, now);
-        sum.slots += static_cast<double>(one.entry.slots);
-    }
-    return sum;
+    auto const found = pressures_.find(service);
+    if (found == pressures_.end() || found->second.slots == 0 ||
+        clock_() - pressures_at_ > peer_load_lasts)
+        return std::nullopt;
+    return found->second.calls / found->second.slots;
 }
 
 } // namespace walnutmill
--- a/src/entry/engine_links.cpp
+++ b/src/entry/engine_links.cpp
@@ -32,8 +32,7 @@
 }
 
 engine_links::link_ptr engine_links::take(
-    target_name const& engine, std::string const& address,
-    std::uint32_t limit)
+    target_name const& engine, std::string const& address, std::uint32_t limit)
 {
     auto& conns = engines_[engine];
     auto const now = clock_type::now();
--- a/src/entry/engine_links.hpp
+++ b/src/entry/engine_links.hpp
@@ -45,8 +45,7 @@
 
     /// Ends the idle connections to engines that are gone, and those that
     /// have been idle for long.
-    void
-    sweep(std::function<bool(target_name const&)> const& still_registered);
+    void sweep(std::function<bool(target_name const&)> const& still_registered);
 
 private:
     struct engine_conns
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -98,26 +98,24 @@
            {
                log_.write(
                    line_weight::important,
-                   reachable ? "store.regained" : "store.lost",
-                   {{"why", why}});
+                   reachable ? "store.regained" : "store.lost", {{"why", why}});
            },
            &counters_}),
       board_(
           zone_name(settings_.domain), clock_,
           seeded_random(seed_of(incarnation_ + "board"))),
-      links_(io_),
-      ledger_(
-          store_.calls(store_client::when_lost::fail_at_once), clock_,
-          incarnation_),
+      links_(io_), ledger_(
+                       store_.calls(store_client::when_lost::fail_at_once),
+                       clock_, incarnation_),
       budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
       history_(history_calls(store_)),
       loads_(io_, board_, clock_, settings_.node),
       services_{
-          io_,     clock_,   seeded_random(seed_of(incarnation_ + "calls")),
-          board_,  links_,   budgets_,
-          history_, log_,    counters_,
-          nullptr, 1,        false,
-          true,    0},
+          io_,      clock_, seeded_random(seed_of(incarnation_ + "calls")),
+          board_,   links_, budgets_,
+          history_, log_,   counters_,
+          nullptr,  1,      false,
+          true,     0},
       view_(
           io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
@@ -130,8 +128,7 @@
            [this](std::vector<entry_member> const& members)
            { set_members(members); }}),
       callers_(io_), ready_(io_), peers_(io_), metrics_(io_),
-      signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
-      stop_timer_(io_)
+      signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_), stop_timer_(io_)
 {
 }
 
@@ -183,8 +180,7 @@
 caller_link::hooks entry_node::caller_hooks()
 {
     caller_link::hooks to;
-    to.on_request = [this](link_ptr const& link, request_type&& request)
-    {
+    to.on_request = [this](link_ptr const& link, request_type&& request) {
         std::make_shared<call_flow>(services_, link, std::move(request))
             ->start();
     };
@@ -208,9 +204,8 @@
     std::function<void(link_ptr const&, request_type const&)> answer)
 {
     caller_link::hooks to;
-    to.on_request =
-        [answer = std::move(answer)](
-            link_ptr const& link, request_type&& request)
+    to.on_request = [answer = std::move(answer)](
+                        link_ptr const& link, request_type&& request)
     { answer(link, request); };
     to.refuse = [](int status, std::string_view why)
     { return plain_answer(status, std::string(why)); };
@@ -242,20 +237,17 @@
         "walnutmill_calls_under_way",
         static_cast<double>(services_.calls_under_way));
     counters_.gauge(
-        "walnutmill_programs_known",
-        static_cast<double>(ledger_.programs()));
+        "walnutmill_programs_known", static_cast<double>(ledger_.programs()));
     counters_.gauge(
         "walnutmill_turn_cache_bytes",
         static_cast<double>(history_.cached_bytes()));
     counters_.gauge(
-        "walnutmill_log_lines_dropped",
-        static_cast<double>(log_.dropped()));
+        "walnutmill_log_lines_dropped", static_cast<double>(log_.dropped()));
     link->write(plain_answer(status_ok, counters_.prometheus_text()));
     link->finish_answer(false);
 }
 
-void entry_node::answer_peer(
-    link_ptr const& link, request_type const& request)
+void entry_node::answer_peer(link_ptr const& link, request_type const& request)
 {
     std::string_view const target(
         request.target().data(), request.target().size());
@@ -324,23 +316,19 @@
         return false;
     accept(callers_, caller_hooks());
     accept(
-        ready_,
-        service_hooks(
-            [this](link_ptr const& link, request_type const&)
-            { answer_ready(link); }));
+        ready_, service_hooks([this](link_ptr const& link, request_type const&)
+                              { answer_ready(link); }));
     accept(
         peers_,
-        service_hooks(
-            [this](link_ptr const& link, request_type const& request)
-            { answer_peer(link, request); }));
+        service_hooks([this](link_ptr const& link, request_type const& request)
+                      { answer_peer(link, request); }));
     if (!settings_.listen_metrics.empty() &&
         listen(metrics_, settings_.listen_metrics))
     {
         accept(
             metrics_,
-            service_hooks(
-                [this](link_ptr const& link, request_type const&)
-                { answer_metrics(link); }));
+            service_hooks([this](link_ptr const& link, request_type const&)
+                          { answer_metrics(link); }));
     }
     wait_for_signal();
     view_.start();
@@ -360,8 +348,8 @@
     log_.flush();
     if (++ticks_ % sweep_ticks == 0)
     {
-        links_.sweep(
-            [this](target_name const& one) { return board_.known(one); });
+        links_.sweep([this](target_name const& one)
+                     { return board_.known(one); });
     }
     tick_timer_.expires_after(tick_every);
     tick_timer_.async_wait(
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -35,8 +35,7 @@
     auto add = all.add_options();
     add("node", po::value(&to.node), "name of this node");
     add("domain", po::value(&to.domain), "failure domain it runs in");
-    add("listen-callers", po::value(&to.listen_callers),
-        "IP:PORT for callers");
+    add("listen-callers", po::value(&to.listen_callers), "IP:PORT for callers");
     add("listen-ready", po::value(&to.listen_ready),
         "IP:PORT that answers 200 while the node takes callers");
     add("listen-peers", po::value(&to.listen_peers),
@@ -68,15 +67,15 @@
     {
         variable.push_back(
             one == '-' ? '_'
-                       : static_cast<char>(std::toupper(
-                             static_cast<unsigned char>(one))));
+                       : static_cast<char>(
+                             std::toupper(static_cast<unsigned char>(one))));
     }
     return variable;
 }
 
 /// \return the setting of a variable; empty for variables of others.
-std::string setting_of(
-    po::options_description const& all, std::string const& variable)
+std::string
+setting_of(po::options_description const& all, std::string const& variable)
 {
     for (auto const& one : all.options())
     {
@@ -170,7 +169,8 @@
     po::variables_map values;
     try
     {
-        po::store(po::command_line_parser(arguments).options(all).run(), values);
+        po::store(
+            po::command_line_parser(arguments).options(all).run(), values);
         po::store(parse_environment(all, environment), values);
         if (values.count("settings-file") > 0)
         {
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -71,10 +71,8 @@
     http_link::handlers to;
     to.on_head = [one](http_link::response_head const& head)
     { one->reply.status = static_cast<int>(head.result_int()); };
-    to.on_body = [one](std::string_view part)
-    { one->reply.body.append(part); };
-    to.on_end = [this, alive = alive_, one, link, address,
-                 done](link_end how)
+    to.on_body = [one](std::string_view part) { one->reply.body.append(part); };
+    to.on_end = [this, alive = alive_, one, link, address, done](link_end how)
     {
         if (one->ended || !*alive)
             return;
--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -45,8 +45,8 @@
     if (colon == std::string_view::npos)
         return std::nullopt;
     boost::system::error_code error;
-    auto const address = asio::ip::make_address_v4(
-        std::string(text.substr(0, colon)), error);
+    auto const address =
+        asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
     std::uint16_t port = 0;
     auto const digits = text.substr(colon + 1);
     if (error || !boost::conversion::try_lexical_convert(
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -84,8 +84,8 @@
     std::chrono::steady_clock::time_point idle_since{};
 
 private:
-    using parser_type = boost::beast::http::response_parser<
-        boost::beast::http::string_body>;
+    using parser_type =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
     using error_code = boost::system::error_code;
 
     void connect();
--- a/src/entry/line_log.cpp
+++ b/src/entry/line_log.cpp
@@ -18,8 +18,7 @@
 std::int64_t utc_ms()
 {
     using namespace std::chrono;
-    return duration_cast<milliseconds>(
-               system_clock::now().time_since_epoch())
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
         .count();
 }
 
@@ -27,8 +26,8 @@
 
 line_log::line_log(
     std::string node, clock_fn clock, sink_fn sink, line_budget budget)
-    : node_(std::move(node)), clock_(std::move(clock)),
-      sink_(std::move(sink)), budget_(budget)
+    : node_(std::move(node)), clock_(std::move(clock)), sink_(std::move(sink)),
+      budget_(budget)
 {
 }
 
@@ -41,11 +40,9 @@
         routine_now_ = 0;
         important_now_ = 0;
     }
-    auto& used =
-        weight == line_weight::routine ? routine_now_ : important_now_;
-    auto const most = weight == line_weight::routine
-                          ? budget_.routine_per_s
-                          : budget_.important_per_s;
+    auto& used = weight == line_weight::routine ? routine_now_ : important_now_;
+    auto const most = weight == line_weight::routine ? budget_.routine_per_s
+                                                     : budget_.important_per_s;
     return used++ < most;
 }
 
--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -27,8 +27,7 @@
 } // namespace
 
 load_exchange::load_exchange(
-    asio::io_context& io, engine_board& board, clock_fn clock,
-    std::string self)
+    asio::io_context& io, engine_board& board, clock_fn clock, std::string self)
     : board_(board), clock_(std::move(clock)), self_(self),
       homes_(std::move(self)), socket_(io), timer_(io)
 {
@@ -142,8 +141,7 @@
 {
     auto const now = clock_();
     summary_.set(asked.node, asked.counts, now);
-    auto const bytes =
-        encode({false, self_, asked.number, summary_.sum(now)});
+    auto const bytes = encode({false, self_, asked.number, summary_.sum(now)});
     boost::system::error_code ignored; // a lost answer is asked for again
     socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
 }
--- a/src/entry/load_summary.hpp
+++ b/src/entry/load_summary.hpp
@@ -49,8 +49,7 @@
 {
 public:
     /// How long a node's counts are used: calls last half a second.
-    explicit load_summary(
-        duration keeps = std::chrono::milliseconds(1'000));
+    explicit load_summary(duration keeps = std::chrono::milliseconds(1'000));
 
     void set(std::string const& node, engine_counts counts, time_point now);
     engine_counts sum(time_point now);
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -42,8 +42,8 @@
 
 platform_view::platform_view(
     boost::asio::io_context& io, versioned_store store, clock_fn clock,
-    random_fn random, line_log& log, entry_member self,
-    milliseconds interval, hooks to)
+    random_fn random, line_log& log, entry_member self, milliseconds interval,
+    hooks to)
     : store_(std::move(store)), clock_(std::move(clock)),
       random_(std::move(random)), log_(log), self_(std::move(self)),
       interval_(interval), hooks_(std::move(to)), configuration_timer_(io),
@@ -210,8 +210,7 @@
         [this](range_result const& result)
         {
             members_read(result);
-            again(
-                renew_every, members_timer_, &platform_view::read_members);
+            again(renew_every, members_timer_, &platform_view::read_members);
         });
 }
 
@@ -226,14 +225,12 @@
     for (auto const& row : result.rows)
     {
         auto const before = members_.find(row.at.key);
-        auto one = before != members_.end() &&
-                           before->second.row == row.version
+        auto one = before != members_.end() && before->second.row == row.version
                        ? before->second
                        : known_member{row.version, now};
         auto const live = now - one.changed_at < gone_after;
         seen.emplace(row.at.key, one);
-        auto const body =
-            json::from_cbor(row.value, true, false);
+        auto const body = json::from_cbor(row.value, true, false);
         if (!live || !body.is_object() || row.at.key == self_.node)
             continue;
         members.push_back(
@@ -256,8 +253,7 @@
     if (leaving_)
         return;
     row_transaction one;
-    one.writes.push_back(
-        {{members_table, "", self_.node}, encode(self_)});
+    one.writes.push_back({{members_table, "", self_.node}, encode(self_)});
     store_.commit(
         std::move(one), read_patience,
         [this](transaction_result const& result)
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -69,8 +69,8 @@
     void members_read(range_result const& result);
     void write_self();
     void again(
-        std::chrono::milliseconds after,
-        boost::asio::steady_timer& timer, void (platform_view::*step)());
+        std::chrono::milliseconds after, boost::asio::steady_timer& timer,
+        void (platform_view::*step)());
 
     versioned_store store_;
     clock_fn clock_;
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -38,14 +38,15 @@
         return "exhausted";
     case admission_answer::contended:
         return "contended";
+    case admission_answer::not_begun:
+        return "not_begun";
     case admission_answer::store_unavailable:
         break;
     }
     return "store_unavailable";
 }
 
-std::uint64_t
-program_account::reserved_by_others(std::string_view self) const
+std::uint64_t program_account::reserved_by_others(std::string_view self) const
 {
     std::uint64_t sum = 0;
     for (auto const& [node, one] : reserved)
@@ -76,8 +77,7 @@
         for (auto const& [node, one] : body.at("nodes").items())
         {
             to.reserved[node] = {
-                one.at(0).get<std::uint64_t>(),
-                one.at(1).get<std::uint64_t>()};
+                one.at(0).get<std::uint64_t>(), one.at(1).get<std::uint64_t>()};
         }
         return to;
     }
@@ -109,8 +109,8 @@
 }
 
 void program_ledger::admit(
-    program_id const& program, std::uint64_t budget,
-    std::uint64_t most_tokens, answer_fn answer)
+    program_id const& program, std::uint64_t budget, std::uint64_t most_tokens,
+    answer_fn answer)
 {
     auto& state = programs_[program];
     state.budget = budget;
@@ -130,6 +130,11 @@
         change(program, state);
 }
 
+bool program_ledger::knows(program_id const& program) const
+{
+    return programs_.count(program) > 0;
+}
+
 bool program_ledger::fits_reservation(
     program_state const& state, std::uint64_t most_tokens) const
 {
@@ -164,8 +169,7 @@
         state.queue.pop_front();
         if (fits)
             state.open += most;
-        answer(
-            fits ? admission_answer::admitted : admission_answer::exhausted);
+        answer(fits ? admission_answer::admitted : admission_answer::exhausted);
     }
 }
 
@@ -181,10 +185,9 @@
     auto wanted = state.open;
     for (auto const& one : state.queue)
     {
-        auto const fits = state.abandoned
-                              ? taken + wanted < state.budget
-                              : taken + wanted + one.most_tokens <=
-                                    state.budget;
+        auto const fits =
+            state.abandoned ? taken + wanted < state.budget
+                            : taken + wanted + one.most_tokens <= state.budget;
         if (!fits)
             break;
         wanted += one.most_tokens;
@@ -198,8 +201,7 @@
 
 void program_ledger::change(program_id const& program, program_state& state)
 {
-    auto const spent =
-        (state.account ? state.account->spent : 0) + state.used;
+    auto const spent = (state.account ? state.account->spent : 0) + state.used;
     auto reservation = wanted_reservation(state, spent);
     auto const waits = [&]
     {
@@ -240,8 +242,7 @@
 }
 
 void program_ledger::send(
-    program_id const& program, program_state& state,
-    std::uint64_t reservation)
+    program_id const& program, program_state& state, std::uint64_t reservation)
 {
     sent_change sent;
     sent.number = ++last_change_;
@@ -287,8 +288,7 @@
     }
     if (result.outcome == store_outcome::conflict)
     {
-        observe(
-            state, result.rows.empty() ? nullptr : &result.rows.front());
+        observe(state, result.rows.empty() ? nullptr : &result.rows.front());
         if (state.tries >= options_.conflict_tries)
         {
             answer_all(state, admission_answer::contended);
@@ -335,9 +335,8 @@
     else
         state.account.reset();
     state.version = version;
-    auto const own = state.account
-                         ? state.account->reserved[self_]
-                         : program_account::reservation();
+    auto const own = state.account ? state.account->reserved[self_]
+                                   : program_account::reservation();
     for (auto const& one : state.unresolved)
     {
         if (row != nullptr && one.number == own.change)
@@ -348,9 +347,7 @@
         std::remove_if(
             state.unresolved.begin(), state.unresolved.end(),
             [&](sent_change const& one)
-            {
-                return one.on_version != version || one.number == own.change;
-            }),
+            { return one.on_version != version || one.number == own.change; }),
         state.unresolved.end());
 }
 
@@ -360,8 +357,7 @@
     state.used -= std::min(state.used, sent.settled);
 }
 
-void program_ledger::answer_all(
-    program_state& state, admission_answer answer)
+void program_ledger::answer_all(program_state& state, admission_answer answer)
 {
     auto queue = std::move(state.queue);
     state.queue.clear();
--- /dev/null
+++ b/src/entry/start_gate.hpp
@@ -0,0 +1,44 @@
+#ifndef WALNUTMILL_SRC_ENTRY_START_GATE_HPP
+#define WALNUTMILL_SRC_ENTRY_START_GATE_HPP
+
+/// \file
+/// Whether new programs may start while the engines are full.
+///
+/// Load pattern: for some seconds twice as many programs come as the engines
+/// can carry. Without the gate all of them start, all turns wait, and nearly
+/// none ends within its aim (1.4 to 1.7 times its time on idle engines), long
+/// after the burst too; with it those under way keep their pace, and those
+/// refused are told at once when to come back. A program that has begun is
+/// never refused for load.
+
+#include <cstdint>
+#include <optional>
+
+namespace walnutmill
+{
+
+struct gate_options
+{
+    /// Calls for each slot from which new programs are refused, and at which
+    /// all are. A full batch generates 1.3 times as slowly as a single call,
+    /// prompts of others read in between make it some 1.45; a wait for a slot
+    /// on top takes a program beyond its aim.
+    double from = 1.0;
+    double all_at = 1.3;
+    /// Less urgent routes yield this much earlier for each rank.
+    double rank_step = 0.03;
+    /// Ranks counted at most.
+    std::uint32_t ranks = 2;
+};
+
+/// \param pressure calls for each slot, of all nodes; empty: not known, and
+/// then nobody is refused on a guess
+/// \param rank of the route, 0 the most urgent
+/// \return chance, 0 to 1, that a new program is refused
+double refusal_chance(
+    std::optional<double> pressure, std::uint32_t rank,
+    gate_options const& options = {});
+
+} // namespace walnutmill
+
+#endif
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-using std::chrono::milliseconds;
 using platform::store_reply;
+using std::chrono::milliseconds;
 
 /// Shortest and longest wait for one answer. Answers usually take 4 to 10 ms;
 /// at times sixty times as long, and a transaction over two tables twice
@@ -90,17 +90,16 @@
         auto call = std::make_shared<pending>();
         call->request = platform::encode_transaction(one);
         call->give_up_at = now() + patience;
-        call->done = [done = std::move(done)](
-                         store_outcome outcome, store_reply const& reply,
-                         bool in_doubt)
+        call->done =
+            [done = std::move(done)](
+                store_outcome outcome, store_reply const& reply, bool in_doubt)
         {
             transaction_result result;
             result.outcome = outcome;
             if (outcome != store_outcome::unavailable &&
                 !platform::decode_transaction(reply, result))
                 result.outcome = store_outcome::unavailable;
-            result.in_doubt =
-                in_doubt || (outcome != result.outcome);
+            result.in_doubt = in_doubt || (outcome != result.outcome);
             done(std::move(result));
         };
         start(call, then);
@@ -113,8 +112,7 @@
         call->request = platform::encode_range(range);
         call->give_up_at = now() + patience;
         call->done = [done = std::move(done)](
-                         store_outcome outcome, store_reply const& reply,
-                         bool)
+                         store_outcome outcome, store_reply const& reply, bool)
         {
             range_result result;
             result.outcome = outcome;
@@ -223,11 +221,10 @@
     auto const pause = std::min<duration>(
         shortest_pause * (1 << std::min(one->attempts, most_doublings)),
         longest_pause);
-    auto const wait = duration(
-        static_cast<duration::rep>(static_cast<double>(pause.count()) * spread));
+    auto const wait = duration(static_cast<duration::rep>(
+        static_cast<double>(pause.count()) * spread));
     // The first attempt over another way need not wait.
-    auto const at_once =
-        one->attempts == 1 && !paths_.direct_works(now());
+    auto const at_once = one->attempts == 1 && !paths_.direct_works(now());
     one->pause = std::make_shared<boost::asio::steady_timer>(
         io_, at_once ? duration(0) : wait);
     one->pause->async_wait(
@@ -250,11 +247,10 @@
     if (hooks_.counters != nullptr)
         hooks_.counters->count("walnutmill_store_calls_total");
     auto const kind = platform::kind_of(reply);
-    auto const outcome = kind == platform::reply_kind::done
-                             ? store_outcome::done
-                         : kind == platform::reply_kind::conflict
-                             ? store_outcome::conflict
-                             : store_outcome::unavailable;
+    auto const outcome =
+        kind == platform::reply_kind::done       ? store_outcome::done
+        : kind == platform::reply_kind::conflict ? store_outcome::conflict
+                                                 : store_outcome::unavailable;
     one->done(outcome, reply, one->in_doubt);
 }
 
@@ -293,8 +289,8 @@
                 return;
             store_reply answer{reply.status, std::move(reply.body)};
             auto const good =
-                reply.answered && platform::kind_of(answer) !=
-                                      platform::reply_kind::turned_away;
+                reply.answered &&
+                platform::kind_of(answer) != platform::reply_kind::turned_away;
             if (good)
                 paths_.succeeded({}, now());
             else
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -44,12 +44,11 @@
 }
 
 /// The first row says how many pieces follow it.
-std::vector<row_value>
-rows_of(kept_turn const& turn, std::size_t row_bytes)
+std::vector<row_value> rows_of(kept_turn const& turn, std::size_t row_bytes)
 {
     auto const bytes = encode(turn);
-    auto const pieces = std::max<std::size_t>(
-        1, (bytes.size() + row_bytes - 1) / row_bytes);
+    auto const pieces =
+        std::max<std::size_t>(1, (bytes.size() + row_bytes - 1) / row_bytes);
     std::vector<row_value> rows;
     for (std::size_t i = pieces; i-- > 0;)
     {
@@ -280,8 +279,7 @@
         ++all->missing;
         auto const at = piece_address(id, i);
         store_.read(
-            {at.table, at.partition, at.key, at.key + '\0'},
-            options_.patience,
+            {at.table, at.partition, at.key, at.key + '\0'}, options_.patience,
             [all, i, one_done](range_result const& result)
             {
                 if (result.rows.empty())
--- /dev/null
+++ b/test/engine_board-test.cpp
@@ -0,0 +1,200 @@
+#include <walnutmill/engine_board.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace walnutmill;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct board_fixture
+{
+    manual_clock clock;
+    engine_board board{zone_name("z0"), clock.fn(), seeded_random(7)};
+    std::vector<engine_entry> engines;
+    std::vector<prompt_part> prompt{{"shared", 12'600}, {"own", 1'500}};
+
+    void start(int count, int domains = 2)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            engine_entry one;
+            one.id = target_name("e" + std::to_string(i));
+            one.service = service_name("llm");
+            one.address = "10.0.0.1:1";
+            one.zone = zone_name("z" + std::to_string(i % domains));
+            one.slots = 16;
+            engines.push_back(one);
+        }
+        board.set_engines(engines);
+    }
+
+    placement_need turn() const
+    {
+        placement_need need;
+        need.service = service_name("llm");
+        need.prompt_tokens = 14'100;
+        need.output_tokens = 260;
+        need.prompt = &prompt;
+        return need;
+    }
+
+    placement_need plain() const
+    {
+        placement_need need;
+        need.service = service_name("llm");
+        return need;
+    }
+
+    std::map<std::string, int> choose_often(placement_need const& need, int n)
+    {
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < n; ++i)
+            ++chosen[board.choose(need)->engine.str()];
+        return chosen;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(board_fixture, "board: without engines there is no placement")
+{
+    CHECK_FALSE(board.choose(plain()));
+}
+
+TEST_CASE_METHOD(board_fixture, "board: a draining engine is never chosen")
+{
+    start(4);
+    engines[0].state = engine_state::draining;
+    board.set_engines(engines);
+    CHECK(choose_often(plain(), 200).count("e0") == 0);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: a turn returns to the engine that has its line")
+{
+    start(12, 1);
+    prompt[1].tokens = 8'000;
+    auto need = turn();
+    need.prompt_tokens = 20'600;
+    auto const first = board.choose(need)->engine;
+    board.sent(first, need);
+    board.ended(first, need, engine_outcome::answered, milliseconds(320));
+    auto const chosen = choose_often(need, 100);
+    CHECK(chosen.at(first.str()) >= 95);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: nodes agree on the engines of a shared part")
+{
+    start(24);
+    engine_board other{zone_name("z0"), clock.fn(), seeded_random(99)};
+    other.set_engines(engines);
+    std::map<std::string, int> here;
+    std::map<std::string, int> there;
+    // Sixteen shared parts, asked for in turn, by two nodes that never meet.
+    for (int i = 0; i < 3'200; ++i)
+    {
+        std::vector<prompt_part> const parts{
+            {"shared" + std::to_string(i % 16), 12'600},
+            {"own" + std::to_string(i), 1'500}};
+        auto need = turn();
+        need.prompt = &parts;
+        auto const one = board.choose(need);
+        auto const two = other.choose(need);
+        if (i % 16 != 3 || i < 1'600)
+            continue;
+        ++here[one->engine.str()];
+        ++there[two->engine.str()];
+    }
+    CHECK(here.size() <= 5);
+    for (auto const& [engine, calls] : here)
+    {
+        if (calls > 10)
+            CHECK(there.count(engine) == 1);
+    }
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: a full engine is left for one with free slots")
+{
+    start(2);
+    auto const need = plain();
+    board.set_peer_loads([](target_name const& id)
+                         { return id.str() == "e0" ? 30U : 2U; });
+    CHECK(choose_often(need, 100)["e1"] == 100);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: an engine that fails a part of its calls is avoided")
+{
+    start(4, 1);
+    auto const need = plain();
+    for (int i = 0; i < 20; ++i)
+    {
+        board.sent(target_name("e2"), need);
+        board.ended(
+            target_name("e2"), need,
+            i % 2 == 0 ? engine_outcome::failed : engine_outcome::answered,
+            milliseconds(60));
+    }
+    CHECK(choose_often(need, 200)["e2"] < 10);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: an engine that turned slow gets less than others")
+{
+    start(4, 1);
+    auto const need = plain();
+    for (int i = 0; i < 40; ++i)
+    {
+        for (auto const& one : engines)
+        {
+            board.sent(one.id, need);
+            board.ended(
+                one.id, need, engine_outcome::answered,
+                milliseconds(one.id.str() == "e1" ? 400 : 60));
+        }
+    }
+    CHECK(choose_often(need, 200)["e1"] < 10);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: an engine that can't be reached rests, then returns")
+{
+    start(2, 1);
+    auto const need = plain();
+    board.sent(target_name("e0"), need);
+    board.ended(
+        target_name("e0"), need, engine_outcome::unreachable, milliseconds(1));
+    CHECK(choose_often(need, 100).count("e0") == 0);
+    clock.advance(seconds(4));
+    CHECK(choose_often(need, 100).count("e0") == 1);
+}
+
+TEST_CASE_METHOD(board_fixture, "board: resting engines are used when all rest")
+{
+    start(1);
+    auto const need = plain();
+    board.ended(
+        target_name("e0"), need, engine_outcome::unreachable, milliseconds(1));
+    CHECK(board.choose(need));
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: eighty nodes that see the same loads don't herd")
+{
+    start(45, 1);
+    board.set_peer_loads([](target_name const& id)
+                         { return id.str() == "e7" ? 0U : 8U; });
+    // What eighty nodes place between two sums of the loads: 200 turns.
+    auto const chosen = choose_often(plain(), 200);
+    CHECK(chosen.at("e7") < 40);
+}
--- a/test/fake_store.hpp
+++ b/test/fake_store.hpp
@@ -54,17 +54,17 @@
                         row_transaction one, std::chrono::milliseconds,
                         std::function<void(transaction_result)> done)
         {
-            queue_.push_back([this, one = std::move(one),
-                              done = std::move(done)]
-                             { done(commit_step(one)); });
+            queue_.push_back(
+                [this, one = std::move(one), done = std::move(done)]
+                { done(commit_step(one)); });
         };
         to.read = [this](
                       row_range range, std::chrono::milliseconds,
                       std::function<void(range_result)> done)
         {
-            queue_.push_back([this, range = std::move(range),
-                              done = std::move(done)]
-                             { done(read_step(range)); });
+            queue_.push_back(
+                [this, range = std::move(range), done = std::move(done)]
+                { done(read_step(range)); });
         };
         return to;
     }
@@ -130,8 +130,7 @@
             [this](version_condition const& condition)
             {
                 auto const* row = find(condition.at);
-                return (row == nullptr ? 0 : row->version) ==
-                       condition.version;
+                return (row == nullptr ? 0 : row->version) == condition.version;
             });
     }
 
@@ -161,7 +160,8 @@
         ++commits_;
         auto const fault = next_fault();
         transaction_result to;
-        to.in_doubt = fault != store_fault::none && fault != store_fault::refuse;
+        to.in_doubt =
+            fault != store_fault::none && fault != store_fault::refuse;
         if (fault == store_fault::late)
             late_.emplace_back(steps_ + late_steps, one);
         if (fault == store_fault::refuse || fault == store_fault::lose ||
@@ -193,8 +193,7 @@
         {
             auto const& at = row.at;
             if (at.table == range.table && at.partition == range.partition &&
-                at.key >= range.from &&
-                (range.to.empty() || at.key < range.to))
+                at.key >= range.from && (range.to.empty() || at.key < range.to))
                 to.rows.push_back(row);
         }
         return to;
--- /dev/null
+++ b/test/load_summary-test.cpp
@@ -0,0 +1,76 @@
+#include "entry/load_summary.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace
+{
+
+using namespace walnutmill;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct summary_fixture
+{
+    manual_clock clock;
+    load_summary summary;
+
+    std::uint32_t calls_at(std::uint32_t key)
+    {
+        for (auto const& [one, calls] : summary.sum(clock.now()))
+        {
+            if (one == key)
+                return calls;
+        }
+        return 0;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(summary_fixture, "load summary: calls of all nodes add up")
+{
+    summary.set("a", {{1, 3}, {2, 1}}, clock.now());
+    summary.set("b", {{1, 4}}, clock.now());
+    CHECK(calls_at(1) == 7);
+    CHECK(calls_at(2) == 1);
+}
+
+TEST_CASE_METHOD(
+    summary_fixture, "load summary: a node's news replace what it said before")
+{
+    summary.set("a", {{1, 3}}, clock.now());
+    summary.set("a", {{2, 5}}, clock.now());
+    CHECK(calls_at(1) == 0);
+    CHECK(calls_at(2) == 5);
+}
+
+TEST_CASE_METHOD(
+    summary_fixture, "load summary: a node that fell silent counts no more")
+{
+    summary.set("a", {{1, 3}}, clock.now());
+    clock.advance(seconds(2));
+    summary.set("b", {{1, 4}}, clock.now());
+    CHECK(calls_at(1) == 4);
+}
+
+TEST_CASE("load message: comes back as it was sent")
+{
+    load_message const sent{true, "n1", 7, {{11, 2}, {4'000'000'000U, 9}}};
+    auto const got = decode_load_message(encode(sent));
+    REQUIRE(got);
+    CHECK(got->asks);
+    CHECK(got->node == "n1");
+    CHECK(got->number == 7);
+    CHECK(got->counts == sent.counts);
+}
+
+TEST_CASE("load message: stray bytes are none")
+{
+    CHECK_FALSE(decode_load_message("hello"));
+    CHECK_FALSE(decode_load_message(""));
+    auto bytes = encode({true, "n1", 7, {{11, 2}}});
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+        CHECK_FALSE(decode_load_message(bytes.substr(0, cut)));
+}
--- a/test/program_ledger-test.cpp
+++ b/test/program_ledger-test.cpp
@@ -30,8 +30,7 @@
     program_ledger& start_node()
     {
         nodes.push_back(std::make_unique<program_ledger>(
-            store.calls(), clock.fn(),
-            "n" + std::to_string(++incarnations)));
+            store.calls(), clock.fn(), "n" + std::to_string(++incarnations)));
         return *nodes.back();
     }
 
@@ -242,8 +241,9 @@
         {
             for (auto const fault : all_store_faults)
             {
-                INFO("seed " << seed << " step " << step << " fault "
-                             << static_cast<int>(fault));
+                INFO(
+                    "seed " << seed << " step " << step << " fault "
+                            << static_cast<int>(fault));
                 REQUIRE(play(seed, 6'000, {{step, fault}}) < 6'000 + most);
             }
         }
--- a/test/turn_history-test.cpp
+++ b/test/turn_history-test.cpp
@@ -46,8 +46,9 @@
         std::pair<history_answer, turn_chain> to;
         node->load(
             request_id(id),
-            [&](history_answer answer, turn_chain chain)
-            { to = {answer, std::move(chain)}; });
+            [&](history_answer answer, turn_chain chain) {
+                to = {answer, std::move(chain)};
+            });
         store.run();
         return to;
     }
@@ -135,14 +136,14 @@
     }
 }
 
-TEST_CASE_METHOD(
-    history_fixture, "history: the cache stays within its bytes")
+TEST_CASE_METHOD(history_fixture, "history: the cache stays within its bytes")
 {
     history_options options;
     options.cache_bytes = 50'000;
     node = std::make_unique<turn_history>(store.calls(), options);
     for (int i = 0; i < 40; ++i)
-        REQUIRE(keep("t" + std::to_string(i), {}, std::string(4'000, 'x'), "o\n"));
+        REQUIRE(
+            keep("t" + std::to_string(i), {}, std::string(4'000, 'x'), "o\n"));
     CHECK(node->cached_bytes() <= 50'000);
     CHECK(load("t0").first == history_answer::found);
 }
