--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -241,7 +241,7 @@
     bool usable(
         engine_record const& one, placement_need const& need, time_point now,
         bool even_resting) const;
-    void rest(engine_record& one, duration first, time_point now);
+    void rest(engine_record& one, duration first, time_point now) const;
 
     zone_name own_domain_;
     clock_fn clock_;
--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -110,11 +110,11 @@
         std::function<void(history_answer, turn_ptr)> done);
     void fetch_pieces(
         request_id const& id, std::string first, std::size_t pieces,
-        std::function<void(history_answer, turn_ptr)> done);
+        std::function<void(history_answer, turn_ptr)> const& done);
     void load_chain(loading_ptr const& one);
     void one_loaded(loading_ptr const& one);
     void write_pieces(
-        std::shared_ptr<std::vector<row_value>> rows, std::size_t from,
+        std::shared_ptr<std::vector<row_value>> const& rows, std::size_t from,
         std::chrono::milliseconds patience, kept_fn done);
 
     versioned_store store_;
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -83,12 +83,12 @@
         });
 }
 
-void budget_desk::admit(wish const& one, answer_fn answer)
+void budget_desk::admit(wish const& one, answer_fn const& answer)
 {
     auto const* home = homes_.home_of(one.program, clock_());
     if (home == nullptr)
     {
-        admit_here(one, std::move(answer));
+        admit_here(one, answer);
         return;
     }
     grant const wanted{
@@ -105,7 +105,7 @@
              {"only_begun", one.only_begun},
              {"turn", wanted.turn}}),
         admission_patience,
-        [this, one, wanted, answer = std::move(answer)](http_reply reply)
+        [this, one, wanted, answer](http_reply const& reply)
         {
             auto const body = reply.answered && reply.status == status_ok
                                   ? json::from_cbor(reply.body, true, false)
@@ -156,18 +156,18 @@
 
 void budget_desk::serve(
     std::string_view target, std::string_view body,
-    std::function<void(int, std::string)> reply)
+    std::function<void(int, std::string)> const& reply)
 {
     if (target == admit_path)
-        serve_admission(body, std::move(reply));
+        serve_admission(body, reply);
     else if (target == settle_path)
-        serve_settlement(body, std::move(reply));
+        serve_settlement(body, reply);
     else
         reply(status_not_found, {});
 }
 
 void budget_desk::serve_admission(
-    std::string_view body, std::function<void(int, std::string)> reply)
+    std::string_view body, std::function<void(int, std::string)> const& reply)
 {
     auto const asked = json::from_cbor(body, true, false);
     if (!asked.is_object())
@@ -184,7 +184,7 @@
     admit_here(
         one,
         [this, alive = alive_, one, turn,
-         reply = std::move(reply)](admission_answer what, grant const&)
+         reply](admission_answer what, grant const&)
         {
             if (*alive && what == admission_answer::admitted)
             {
@@ -197,7 +197,7 @@
 }
 
 void budget_desk::serve_settlement(
-    std::string_view body, std::function<void(int, std::string)> reply)
+    std::string_view body, std::function<void(int, std::string)> const& reply)
 {
     auto const told = json::from_cbor(body, true, false);
     if (!told.is_object())
--- a/src/entry/budget_desk.hpp
+++ b/src/entry/budget_desk.hpp
@@ -54,7 +54,7 @@
 
     /// Asks for a turn, at the program's home or, where that does not answer,
     /// at this node's own ledger.
-    void admit(wish const& one, answer_fn answer);
+    void admit(wish const& one, answer_fn const& answer);
 
     void settle(grant const& one, std::uint64_t handed_out);
 
@@ -64,7 +64,7 @@
     /// Answers another node. \param reply gets the status and the body
     void serve(
         std::string_view target, std::string_view body,
-        std::function<void(int, std::string)> reply);
+        std::function<void(int, std::string)> const& reply);
 
     /// Settles turns of other nodes that never did; call it now and then.
     void tick();
@@ -80,9 +80,9 @@
     void admit_here(wish const& one, answer_fn answer);
     void send_settlement(grant const& one, std::uint64_t handed_out, int tries);
     void serve_admission(
-        std::string_view body, std::function<void(int, std::string)> reply);
+        std::string_view body, std::function<void(int, std::string)> const& reply);
     void serve_settlement(
-        std::string_view body, std::function<void(int, std::string)> reply);
+        std::string_view body, std::function<void(int, std::string)> const& reply);
 
     program_ledger& ledger_;
     clock_fn clock_;
--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -153,7 +153,7 @@
     finish_answer(true);
 }
 
-void caller_link::write(std::string bytes)
+void caller_link::write(std::string_view bytes)
 {
     if (ended_)
         return;
--- a/src/entry/caller_link.hpp
+++ b/src/entry/caller_link.hpp
@@ -45,7 +45,7 @@
     void start();
 
     /// Sends part of an answer, or all of it.
-    void write(std::string bytes);
+    void write(std::string_view bytes);
     /// The answer is whole: reads the next request, or ends the connection
     /// once all is written.
     void finish_answer(bool close);
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -410,7 +410,8 @@
     place.engines.push_back(engine);
 }
 
-void engine_board::rest(engine_record& one, duration first, time_point now)
+void engine_board::rest(
+    engine_record& one, duration first, time_point now) const
 {
     if (one.rests_until > now)
         return;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -273,7 +273,7 @@
     call.target = std::string(request.target());
     call.body = request.body();
     store_.carry(
-        std::move(call),
+        call,
         [link](platform::store_reply const& reply)
         {
             if (reply.status == 0)
@@ -375,6 +375,11 @@
         });
 }
 
+void entry_node::request_stop()
+{
+    asio::post(io_, [this] { stop(); });
+}
+
 void entry_node::reload()
 {
     findings problems;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -42,6 +42,9 @@
     /// \return false where an address could not be listened on
     bool run();
 
+    /// Begins a planned stop, as SIGTERM does. Callable from any thread.
+    void request_stop();
+
 private:
     using acceptor = boost::asio::ip::tcp::acceptor;
     using request_type = caller_link::request_type;
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -57,7 +57,7 @@
 };
 
 store_client::store_client(
-    boost::asio::io_context& io, std::string address, random_fn random,
+    boost::asio::io_context& io, std::string address, random_fn const& random,
     hooks to)
     : io_(io), address_(std::move(address)), random_(random),
       hooks_(std::move(to)), paths_(random), caller_(io),
@@ -84,7 +84,7 @@
 {
     versioned_store to;
     to.commit = [this, then](
-                    row_transaction one, milliseconds patience,
+                    row_transaction const& one, milliseconds patience,
                     std::function<void(transaction_result)> done)
     {
         auto call = std::make_shared<pending>();
@@ -105,7 +105,7 @@
         start(call, then);
     };
     to.read = [this, then](
-                  row_range range, milliseconds patience,
+                  row_range const& range, milliseconds patience,
                   std::function<void(range_result)> done)
     {
         auto call = std::make_shared<pending>();
@@ -235,14 +235,14 @@
         });
 }
 
-void store_client::give_up(pending_ptr const& one)
+void store_client::give_up(pending_ptr const& one) const
 {
     if (hooks_.counters != nullptr)
         hooks_.counters->count("walnutmill_store_calls_failed_total");
     one->done(store_outcome::unavailable, {}, one->in_doubt);
 }
 
-void store_client::deliver(pending_ptr const& one, store_reply const& reply)
+void store_client::deliver(pending_ptr const& one, store_reply const& reply) const
 {
     if (hooks_.counters != nullptr)
         hooks_.counters->count("walnutmill_store_calls_total");
@@ -274,7 +274,8 @@
     }
 }
 
-void store_client::carry(platform::store_request request, reply_fn to)
+void store_client::carry(
+    platform::store_request const& request, reply_fn const& to)
 {
     if (!paths_.direct_works(now()))
     {
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -38,7 +38,7 @@
     };
 
     store_client(
-        boost::asio::io_context& io, std::string address, random_fn random,
+        boost::asio::io_context& io, std::string address, random_fn const& random,
         hooks to);
     ~store_client();
     store_client(store_client const&) = delete;
@@ -61,7 +61,7 @@
 
     /// Carries another node's call, straight only.
     /// \param to gets status 503 where the store could not be reached
-    void carry(platform::store_request request, reply_fn to);
+    void carry(platform::store_request const& request, reply_fn const& to);
 
     /// \return since when no call has succeeded; the clock's epoch while the
     /// last one did.
@@ -77,8 +77,8 @@
     void attempt_ended(
         pending_ptr const& one, store_path const& path, http_reply reply);
     void retry_later(pending_ptr const& one);
-    void give_up(pending_ptr const& one);
-    void deliver(pending_ptr const& one, platform::store_reply const& reply);
+    void give_up(pending_ptr const& one) const;
+    void deliver(pending_ptr const& one, platform::store_reply const& reply) const;
     void note_success();
     void note_failure(std::string_view why);
 
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -249,7 +249,7 @@
 
 void turn_history::fetch_pieces(
     request_id const& id, std::string first, std::size_t pieces,
-    std::function<void(history_answer, turn_ptr)> done)
+    std::function<void(history_answer, turn_ptr)> const& done)
 {
     struct gathered
     {
@@ -310,7 +310,7 @@
 
 /// The first piece is written last: once it stands, all do.
 void turn_history::write_pieces(
-    std::shared_ptr<std::vector<row_value>> rows, std::size_t from,
+    std::shared_ptr<std::vector<row_value>> const& rows, std::size_t from,
     std::chrono::milliseconds patience, kept_fn done)
 {
     row_transaction one;
--- /dev/null
+++ b/test/entry_world.cpp
@@ -0,0 +1,489 @@
+#include "entry_world.hpp"
+
+#include "base64.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <stdexcept>
+
+namespace walnutmill
+{
+namespace testing
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+tcp::endpoint any_loopback()
+{
+    return {asio::ip::address_v4::loopback(), 0};
+}
+
+/// Long enough that a loaded machine does not fail a sound node.
+constexpr seconds patience{60};
+
+std::string free_address()
+{
+    asio::io_context io;
+    tcp::acceptor const acceptor(io, any_loopback());
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::string query_value(std::string const& target, std::string const& name)
+{
+    auto const at = target.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    auto const from = at + name.size() + 1;
+    auto const raw = target.substr(from, target.find('&', from) - from);
+    std::string text;
+    for (std::size_t i = 0; i < raw.size(); ++i)
+    {
+        if (raw[i] != '%')
+        {
+            text.push_back(raw[i]);
+            continue;
+        }
+        text.push_back(
+            static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16)));
+        i += 2;
+    }
+    return text;
+}
+
+} // namespace
+
+standin_server::standin_server()
+    : work_(io_.get_executor()), acceptor_(io_, any_loopback())
+{
+    accept();
+    thread_ = std::thread([this] { io_.run(); });
+}
+
+standin_server::~standin_server()
+{
+    io_.stop();
+    thread_.join();
+}
+
+std::string standin_server::address() const
+{
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void standin_server::later(milliseconds after, std::function<void()> what)
+{
+    auto const timer = std::make_shared<asio::steady_timer>(io_, after);
+    timer->async_wait(
+        [timer, what = std::move(what)](boost::system::error_code const& error)
+        {
+            if (!error)
+                what();
+        });
+}
+
+void standin_server::accept()
+{
+    acceptor_.async_accept(
+        [this](boost::system::error_code const& error, tcp::socket socket)
+        {
+            if (error)
+                return;
+            caller_link::hooks hooks;
+            hooks.on_request =
+                [this](link_ptr const& link, http_request&& request)
+            { on_request(link, request); };
+            hooks.refuse = [](int, std::string_view) { return std::string(); };
+            hooks.limits = [] { return caller_limits(); };
+            hooks.on_end = [](caller_link*) {};
+            std::make_shared<caller_link>(std::move(socket), hooks)->start();
+            accept();
+        });
+}
+
+standin_rows::standin_rows()
+{
+    server_.on_request = [this](
+                             link_ptr const& link, http_request const& request)
+    { answer(link, request); };
+}
+
+void standin_rows::put(
+    std::string const& table, std::string const& key, json const& value)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    rows_[{table, "", key}] = {value.dump(), ++version_};
+}
+
+void standin_rows::remove(std::string const& table, std::string const& key)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    rows_.erase({table, "", key});
+}
+
+std::size_t standin_rows::count(std::string const& table) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    std::size_t found = 0;
+    for (auto const& [at, row] : rows_)
+        found += at[0] == table ? 1 : 0;
+    return found;
+}
+
+void standin_rows::answer(link_ptr const& link, http_request const& request)
+{
+    int status = 200;
+    json body = json::object();
+    std::string const target(request.target());
+    if (down_)
+        status = 503;
+    else if (target == "/rows-tx")
+        body = transaction(json::parse(request.body()), status);
+    else
+        body = range(target);
+    link->write(standin_target::answer(status, {}, body.dump()));
+    link->finish_answer(false);
+}
+
+json standin_rows::row_json(place const& at) const
+{
+    auto const& row = rows_.at(at);
+    return {
+        {"table", at[0]},
+        {"part", at[1]},
+        {"key", at[2]},
+        {"value", to_base64(row.value)},
+        {"ver", row.version}};
+}
+
+json standin_rows::transaction(json const& body, int& status)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const place_of = [](json const& one) {
+        return place{one["table"], one["part"], one["key"]};
+    };
+    json present = json::array();
+    for (auto const& one : body["expect_rev"])
+    {
+        auto const found = rows_.find(place_of(one));
+        auto const version = found == rows_.end() ? 0 : found->second.version;
+        if (version != one["ver"].get<std::uint64_t>())
+            status = 412;
+        if (found != rows_.end())
+            present.push_back(row_json(found->first));
+    }
+    if (status != 200)
+        return {{"rows", present}, {"ver", version_}, {"now_ms", 1}};
+    ++version_;
+    for (auto const& one : body["writes"])
+    {
+        rows_[place_of(one)] = {
+            from_base64(one["value"].get<std::string>()), version_};
+    }
+    for (auto const& one : body["remove"])
+        rows_.erase(place_of(one));
+    return {{"ver", version_}, {"now_ms", 1}};
+}
+
+json standin_rows::range(std::string const& target) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const from = query_value(target, "from");
+    auto const to = query_value(target, "to");
+    json rows = json::array();
+    for (auto const& [at, row] : rows_)
+    {
+        if (at[0] == query_value(target, "table") &&
+            at[1] == query_value(target, "part") && at[2] >= from &&
+            (to.empty() || at[2] < to))
+            rows.push_back(row_json(at));
+    }
+    return {
+        {"rows", rows}, {"truncated", false}, {"ver", version_}, {"now_ms", 1}};
+}
+
+standin_target::standin_target(std::string id) : id_(std::move(id))
+{
+    server_.on_request = [this](
+                             link_ptr const& link, http_request const& request)
+    { take(link, request); };
+}
+
+void standin_target::set_script(script_fn script)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    script_ = std::move(script);
+}
+
+std::vector<received_call> standin_target::calls() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return calls_;
+}
+
+void standin_target::take(link_ptr const& link, http_request const& request)
+{
+    received_call one;
+    one.id = std::string(request["Request-Id"]);
+    one.body = request.body();
+    for (auto const& field : request)
+        one.headers[std::string(field.name_string())] =
+            std::string(field.value());
+    script_fn script;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        calls_.push_back(one);
+        script = script_;
+    }
+    link->on_gone = [this] { ++left_; };
+    if (script && script(link, request))
+        return;
+    std::string const path(request.target());
+    if (path.find("/turns/") == 0 || path.find("/kept/") == 0)
+        link->write(stream(one.id, 1, 3, true));
+    else
+        link->write(answer(
+            200,
+            "Request-Id: " + one.id + "\r\nResponse-Stamp: s." + id_ + "\r\n",
+            "done by " + id_));
+    link->finish_answer(false);
+}
+
+std::string standin_target::event(int number)
+{
+    auto const digits = std::to_string(number);
+    return "id: " + digits + "\ndata: piece " + digits + "\n\n";
+}
+
+std::string standin_target::stream(
+    std::string const& request_id, int from, int to, bool finished)
+{
+    std::string out = "HTTP/1.1 200 OK\r\nRequest-Id: " + request_id +
+                      "\r\nResponse-Stamp: s\r\nContent-Type: "
+                      "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = from; i <= to; ++i)
+    {
+        auto const text = event(i);
+        char size[16];
+        std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+        out += size + text + "\r\n";
+    }
+    return finished ? out + "0\r\n\r\n" : out;
+}
+
+std::string standin_target::answer(
+    int status, std::string const& headers, std::string const& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+void standin_target::cut(link_ptr const& link)
+{
+    link->abort();
+}
+
+test_caller::test_caller(std::string const& address) : socket_(io_)
+{
+    socket_.connect(endpoint_of(address).value());
+}
+
+void test_caller::send(std::string const& bytes)
+{
+    asio::write(socket_, asio::buffer(bytes));
+}
+
+caller_answer test_caller::receive()
+{
+    caller_answer to;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code error;
+    std::array<char, 4'096> chunk{};
+    while (!parser.is_done())
+    {
+        if (!buffer_.empty())
+        {
+            auto const used = parser.put(asio::buffer(buffer_), error);
+            buffer_.erase(0, used);
+            if (used > 0 && (!error || error == http::error::need_more))
+                continue;
+        }
+        auto const size = socket_.read_some(asio::buffer(chunk), error);
+        if (error)
+            break;
+        buffer_.append(chunk.data(), size);
+    }
+    to.whole = parser.is_done();
+    if (parser.is_header_done())
+    {
+        to.status = static_cast<int>(parser.get().result_int());
+        for (auto const& field : parser.get())
+            to.headers[std::string(field.name_string())] =
+                std::string(field.value());
+        to.body = parser.get().body();
+    }
+    return to;
+}
+
+caller_answer test_caller::call(std::string const& bytes)
+{
+    send(bytes);
+    return receive();
+}
+
+void test_caller::close()
+{
+    socket_.close();
+}
+
+entry_world::entry_world()
+{
+    store.put("op", "config", configuration());
+    register_engine(engine_a, "llm");
+    register_engine(engine_b, "llm");
+    register_engine(desk_a, "desk");
+    register_engine(desk_b, "desk");
+}
+
+entry_world::~entry_world()
+{
+    store.set_down(false);
+    for (auto& one : nodes)
+        stop_node(*one);
+}
+
+entry_world::node& entry_world::start_node()
+{
+    auto one = std::make_unique<node>();
+    auto& settings = one->settings;
+    settings.node = "node-" + std::to_string(nodes.size());
+    settings.domain = "z1";
+    settings.listen_callers = free_address();
+    settings.listen_ready = free_address();
+    settings.listen_peers = free_address();
+    settings.store = store.address();
+    settings.stop_grace = seconds(8);
+    one->process = std::make_unique<entry_node>(
+        settings, [settings](findings&) { return settings; });
+    one->thread = std::thread([process = one->process.get()]
+                              { process->run(); });
+    nodes.push_back(std::move(one));
+    auto& started = *nodes.back();
+    auto const end = std::chrono::steady_clock::now() + patience;
+    while (!is_ready(started))
+    {
+        if (std::chrono::steady_clock::now() > end)
+            throw std::runtime_error("node does not become ready");
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return started;
+}
+
+bool entry_world::is_ready(node const& one) const
+{
+    try
+    {
+        test_caller caller(one.settings.listen_ready);
+        return caller.call("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status ==
+               200;
+    }
+    catch (boost::system::system_error const&)
+    {
+        return false;
+    }
+}
+
+void entry_world::stop_node(node& one)
+{
+    if (!one.thread.joinable())
+        return;
+    one.process->request_stop();
+    one.thread.join();
+}
+
+void entry_world::register_engine(
+    standin_target const& one, std::string const& service)
+{
+    store.put(
+        "servers", one.id(),
+        {{"service", service},
+         {"addr", one.address()},
+         {"zone", "z1"},
+         {"slots", 8},
+         {"state", "ready"},
+         {"seq", 1}});
+}
+
+json entry_world::configuration()
+{
+    auto const route = [](std::string const& name, std::string const& kind,
+                          std::string const& service)
+    {
+        return json{
+            {"name", name},
+            {"host", "h.example"},
+            {"prefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeout_ms", 3'000},
+            {"target_latency_ms", 250},
+            {"priority", 0},
+            {"service", service},
+            {"max_attempts", 2}};
+    };
+    auto turns = route("turns", "stream", "llm");
+    turns["resumable"] = true;
+    auto kept = route("kept", "stream", "llm");
+    kept["retain"] = true;
+    kept["retain_s"] = 60;
+    return {
+        {"version", 3},
+        {"routes",
+         {turns, kept, route("safe", "safe", "desk"),
+          route("orders", "unsafe", "desk")}},
+        {"services",
+         {{{"name", "llm"},
+           {"max_conns", 100},
+           {"engine", {{"slots", 8}, {"stride", 10}}}},
+          {{"name", "desk"}, {"max_conns", 100}}}},
+        {"limits",
+         {{"max_header_bytes", 4'096},
+          {"max_body_bytes", 100'000},
+          {"header_timeout_ms", 3'000},
+          {"idle_timeout_ms", 15'000}}}};
+}
+
+std::string entry_world::turn(
+    std::string const& id, std::string const& extra, std::string const& prefix)
+{
+    return post(
+        prefix + "x", id,
+        "Token-Usage: 100,30\r\nPrompt-Prefix: ab:50," + id + ":50\r\n" +
+            extra,
+        "input of " + id + ";");
+}
+
+std::string entry_world::post(
+    std::string const& path, std::string const& id, std::string const& extra,
+    std::string const& body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
+           id + "\r\nDeadline-Ms: 3000\r\n" + extra +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+} // namespace testing
+} // namespace walnutmill
--- /dev/null
+++ b/test/entry_world.hpp
@@ -0,0 +1,205 @@
+#ifndef WALNUTMILL_TEST_ENTRY_WORLD_HPP
+#define WALNUTMILL_TEST_ENTRY_WORLD_HPP
+
+/// \file
+/// Entry nodes on the loopback between callers and stand-ins of the users'
+/// platform: its store and its engines, as their published protocol has them.
+
+#include "entry/caller_link.hpp"
+#include "entry/entry_node.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace walnutmill
+{
+namespace testing
+{
+
+using link_ptr = std::shared_ptr<caller_link>;
+using http_request = caller_link::request_type;
+
+/// A server on a free port of the loopback, on its own thread.
+class standin_server
+{
+public:
+    using answer_fn =
+        std::function<void(link_ptr const&, http_request const&)>;
+
+    standin_server();
+    ~standin_server();
+    standin_server(standin_server const&) = delete;
+    standin_server& operator=(standin_server const&) = delete;
+
+    std::string address() const;
+    /// Set before the first request comes.
+    answer_fn on_request;
+    /// Runs on the server's thread after a while.
+    void later(std::chrono::milliseconds after, std::function<void()> what);
+
+private:
+    void accept();
+
+    boost::asio::io_context io_;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+/// The platform's store: rows with versions and conditions.
+class standin_rows
+{
+public:
+    standin_rows();
+
+    std::string address() const { return server_.address(); }
+    void
+    put(std::string const& table, std::string const& key,
+        nlohmann::json const& value);
+    void remove(std::string const& table, std::string const& key);
+    /// While down, every call is answered 503.
+    void set_down(bool down) { down_ = down; }
+    std::size_t count(std::string const& table) const;
+
+private:
+    struct stored
+    {
+        std::string value;
+        std::uint64_t version = 0;
+    };
+    using place = std::array<std::string, 3>;
+
+    void answer(link_ptr const& link, http_request const& request);
+    nlohmann::json transaction(nlohmann::json const& body, int& status);
+    nlohmann::json range(std::string const& target) const;
+    nlohmann::json row_json(place const& at) const;
+
+    mutable std::mutex mutex_;
+    std::map<place, stored> rows_;
+    std::uint64_t version_ = 0;
+    std::atomic<bool> down_{false};
+    standin_server server_;
+};
+
+/// What an engine was sent.
+struct received_call
+{
+    std::string id;
+    std::string body;
+    std::map<std::string, std::string> headers;
+};
+
+/// A model engine or a plain service that answers as the test says.
+class standin_target
+{
+public:
+    /// Answers one request; \return false to use the usual answer.
+    using script_fn = std::function<bool(link_ptr const&, http_request const&)>;
+
+    explicit standin_target(std::string id);
+
+    std::string const& id() const { return id_; }
+    std::string address() const { return server_.address(); }
+    void set_script(script_fn script);
+    std::vector<received_call> calls() const;
+    std::size_t callers_that_left() const { return left_; }
+    standin_server& server() { return server_; }
+
+    /// A whole stream with events `from` to `to`, or its unfinished start.
+    static std::string stream(
+        std::string const& request_id, int from, int to, bool finished);
+    static std::string event(int number);
+    static std::string
+    answer(int status, std::string const& headers, std::string const& body);
+    /// Ends the connection in the middle of an answer.
+    static void cut(link_ptr const& link);
+
+private:
+    void take(link_ptr const& link, http_request const& request);
+
+    std::string id_;
+    mutable std::mutex mutex_;
+    std::vector<received_call> calls_;
+    script_fn script_;
+    std::atomic<std::size_t> left_{0};
+    standin_server server_;
+};
+
+/// An answer as a caller got it.
+struct caller_answer
+{
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    /// The answer came to its proper end.
+    bool whole = false;
+};
+
+/// A caller's connection.
+class test_caller
+{
+public:
+    explicit test_caller(std::string const& address);
+
+    void send(std::string const& bytes);
+    caller_answer receive();
+    caller_answer call(std::string const& bytes);
+    void close();
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::socket socket_;
+    std::string buffer_;
+};
+
+/// Two engines, two plain services, a store, and nodes on demand.
+struct entry_world
+{
+    standin_rows store;
+    standin_target engine_a{"ia"};
+    standin_target engine_b{"ib"};
+    standin_target desk_a{"da"};
+    standin_target desk_b{"db"};
+
+    entry_world();
+    ~entry_world();
+
+    struct node
+    {
+        entry_settings settings;
+        std::unique_ptr<entry_node> process;
+        std::thread thread;
+    };
+    /// Starts a node and waits until it is ready.
+    node& start_node();
+    void stop_node(node& one);
+    bool is_ready(node const& one) const;
+
+    void register_engine(standin_target const& one, std::string const& service);
+    static nlohmann::json configuration();
+    static std::string
+    turn(std::string const& id, std::string const& extra = {},
+        std::string const& prefix = "/turns/");
+    static std::string
+    post(std::string const& path, std::string const& id,
+        std::string const& extra = {}, std::string const& body = "order");
+
+    std::vector<std::unique_ptr<node>> nodes;
+};
+
+} // namespace testing
+} // namespace walnutmill
+
+#endif
