--- a/src/entry/budget_desk.hpp
+++ b/src/entry/budget_desk.hpp
@@ -80,9 +80,11 @@
     void admit_here(wish const& one, answer_fn answer);
     void send_settlement(grant const& one, std::uint64_t handed_out, int tries);
     void serve_admission(
-        std::string_view body, std::function<void(int, std::string)> const& reply);
+        std::string_view body,
+        std::function<void(int, std::string)> const& reply);
     void serve_settlement(
-        std::string_view body, std::function<void(int, std::string)> const& reply);
+        std::string_view body,
+        std::function<void(int, std::string)> const& reply);
 
     program_ledger& ledger_;
     clock_fn clock_;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include <walnutmill/hash.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <unistd.h>
@@ -35,9 +36,16 @@
 /// A node that read nothing of the store for this long, itself or through
 /// others, can't start programs: the balancer should use others.
 constexpr milliseconds blind_after{3'500};
-/// Reads of the store that all nodes may spend on configuration and engines:
-/// a quarter of its rate, half a second apart at least on small sites.
-constexpr milliseconds read_interval{450};
+/// Time between two readings of configuration and engines. The shortest finds
+/// a leaving engine within a quarter of the two seconds that sites allow.
+constexpr milliseconds shortest_interval{450};
+/// Part of the store's reads that all nodes together spend on it.
+constexpr double part_of_reads = 0.25;
+/// The longest leaves two readings and a slow answer within a bound.
+constexpr int readings_in_bound = 3;
+/// Part of a process's memory that cached turns may take.
+constexpr std::uint64_t cache_part = 8;
+constexpr std::size_t bytes_in_mb = 1'048'576;
 
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
@@ -76,6 +84,30 @@
     return to;
 }
 
+history_options history_options_for(entry_settings const& settings)
+{
+    history_options to;
+    to.cache_bytes = std::min<std::size_t>(
+        to.cache_bytes, settings.memory_mb * bytes_in_mb / cache_part);
+    return to;
+}
+
+/// \return the time between readings at which the nodes keep to their part
+/// of the store's reads, within the site's bounds.
+milliseconds read_interval(entry_settings const& settings, std::size_t nodes)
+{
+    constexpr double readings = 2;
+    constexpr double ms_in_s = 1'000;
+    auto const wanted = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(nodes) * readings * ms_in_s /
+        (part_of_reads * settings.store_reads_per_s)));
+    auto const longest = std::max(
+        shortest_interval,
+        std::min(settings.apply_within, settings.drain_within) /
+            readings_in_bound);
+    return std::clamp(wanted, shortest_interval, longest);
+}
+
 std::string plain_answer(int status, std::string text)
 {
     platform::own_answer answer;
@@ -108,7 +140,7 @@
                        store_.calls(store_client::when_lost::fail_at_once),
                        clock_, incarnation_),
       budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
-      history_(history_calls(store_)),
+      history_(history_calls(store_), history_options_for(settings_)),
       loads_(io_, board_, clock_, settings_.node),
       services_{
           io_,      clock_, seeded_random(seed_of(incarnation_ + "calls")),
@@ -120,7 +152,7 @@
           io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
           {settings_.node, settings_.listen_peers, settings_.domain},
-          read_interval,
+          shortest_interval,
           {[this](std::shared_ptr<routing_table const> table)
            { services_.table = std::move(table); },
            [this](std::vector<engine_entry> const& engines)
@@ -298,6 +330,7 @@
     loads_.set_nodes(homes);
     budgets_.set_nodes(std::move(homes));
     services_.nodes = static_cast<std::uint32_t>(members.size() + 1);
+    view_.set_interval(read_interval(settings_, services_.nodes));
     store_.set_relays(std::move(relays));
 }
 
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -242,7 +242,8 @@
     one->done(store_outcome::unavailable, {}, one->in_doubt);
 }
 
-void store_client::deliver(pending_ptr const& one, store_reply const& reply) const
+void store_client::deliver(
+    pending_ptr const& one, store_reply const& reply) const
 {
     if (hooks_.counters != nullptr)
         hooks_.counters->count("walnutmill_store_calls_total");
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -38,8 +38,8 @@
     };
 
     store_client(
-        boost::asio::io_context& io, std::string address, random_fn const& random,
-        hooks to);
+        boost::asio::io_context& io, std::string address,
+        random_fn const& random, hooks to);
     ~store_client();
     store_client(store_client const&) = delete;
     store_client& operator=(store_client const&) = delete;
@@ -78,7 +78,8 @@
         pending_ptr const& one, store_path const& path, http_reply reply);
     void retry_later(pending_ptr const& one);
     void give_up(pending_ptr const& one) const;
-    void deliver(pending_ptr const& one, platform::store_reply const& reply) const;
+    void
+    deliver(pending_ptr const& one, platform::store_reply const& reply) const;
     void note_success();
     void note_failure(std::string_view why);
 
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -85,8 +85,7 @@
     CHECK(desk_calls() == 5);
 }
 
-TEST_CASE_METHOD(
-    entry_fixture, "entry: what an engine refused runs at another")
+TEST_CASE_METHOD(entry_fixture, "entry: what an engine refused runs at another")
 {
     auto& node = start_node();
     desk_a.set_script(
@@ -173,8 +172,9 @@
         });
     test_caller caller(node.settings.listen_callers);
     for (int i = 0; i < 4; ++i)
-        CHECK(caller.call(post("/safe/x", "r" + std::to_string(i))).status ==
-              200);
+        CHECK(
+            caller.call(post("/safe/x", "r" + std::to_string(i))).status ==
+            200);
 }
 
 TEST_CASE_METHOD(
@@ -261,8 +261,7 @@
             auto const answer = [](std::string const& to, std::string const& by)
             {
                 return standin_target::answer(
-                    200, "Request-Id: " + to + "\r\nResponse-Stamp: s\r\n",
-                    by);
+                    200, "Request-Id: " + to + "\r\nResponse-Stamp: s\r\n", by);
             };
             link->write(answer("stale", "wrong") + answer(id, "right"));
             link->finish_answer(false);
@@ -334,11 +333,12 @@
     {
         if (call.id == "t3")
             CHECK(
-                call.body == "input of t1;" + output + "input of t2;" +
-                                 output + "input of t3;");
+                call.body == "input of t1;" + output + "input of t2;" + output +
+                                 "input of t3;");
     }
-    CHECK(two.call(turn("t4", "Previous-Turn: gone\r\n", "/kept/")).status ==
-          404);
+    CHECK(
+        two.call(turn("t4", "Previous-Turn: gone\r\n", "/kept/")).status ==
+        404);
 }
 
 TEST_CASE_METHOD(
@@ -409,8 +409,7 @@
     CHECK(caller.call(post("/orders/x", "r4")).body.find("done by d") == 0);
 }
 
-TEST_CASE_METHOD(
-    entry_fixture, "entry: an older configuration is never taken")
+TEST_CASE_METHOD(entry_fixture, "entry: an older configuration is never taken")
 {
     auto config = configuration();
     config["version"] = 20;
@@ -439,8 +438,7 @@
     CHECK(desk_a.calls().size() == before);
 }
 
-TEST_CASE_METHOD(
-    entry_fixture, "entry: an engine stops when the caller leaves")
+TEST_CASE_METHOD(entry_fixture, "entry: an engine stops when the caller leaves")
 {
     auto& node = start_node();
     script_engines([](link_ptr const&, http_request const&) { return true; });
@@ -451,8 +449,7 @@
         caller.close();
     }
     CHECK(comes_true(
-        [&]
-        {
+        [&] {
             return engine_a.callers_that_left() +
                        engine_b.callers_that_left() ==
                    1;
@@ -470,16 +467,13 @@
     };
     CHECK(status("nonsense\r\n\r\n") == 400);
     CHECK(
-        status(
-            "POST /orders/x HTTP/1.1\r\nHost: h.example\r\n"
-            "Content-Length: 200000\r\n\r\n") == 413);
+        status("POST /orders/x HTTP/1.1\r\nHost: h.example\r\n"
+               "Content-Length: 200000\r\n\r\n") == 413);
     CHECK(
         status(
             "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX: " +
             std::string(8'000, 'x') + "\r\n\r\n") == 431);
-    CHECK(
-        status(
-            "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n") == 400);
+    CHECK(status("GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n") == 400);
     CHECK(
         status(post("/orders/x", "r1", "Transfer-Encoding: chunked\r\n")) ==
         400);
--- /dev/null
+++ b/test/entry_settings-test.cpp
@@ -0,0 +1,99 @@
+#include "entry/entry_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+namespace
+{
+
+using namespace walnutmill;
+
+struct entry_settings_fixture
+{
+    std::vector<std::string> flags{
+        "--node=n1",
+        "--domain=z1",
+        "--listen-callers=10.0.0.1:1",
+        "--listen-ready=10.0.0.1:2",
+        "--listen-peers=10.0.0.1:3",
+        "--store=10.0.0.9:1"};
+    findings problems;
+
+    bool complains_of(std::string const& place) const
+    {
+        auto const& items = problems.items();
+        return std::any_of(
+            items.begin(), items.end(),
+            [&](finding const& one) { return one.place == place; });
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(entry_settings_fixture, "entry settings: a sound set is taken")
+{
+    auto const got = read_entry_settings(flags, {}, problems);
+    CHECK(problems.empty());
+    CHECK(got.node == "n1");
+    CHECK(got.stop_grace == std::chrono::seconds(8));
+}
+
+TEST_CASE_METHOD(
+    entry_settings_fixture, "entry settings: all that is wrong is told at once")
+{
+    flags = {"--listen-callers=nonsense", "--stop-grace-s=0", "--memory-mb=1"};
+    read_entry_settings(flags, {}, problems);
+    for (auto const* place :
+         {"node", "domain", "listen-callers", "listen-ready", "listen-peers",
+          "store", "stop-grace-s", "memory-mb"})
+        CHECK(complains_of(place));
+}
+
+TEST_CASE_METHOD(
+    entry_settings_fixture,
+    "entry settings: flags go before environment, that before the file")
+{
+    std::string const path = std::string("/tmp/walnutmill-settings-") +
+                             std::to_string(::getpid()) + ".conf";
+    std::ofstream(path) << "node = from-file\ndomain = file-domain\n"
+                           "store = 10.0.0.7:7\nunknown = 1\n";
+    flags.erase(flags.begin() + 1); // no domain
+    auto const got = read_entry_settings(
+        flags,
+        {"WALNUTMILL_NODE_FILE=" + path, "WALNUTMILL_STORE=10.0.0.8:8",
+         "WALNUTMILL_NODE=from-environment", "HOME=/"},
+        problems);
+    std::remove(path.c_str());
+    CHECK(problems.empty());
+    CHECK(got.node == "n1");
+    CHECK(got.domain == "file-domain");
+    CHECK(got.store == "10.0.0.9:1");
+}
+
+TEST_CASE_METHOD(
+    entry_settings_fixture, "entry settings: an unreadable file is a finding")
+{
+    flags.push_back("--settings-file=/nonexistent");
+    read_entry_settings(flags, {}, problems);
+    CHECK(complains_of("settings-file"));
+}
+
+TEST_CASE("entry settings: the page names each setting")
+{
+    std::ifstream page(
+        std::string(WALNUTMILL_SOURCE_DIR) + "/docs/CONFIGURATION.md");
+    std::string const text{
+        std::istreambuf_iterator<char>(page), std::istreambuf_iterator<char>()};
+    for (auto const& one : list_entry_settings())
+    {
+        INFO(one.name);
+        CHECK(text.find("`" + one.name + "`") != std::string::npos);
+        CHECK(text.find(one.variable) != std::string::npos);
+    }
+}
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -114,8 +114,8 @@
 
 standin_rows::standin_rows()
 {
-    server_.on_request = [this](
-                             link_ptr const& link, http_request const& request)
+    server_.on_request =
+        [this](link_ptr const& link, http_request const& request)
     { answer(link, request); };
 }
 
@@ -215,8 +215,8 @@
 
 standin_target::standin_target(std::string id) : id_(std::move(id))
 {
-    server_.on_request = [this](
-                             link_ptr const& link, http_request const& request)
+    server_.on_request =
+        [this](link_ptr const& link, http_request const& request)
     { take(link, request); };
 }
 
@@ -286,8 +286,7 @@
     int status, std::string const& headers, std::string const& body)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 void standin_target::cut(link_ptr const& link)
@@ -378,8 +377,8 @@
     settings.stop_grace = seconds(8);
     one->process = std::make_unique<entry_node>(
         settings, [settings](findings&) { return settings; });
-    one->thread = std::thread([process = one->process.get()]
-                              { process->run(); });
+    one->thread =
+        std::thread([process = one->process.get()] { process->run(); });
     nodes.push_back(std::move(one));
     auto& started = *nodes.back();
     auto const end = std::chrono::steady_clock::now() + patience;
@@ -432,16 +431,15 @@
     auto const route = [](std::string const& name, std::string const& kind,
                           std::string const& service)
     {
-        return json{
-            {"name", name},
-            {"host", "h.example"},
-            {"prefix", "/" + name + "/"},
-            {"kind", kind},
-            {"timeout_ms", 3'000},
-            {"target_latency_ms", 250},
-            {"priority", 0},
-            {"service", service},
-            {"max_attempts", 2}};
+        return json{{"name", name},
+                    {"host", "h.example"},
+                    {"prefix", "/" + name + "/"},
+                    {"kind", kind},
+                    {"timeout_ms", 3'000},
+                    {"target_latency_ms", 250},
+                    {"priority", 0},
+                    {"service", service},
+                    {"max_attempts", 2}};
     };
     auto turns = route("turns", "stream", "llm");
     turns["resumable"] = true;
@@ -470,8 +468,7 @@
 {
     return post(
         prefix + "x", id,
-        "Token-Usage: 100,30\r\nPrompt-Prefix: ab:50," + id + ":50\r\n" +
-            extra,
+        "Token-Usage: 100,30\r\nPrompt-Prefix: ab:50," + id + ":50\r\n" + extra,
         "input of " + id + ";");
 }
 
@@ -479,10 +476,10 @@
     std::string const& path, std::string const& id, std::string const& extra,
     std::string const& body)
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
-           id + "\r\nDeadline-Ms: 3000\r\n" + extra +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
+           "\r\nDeadline-Ms: 3000\r\n" + extra +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace testing
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -34,8 +34,7 @@
 class standin_server
 {
 public:
-    using answer_fn =
-        std::function<void(link_ptr const&, http_request const&)>;
+    using answer_fn = std::function<void(link_ptr const&, http_request const&)>;
 
     standin_server();
     ~standin_server();
@@ -118,8 +117,8 @@
     standin_server& server() { return server_; }
 
     /// A whole stream with events `from` to `to`, or its unfinished start.
-    static std::string stream(
-        std::string const& request_id, int from, int to, bool finished);
+    static std::string
+    stream(std::string const& request_id, int from, int to, bool finished);
     static std::string event(int number);
     static std::string
     answer(int status, std::string const& headers, std::string const& body);
@@ -189,11 +188,11 @@
 
     void register_engine(standin_target const& one, std::string const& service);
     static nlohmann::json configuration();
-    static std::string
-    turn(std::string const& id, std::string const& extra = {},
+    static std::string turn(
+        std::string const& id, std::string const& extra = {},
         std::string const& prefix = "/turns/");
-    static std::string
-    post(std::string const& path, std::string const& id,
+    static std::string post(
+        std::string const& path, std::string const& id,
         std::string const& extra = {}, std::string const& body = "order");
 
     std::vector<std::unique_ptr<node>> nodes;
