--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -341,6 +341,10 @@
     }
     ++sends_;
     current_ = one;
+    story_["engine"] = at->engine.str();
+    story_["engine_load"] = at->load;
+    story_["engine_load_age_ms"] = at->load_age.count();
+    story_["engine_cached"] = at->cached_tokens;
     one->sent_at = node_.clock();
     node_.board.sent(at->engine, need_);
     exchange(one);
@@ -725,10 +729,6 @@
 
 void call_flow::note_attempt(attempt_ptr const& one, std::string_view outcome)
 {
-    story_["engine"] = one->at.engine.str();
-    story_["engine_load"] = one->at.load;
-    story_["engine_load_age_ms"] = one->at.load_age.count();
-    story_["engine_cached"] = one->at.cached_tokens;
     if (outcome == "answered")
         return;
     node_.counters.count(
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -17,7 +17,7 @@
 /// Shortest and longest wait for one answer. Answers usually take 4 to 10 ms;
 /// at times sixty times as long, and a transaction over two tables twice
 /// that.
-constexpr milliseconds shortest_attempt{200};
+constexpr milliseconds shortest_attempt{80};
 constexpr milliseconds longest_attempt{1'500};
 /// An attempt waits for this many times the usual answer.
 constexpr int attempt_factor = 8;
