Remove rows that have outlived their use; split the long files by job

Change: accounts and turns bear the time of day they were written; each partition is looked at within five minutes by its home, and rows older than the longest promise plus ten minutes are removed under their versions. Measured: tests with the fake store (4,000 rows, faults at each step).

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -23,6 +23,7 @@
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
 #include <walnutmill/versioned_store.hpp>
+#include <walnutmill/wall_clock.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -50,6 +51,8 @@
     };
 
     std::uint64_t spent = 0;
+    /// When it was written, in UTC seconds.
+    std::int64_t written_at = 0;
     /// By incarnation of a node.
     std::map<std::string, reservation> reserved;
 
@@ -95,6 +98,8 @@
     /// holds a dead node's reservation: twice what a live node takes to give
     /// back an idle one.
     duration abandoned_after = std::chrono::milliseconds(1'500);
+    /// Stamps accounts, so that old ones can be removed.
+    utc_fn utc = system_utc();
     /// Tries against other nodes' changes of the same row.
     int conflict_tries = 8;
 };
@@ -104,6 +109,9 @@
 public:
     using answer_fn = std::function<void(admission_answer)>;
 
+    /// \return the store's table of accounts.
+    static char const* table();
+
     /// \param self this incarnation of this node, unique for all time
     program_ledger(
         versioned_store store, clock_fn clock, std::string self,
--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -13,12 +13,14 @@
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
 #include <walnutmill/versioned_store.hpp>
+#include <walnutmill/wall_clock.hpp>
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,6 +47,19 @@
 std::shared_ptr<kept_turn const>
 decode_turn(request_id const& id, std::string_view bytes);
 
+/// What the first row of a kept turn says beside its bytes.
+struct turn_head
+{
+    /// Rows that the turn takes, this one included.
+    std::size_t pieces = 1;
+    /// When it was written, in UTC seconds.
+    std::int64_t written_at = 0;
+    /// Where the turn's bytes begin.
+    std::size_t size = 0;
+};
+/// \return empty where the value is no turn's first row.
+std::optional<turn_head> decode_turn_head(std::string_view value);
+
 enum class history_answer
 {
     found,
@@ -71,6 +86,8 @@
     /// may not count, so a row stays below three quarters of that.
     std::size_t row_bytes = 45'000;
     std::chrono::milliseconds patience{2'500};
+    /// Stamps turns, so that old ones can be removed.
+    utc_fn utc = system_utc();
 };
 
 class turn_history
@@ -79,6 +96,11 @@
     using chain_fn = std::function<void(history_answer, turn_chain)>;
     using kept_fn = std::function<void(bool durable)>;
 
+    /// \return the store's table of turns.
+    static char const* table();
+    /// \return the key of a turn's row, 0 being the first.
+    static std::string piece_key(request_id const& id, std::size_t piece);
+
     explicit turn_history(versioned_store store, history_options options = {});
     ~turn_history();
     turn_history(turn_history const&) = delete;
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -149,6 +149,11 @@
         });
 }
 
+bool budget_desk::is_home_of(std::string const& key) const
+{
+    return homes_.home_of(program_id(key), clock_()) == nullptr;
+}
+
 bool budget_desk::is_request(std::string_view target)
 {
     return target == admit_path || target == settle_path;
--- a/src/entry/budget_desk.hpp
+++ b/src/entry/budget_desk.hpp
@@ -58,6 +58,9 @@
 
     void settle(grant const& one, std::uint64_t handed_out);
 
+    /// \return true where this node is the home of that key.
+    bool is_home_of(std::string const& key) const;
+
     /// \return true for a path that serve() answers.
     static bool is_request(std::string_view target);
 
--- /dev/null
+++ b/src/entry/engine_board_parts.cpp
@@ -0,0 +1,227 @@
+/// \file
+/// Where the parts of prompts lie, and which engines are compared for a call.
+
+#include <walnutmill/engine_board.hpp>
+#include <walnutmill/hash.hpp>
+
+#include "entry/target_list.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+/// Engines remembered for one part of a prompt: more copies of a part than
+/// this need no memory, since a tie is broken by load anyway.
+constexpr std::size_t places_a_part = 6;
+/// A part's engines are kept for each service: a route may lead to two.
+std::string shared_key(placement_need const& need)
+{
+    return need.service.str() + "/" + need.prompt->front().id;
+}
+
+} // namespace
+
+std::uint32_t engine_board::cached_tokens(
+    target_name const& engine, placement_need const& need) const
+{
+    std::uint32_t tokens = 0;
+    if (need.prompt == nullptr)
+        return tokens;
+    // A part counts only while all before it lie there too.
+    for (auto const& part : *need.prompt)
+    {
+        auto const first = &part == &need.prompt->front();
+        auto const found = parts_.find(part.id);
+        auto const lies_there = first
+                                    ? belongs(shared_key(need), engine)
+                                    : found != parts_.end() &&
+                                          listed(found->second.engines, engine);
+        if (!lies_there)
+            break;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+bool engine_board::belongs(
+    std::string const& part, target_name const& engine) const
+{
+    auto const found = shared_.find(part);
+    return found != shared_.end() &&
+           (listed(found->second.engines.near, engine) ||
+            listed(found->second.engines.far, engine));
+}
+
+/// Keeps the share of a prompt's first part, and the order of its engines.
+void engine_board::count_shared(placement_need const& need)
+{
+    if (need.prompt == nullptr || need.prompt->empty())
+        return;
+    auto const part = shared_key(need);
+    auto const now = clock_();
+    for (auto it = shared_.begin(); it != shared_.end();)
+    {
+        // Parts that no call asks for any more fade out.
+        it->second.share *= 1 - options_.share_weight;
+        constexpr double forgotten = 0.0005;
+        if (it->second.share < forgotten && it->first != part)
+            it = shared_.erase(it);
+        else
+            ++it;
+    }
+    auto& one = shared_[part];
+    one.share += options_.share_weight;
+    if (one.engines_version == engines_version_ &&
+        now - one.ordered_at < options_.order_lasts)
+        return;
+    order_engines(one, part, need.service);
+    one.ordered_at = now;
+    one.engines_version = engines_version_;
+}
+
+void engine_board::order_engines(
+    shared_part& one, std::string const& part,
+    service_name const& service) const
+{
+    auto const found = by_service_.find(service);
+    one.engines = {};
+    if (found == by_service_.end())
+        return;
+    double all_shares = 0;
+    for (auto const& [key, other] : shared_)
+        all_shares += other.share;
+    auto const share = one.share / std::max(all_shares, one.share);
+    std::unordered_map<
+        zone_name, std::vector<std::pair<std::uint64_t, target_name>>>
+        by_domain;
+    for (auto const* group : {&found->second.near, &found->second.far})
+    {
+        for (auto const& id : *group)
+        {
+            by_domain[engines_.at(id).entry.zone].emplace_back(
+                rendezvous_weight(part, id.str()), id);
+        }
+    }
+    for (auto& [domain, order] : by_domain)
+    {
+        std::sort(order.rbegin(), order.rend());
+        auto const wanted = static_cast<std::size_t>(std::ceil(
+            share * options_.share_margin * static_cast<double>(order.size())));
+        auto& to = domain == own_domain_ ? one.engines.near : one.engines.far;
+        for (std::size_t i = 0; i < std::min(wanted, order.size()); ++i)
+            to.push_back(order[i].second);
+    }
+}
+
+/// \return the engines to compare: those that have the call's line, and some
+/// drawn at random from those that have its shared part and from all.
+std::vector<target_name> engine_board::draw(
+    engine_group const& all, placement_need const& need, time_point now)
+{
+    std::vector<target_name> drawn;
+    auto const has_prompt = need.prompt != nullptr && !need.prompt->empty();
+    if (!has_prompt)
+    {
+        draw_some(all.near, options_.near_candidates, need, now, drawn);
+        draw_some(all.far, options_.far_candidates, need, now, drawn);
+    }
+    else
+    {
+        add_line(need, now, drawn);
+        auto const& shared = shared_[shared_key(need)].engines;
+        draw_some(shared.near, options_.near_candidates, need, now, drawn);
+        draw_some(shared.far, options_.far_candidates, need, now, drawn);
+        draw_some(all.near, 1, need, now, drawn);
+    }
+    if (!drawn.empty())
+        return drawn;
+    // Nearly all rest, are avoided or leave: look at each, then even at those
+    // that rest.
+    for (auto const even_resting : {false, true})
+    {
+        for (auto const* group : {&all.near, &all.far})
+        {
+            for (auto const& id : *group)
+            {
+                if (usable(engines_.at(id), need, now, even_resting))
+                    drawn.push_back(id);
+            }
+        }
+        if (!drawn.empty())
+            break;
+    }
+    return drawn;
+}
+
+/// Adds up to so many usable engines drawn at random.
+void engine_board::draw_some(
+    std::vector<target_name> const& from, std::size_t most,
+    placement_need const& need, time_point now, std::vector<target_name>& to)
+{
+    // Draws that hit an engine twice or an unusable one are made again, but
+    // not for long.
+    constexpr std::size_t draws_each = 4;
+    std::size_t found = 0;
+    for (std::size_t i = 0; i < most * draws_each && found < most; ++i)
+    {
+        if (from.empty() || found == from.size())
+            return;
+        auto const at = std::min(
+            from.size() - 1, static_cast<std::size_t>(
+                                 random_() * static_cast<double>(from.size())));
+        if (listed(to, from[at]) ||
+            !usable(engines_.at(from[at]), need, now, false))
+            continue;
+        to.push_back(from[at]);
+        ++found;
+    }
+}
+
+/// Adds the engines at which the call's last part was read.
+void engine_board::add_line(
+    placement_need const& need, time_point now,
+    std::vector<target_name>& to) const
+{
+    auto const found = parts_.find(need.prompt->back().id);
+    if (need.prompt->size() < 2 || found == parts_.end())
+        return;
+    for (auto const& id : found->second.engines)
+    {
+        auto const engine = engines_.find(id);
+        if (engine != engines_.end() &&
+            engine->second.entry.service == need.service &&
+            usable(engine->second, need, now, false))
+            to.push_back(id);
+    }
+}
+
+void engine_board::remember_part(
+    std::string const& key, target_name const& engine)
+{
+    auto const found = parts_.find(key);
+    if (found == parts_.end())
+    {
+        auto const use = part_uses_.insert(part_uses_.end(), key);
+        parts_.emplace(key, part_place{{engine}, use});
+        if (parts_.size() > options_.remembered_parts)
+        {
+            parts_.erase(part_uses_.front());
+            part_uses_.pop_front();
+        }
+        return;
+    }
+    auto& place = found->second;
+    part_uses_.splice(part_uses_.end(), part_uses_, place.use);
+    if (listed(place.engines, engine))
+        return;
+    if (place.engines.size() >= places_a_part)
+        place.engines.erase(place.engines.begin());
+    place.engines.push_back(engine);
+}
+
+} // namespace walnutmill
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry_node.hpp"
 
+#include "entry/partitions.hpp"
+
 #include <walnutmill/hash.hpp>
 
 #include <algorithm>
@@ -24,6 +26,9 @@
 constexpr milliseconds tick_every{200};
 /// Every this many ticks idle engine connections are swept.
 constexpr std::uint64_t sweep_ticks = 5;
+/// How often a partition is looked at: all 64 within five minutes, so that
+/// old rows are a fraction of those in use.
+constexpr milliseconds sweep_every{5'000};
 /// The balancer asks once a second and needs two misses, so it still sends
 /// callers for this long after a stop began.
 constexpr milliseconds balancer_notices{2'600};
@@ -142,6 +147,9 @@
       budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
       history_(history_calls(store_), history_options_for(settings_)),
       loads_(io_, board_, clock_, settings_.node),
+      sweeper_(
+          store_.calls(store_client::when_lost::fail_at_once), system_utc(),
+          swept_tables()),
       services_{
           io_,      clock_, seeded_random(seed_of(incarnation_ + "calls")),
           board_,   links_, budgets_,
@@ -160,7 +168,8 @@
            [this](std::vector<entry_member> const& members)
            { set_members(members); }}),
       callers_(io_), ready_(io_), peers_(io_), metrics_(io_),
-      signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_), stop_timer_(io_)
+      signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
+      stop_timer_(io_), sweep_timer_(io_)
 {
 }
 
@@ -366,6 +375,7 @@
     wait_for_signal();
     view_.start();
     tick();
+    sweep_rows();
     io_.run();
     log_.write(
         line_weight::important, "node.stopped",
@@ -393,6 +403,43 @@
         });
 }
 
+/// One partition after the other, if this node is the one to sweep it.
+void entry_node::sweep_rows()
+{
+    sweep_timer_.expires_after(sweep_every);
+    sweep_timer_.async_wait(
+        [this](boost::system::error_code const& error)
+        {
+            if (error || services_.stopping)
+                return;
+            auto const partitions = all_partitions();
+            auto const partition =
+                partitions[next_partition_++ % partitions.size()];
+            std::chrono::milliseconds kept_for{0};
+            if (services_.table)
+            {
+                for (auto const& one : services_.table->routes)
+                    kept_for = std::max(kept_for, one.kept_for);
+            }
+            if (services_.table && budgets_.is_home_of(partition))
+            {
+                sweeper_.sweep(
+                    partition,
+                    std::chrono::duration_cast<std::chrono::seconds>(kept_for),
+                    [this, partition](std::size_t removed)
+                    {
+                        if (removed > 0)
+                        {
+                            log_.write(
+                                line_weight::routine, "rows.removed",
+                                {{"partition", partition}, {"rows", removed}});
+                        }
+                    });
+            }
+            sweep_rows();
+        });
+}
+
 void entry_node::wait_for_signal()
 {
     signals_.async_wait(
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -12,6 +12,7 @@
 #include "entry/line_log.hpp"
 #include "entry/load_exchange.hpp"
 #include "entry/platform_view.hpp"
+#include "entry/row_sweeper.hpp"
 #include "entry/store_client.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -67,6 +68,7 @@
     void stop();
     void stop_step();
     void tick();
+    void sweep_rows();
 
     boost::asio::io_context io_;
     entry_settings settings_;
@@ -83,6 +85,7 @@
     budget_desk budgets_;
     turn_history history_;
     load_exchange loads_;
+    row_sweeper sweeper_;
     entry_services services_;
     platform_view view_;
     acceptor callers_;
@@ -97,6 +100,9 @@
     bool left_ = false;
     bool leaving_ = false;
     std::uint64_t ticks_ = 0;
+    boost::asio::steady_timer sweep_timer_;
+    /// The partition to sweep next.
+    std::size_t next_partition_ = 0;
 };
 
 } // namespace walnutmill
--- a/src/entry/partitions.cpp
+++ b/src/entry/partitions.cpp
@@ -16,4 +16,12 @@
     return "p" + std::to_string(stable_hash(key) % partitions);
 }
 
+std::vector<std::string> all_partitions()
+{
+    std::vector<std::string> names;
+    for (std::uint64_t i = 0; i < partitions; ++i)
+        names.push_back("p" + std::to_string(i));
+    return names;
+}
+
 } // namespace walnutmill
--- a/src/entry/partitions.hpp
+++ b/src/entry/partitions.hpp
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace walnutmill
 {
@@ -16,6 +17,9 @@
 /// stays 64 calls.
 std::string partition_of(std::string_view key);
 
+/// \return the names of all partitions.
+std::vector<std::string> all_partitions();
+
 } // namespace walnutmill
 
 #endif
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -62,8 +62,10 @@
     json nodes = json::object();
     for (auto const& [node, one] : account.reserved)
         nodes[node] = {one.tokens, one.change};
-    auto const bytes =
-        json::to_cbor(json{{"spent", account.spent}, {"nodes", nodes}});
+    auto const bytes = json::to_cbor(json{
+        {"spent", account.spent},
+        {"at", account.written_at},
+        {"nodes", nodes}});
     return {bytes.begin(), bytes.end()};
 }
 
@@ -74,6 +76,7 @@
         auto const body = json::from_cbor(bytes.begin(), bytes.end());
         program_account to;
         to.spent = body.at("spent").get<std::uint64_t>();
+        to.written_at = body.at("at").get<std::int64_t>();
         for (auto const& [node, one] : body.at("nodes").items())
         {
             to.reserved[node] = {
@@ -97,6 +100,11 @@
 {
 }
 
+char const* program_ledger::table()
+{
+    return table_name;
+}
+
 program_ledger::~program_ledger()
 {
     // Answers of the store that still come find nobody.
@@ -251,6 +259,7 @@
     sent.settled = state.used;
     auto account = state.account.value_or(program_account());
     account.spent += state.used;
+    account.written_at = options_.utc();
     account.reserved[self_] = {reservation, sent.number};
     row_transaction one;
     auto const at = address(program);
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace walnutmill
@@ -33,18 +34,19 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// Starts the first row of a turn, so that no piece of another is taken for
+/// one.
+constexpr std::string_view head_mark = "turn";
+
 row_address piece_address(request_id const& id, std::size_t piece)
 {
-    // Slashes don't occur in ids that callers send in hexadecimal; a caller
-    // that uses one only collides with itself.
-    auto key = id.str();
-    if (piece > 0)
-        key += "/" + std::to_string(piece);
-    return {table_name, partition_of(id.str()), std::move(key)};
+    return {
+        table_name, partition_of(id.str()), turn_history::piece_key(id, piece)};
 }
 
 /// The first row says how many pieces follow it.
-std::vector<row_value> rows_of(kept_turn const& turn, std::size_t row_bytes)
+std::vector<row_value>
+rows_of(kept_turn const& turn, std::size_t row_bytes, std::int64_t written_at)
 {
     auto const bytes = encode(turn);
     auto const pieces =
@@ -54,7 +56,11 @@
     {
         auto value = bytes.substr(i * row_bytes, row_bytes);
         if (i == 0)
-            value.insert(0, std::to_string(pieces) + "\n");
+        {
+            value.insert(
+                0, std::string(head_mark) + " " + std::to_string(pieces) + " " +
+                       std::to_string(written_at) + "\n");
+        }
         rows.push_back({piece_address(turn.id, i), std::move(value)});
     }
     return rows;
@@ -102,6 +108,31 @@
     }
 }
 
+std::optional<turn_head> decode_turn_head(std::string_view value)
+{
+    auto const line = value.substr(0, value.find('\n'));
+    std::istringstream in{std::string(line)};
+    std::string mark;
+    turn_head to;
+    if (line.size() == value.size() ||
+        !(in >> mark >> to.pieces >> to.written_at) || mark != head_mark)
+        return std::nullopt;
+    to.size = line.size() + 1;
+    return to;
+}
+
+char const* turn_history::table()
+{
+    return table_name;
+}
+
+std::string turn_history::piece_key(request_id const& id, std::size_t piece)
+{
+    // Slashes don't occur in ids that callers send in hexadecimal; a caller
+    // that uses one only collides with itself.
+    return piece == 0 ? id.str() : id.str() + "/" + std::to_string(piece);
+}
+
 struct turn_history::loading
 {
     turn_ptr last;
@@ -238,12 +269,14 @@
                 return;
             }
             auto const& value = result.rows.front().value;
-            auto const line = value.find('\n');
-            auto const pieces =
-                std::strtoul(value.substr(0, line).c_str(), nullptr, 10);
-            fetch_pieces(
-                id, line == std::string::npos ? "" : value.substr(line + 1),
-                pieces, done);
+            auto const head = decode_turn_head(value);
+            if (!head)
+            {
+                // A turn that can't be read is not said to be unknown.
+                done(history_answer::store_unavailable, nullptr);
+                return;
+            }
+            fetch_pieces(id, value.substr(head->size), head->pieces, done);
         });
 }
 
@@ -296,7 +329,7 @@
     kept_turn turn, std::chrono::milliseconds patience, kept_fn done)
 {
     auto const rows = std::make_shared<std::vector<row_value>>(
-        rows_of(turn, options_.row_bytes));
+        rows_of(turn, options_.row_bytes, options_.utc()));
     auto const whole = std::make_shared<kept_turn const>(std::move(turn));
     write_pieces(
         rows, 0, patience,
--- /dev/null
+++ b/test/row_sweeper-test.cpp
@@ -0,0 +1,111 @@
+#include "entry/row_sweeper.hpp"
+
+#include <walnutmill/program_ledger.hpp>
+#include <walnutmill/turn_history.hpp>
+
+#include "entry/partitions.hpp"
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using std::chrono::seconds;
+
+struct sweeper_fixture
+{
+    fake_store store;
+    manual_clock clock;
+    std::int64_t now = 1'000'000;
+    utc_fn utc = [this] { return now; };
+    row_sweeper sweeper{store.calls(), utc, swept_tables()};
+
+    void keep_turn(std::string const& id, std::size_t bytes)
+    {
+        history_options options;
+        options.utc = utc;
+        turn_history history(store.calls(), options);
+        kept_turn turn;
+        turn.id = request_id(id);
+        turn.input = std::string(bytes, 'x');
+        history.keep(std::move(turn), seconds(1), [](bool) {});
+        store.run();
+    }
+
+    void spend(std::string const& program)
+    {
+        ledger_options options;
+        options.utc = utc;
+        program_ledger ledger(store.calls(), clock.fn(), "n", options);
+        ledger.admit(program_id(program), 900, 572, [](admission_answer) {});
+        store.run();
+    }
+
+    std::size_t sweep_all()
+    {
+        std::size_t removed = 0;
+        for (auto const& partition : all_partitions())
+        {
+            sweeper.sweep(
+                partition, seconds(60),
+                [&](std::size_t rows) { removed += rows; });
+            store.run();
+        }
+        return removed;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(sweeper_fixture, "sweeper: rows in use are left alone")
+{
+    keep_turn("t1", 100);
+    spend("p1");
+    now += 600;
+    CHECK(sweep_all() == 0);
+    CHECK(store.rows() == 2);
+}
+
+TEST_CASE_METHOD(
+    sweeper_fixture, "sweeper: old accounts and turns go with all their pieces")
+{
+    keep_turn("t1", 100);
+    keep_turn("t2", 200'000);
+    spend("p1");
+    now += 700;
+    keep_turn("t3", 100);
+    CHECK(sweep_all() == 3);
+    CHECK(store.rows() == 1);
+}
+
+TEST_CASE_METHOD(
+    sweeper_fixture, "sweeper: many rows are removed in several changes")
+{
+    for (int i = 0; i < 4'000; ++i)
+        spend("p" + std::to_string(i));
+    now += 700;
+    CHECK(sweep_all() == 4'000);
+    CHECK(store.rows() == 0);
+}
+
+TEST_CASE_METHOD(
+    sweeper_fixture, "sweeper: faults of the store only leave rows for later")
+{
+    for (std::size_t step = 1; step <= 8; ++step)
+    {
+        for (auto const fault : all_store_faults)
+        {
+            keep_turn("t" + std::to_string(step), 100);
+            now += 700;
+            store.fail_step(store.steps() + step, fault);
+            sweep_all();
+            sweep_all();
+            CHECK(store.rows() == 0);
+        }
+    }
+}
