--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -141,7 +141,7 @@
             settle_path, one.home_address,
             {{"turn", one.turn}, {"used", handed_out}}),
         settlement_patience,
-        [this, one, handed_out, tries](http_reply reply)
+        [this, one, handed_out, tries](http_reply const& reply)
         {
             // Told twice, a home finds the turn settled already.
             if (!reply.answered && tries > 1)
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -413,7 +413,7 @@
             if (error || services_.stopping)
                 return;
             auto const partitions = all_partitions();
-            auto const partition =
+            auto const& partition =
                 partitions[next_partition_++ % partitions.size()];
             std::chrono::milliseconds kept_for{0};
             if (services_.table)
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -143,7 +143,7 @@
 };
 
 turn_history::turn_history(versioned_store store, history_options options)
-    : store_(std::move(store)), options_(options),
+    : store_(std::move(store)), options_(std::move(options)),
       alive_(std::make_shared<bool>(true))
 {
 }
--- a/test/budget_desk-test.cpp
+++ b/test/budget_desk-test.cpp
@@ -64,7 +64,7 @@
                     return;
                 caller_link::hooks hooks;
                 hooks.on_request = [this](
-                                       std::shared_ptr<caller_link> link,
+                                       std::shared_ptr<caller_link> const& link,
                                        caller_link::request_type&& request)
                 { serve(link, request); };
                 hooks.refuse = [](int, std::string_view)
@@ -88,7 +88,7 @@
             return;
         home.serve(
             target, request.body(),
-            [link](int status, std::string body)
+            [link](int status, std::string const& body)
             {
                 link->write(
                     "HTTP/1.1 " + std::to_string(status) +
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -328,13 +328,13 @@
     auto calls = engine_a.calls();
     for (auto const& call : engine_b.calls())
         calls.push_back(call);
-    std::string const output = "piece 1\npiece 2\npiece 3\n";
+    std::string const whole =
+        "input of t1;piece 1\npiece 2\npiece 3\n"
+        "input of t2;piece 1\npiece 2\npiece 3\ninput of t3;";
     for (auto const& call : calls)
     {
         if (call.id == "t3")
-            CHECK(
-                call.body == "input of t1;" + output + "input of t2;" + output +
-                                 "input of t3;");
+            CHECK(call.body == whole);
     }
     CHECK(
         two.call(turn("t4", "Previous-Turn: gone\r\n", "/kept/")).status ==
