Close links with a call under way when their caller ends

Cause: the sanitizer's run of the budget desk tests leaked a link of 17 KB: a link holds its handlers, which hold the link, and the caller was gone before the end. Change: the caller knows its links in use and closes them.

--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -37,6 +37,8 @@
 http_caller::~http_caller()
 {
     *alive_ = false;
+    for (auto const& link : in_use_)
+        link->close();
     for (auto& [address, links] : idle_)
     {
         for (auto& link : links)
@@ -54,16 +56,18 @@
         boost::asio::post(io_, [done = std::move(done)] { done({}); });
         return;
     }
+    in_use_.insert(link);
     auto const one = std::make_shared<call_state>();
     one->began = now();
     one->timer = std::make_shared<boost::asio::steady_timer>(io_, patience);
     one->timer->async_wait(
-        [alive = alive_, one, link,
+        [this, alive = alive_, one, link,
          done](boost::system::error_code const& error)
         {
             if (error || one->ended || !*alive)
                 return;
             one->ended = true;
+            in_use_.erase(link);
             link->close();
             one->reply.sent = true;
             done(std::move(one->reply));
@@ -81,6 +85,7 @@
         one->reply.answered = how == link_end::complete;
         one->reply.sent = how != link_end::not_connected;
         one->reply.took = now() - one->began;
+        in_use_.erase(link);
         return_link(address, link);
         done(std::move(one->reply));
     };
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace walnutmill
@@ -57,6 +58,9 @@
 
     boost::asio::io_context& io_;
     std::unordered_map<std::string, std::vector<link_ptr>> idle_;
+    /// Links with a call under way: each is held by its own handlers, so they
+    /// are closed when the caller ends.
+    std::unordered_set<link_ptr> in_use_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
