--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -95,7 +95,7 @@
     versioned_store store, clock_fn clock, std::string self,
     ledger_options options)
     : store_(std::move(store)), clock_(std::move(clock)),
-      self_(std::move(self)), options_(options),
+      self_(std::move(self)), options_(std::move(options)),
       alive_(std::make_shared<bool>(true))
 {
 }
