Start programs on leases while the store is away

Change: homes hold leases on partitions, a first account is written on condition of the lease and sets the holder's half aside; calls end at once when the store gets lost while they wait; homes say every 100 ms that they are still at it; reservations of incarnations known to be dead are passed at once instead of after 1.5 s.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -19,9 +19,13 @@
 /// retries kept it so after the burst. So a node reserves half of what is
 /// free, and settles when it needs more or the program is idle: some two
 /// writes a program.
+///
+/// While the store is away a program that has no account yet may spend the
+/// allowance of its partition's lease (start_lease.hpp).
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
+#include <walnutmill/start_lease.hpp>
 #include <walnutmill/versioned_store.hpp>
 #include <walnutmill/wall_clock.hpp>
 
@@ -113,18 +117,22 @@
     static char const* table();
 
     /// \param self this incarnation of this node, unique for all time
+    /// \param leases outlive the ledger; null where no node of the site holds
+    /// any: then no program starts without the store
     program_ledger(
         versioned_store store, clock_fn clock, std::string self,
-        ledger_options options = {});
+        ledger_options options = {}, start_leases* leases = nullptr);
     ~program_ledger();
     program_ledger(program_ledger const&) = delete;
     program_ledger& operator=(program_ledger const&) = delete;
 
     /// Asks for a turn of at most that many tokens.
     /// \param answer called once, maybe at once
+    /// \param needs_store the turn could not end without the store, so the
+    /// program should not start without it either
     void admit(
         program_id const& program, std::uint64_t budget,
-        std::uint64_t most_tokens, answer_fn answer);
+        std::uint64_t most_tokens, answer_fn answer, bool needs_store = false);
 
     /// \return true where a turn of the program was asked for lately.
     bool knows(program_id const& program) const;
@@ -150,6 +158,7 @@
     {
         std::uint64_t most_tokens = 0;
         answer_fn answer;
+        bool needs_store = false;
     };
     /// A change sent to the store whose effect is not known yet.
     struct sent_change
@@ -158,6 +167,8 @@
         std::uint64_t on_version = 0;
         std::uint64_t reserved = 0;
         std::uint64_t settled = 0;
+        /// Of the partition's lease, for a program's first account.
+        std::uint64_t lease_version = 0;
     };
     struct program_state
     {
@@ -192,15 +203,24 @@
     never_fits(program_state const& state, std::uint64_t most_tokens) const;
     void change(program_id const& program, program_state& state);
     bool held_by_the_dead(program_state& state) const;
-    std::uint64_t
-    wanted_reservation(program_state const& state, std::uint64_t spent) const;
+    std::uint64_t wanted_reservation(
+        program_state const& state, program_account const& account) const;
     void send(
         program_id const& program, program_state& state,
         std::uint64_t reservation);
     void changed(
-        program_id const& program, sent_change sent, transaction_result result);
+        program_id const& program, sent_change const& sent,
+        program_account const& account, time_point asked_at,
+        transaction_result const& result);
     void reread(program_id const& program);
-    void observe(program_state& state, stored_row const* row);
+    void store_is_away(program_id const& program, program_state& state);
+    program_account present_account(
+        program_id const& program, program_state const& state) const;
+    void take_in_conflict(
+        program_id const& program, program_state& state,
+        std::vector<stored_row> const& rows);
+    void observe(
+        program_id const& program, program_state& state, stored_row const* row);
     void apply(program_state& state, sent_change const& sent);
     void answer_all(program_state& state, admission_answer answer);
     row_address address(program_id const& program) const;
@@ -209,6 +229,7 @@
     clock_fn clock_;
     std::string self_;
     ledger_options options_;
+    start_leases* leases_;
     std::unordered_map<program_id, program_state> programs_;
     std::uint64_t last_change_ = 0;
     std::size_t changes_under_way_ = 0;
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -1,7 +1,10 @@
 #include "entry/budget_desk.hpp"
 
+#include "entry/partitions.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <iterator>
 #include <utility>
 
 namespace walnutmill
@@ -15,11 +18,11 @@
 constexpr std::string_view admit_path = "/budget/admit";
 constexpr std::string_view settle_path = "/budget/settle";
 
-/// A home answers from memory in 2 to 4 ms; with a write of its own first in
-/// 10 to 15, on a slow store in some 300. Waiting longer than this costs a
-/// turn more than asking the store itself.
-constexpr milliseconds admission_patience{150};
 constexpr milliseconds settlement_patience{500};
+/// Times that a home is asked on while it says that it is still at it: with
+/// its pauses of 100 ms longer than the ledger waits for the store (2.5 s).
+constexpr int most_questions = 30;
+constexpr std::string_view pending_answer = "pending";
 /// Tries to tell a home what a turn spent; untold it counts as its most.
 constexpr int settlement_tries = 4;
 /// A turn of another node that was not settled by then is taken for spent:
@@ -58,9 +61,10 @@
 
 budget_desk::budget_desk(
     boost::asio::io_context& io, program_ledger& ledger, clock_fn clock,
-    std::string self, std::string incarnation)
-    : ledger_(ledger), clock_(std::move(clock)), caller_(io),
-      homes_(std::move(self)), incarnation_(std::move(incarnation))
+    std::string self, std::string incarnation, desk_options options)
+    : io_(io), ledger_(ledger), clock_(std::move(clock)), caller_(io),
+      homes_(std::move(self)), incarnation_(std::move(incarnation)),
+      options_(options)
 {
 }
 
@@ -80,12 +84,14 @@
         one.program, one.budget, one.most_tokens,
         [one, answer = std::move(answer)](admission_answer what) {
             answer(what, {one.program, one.most_tokens, {}, {}, {}});
-        });
+        },
+        one.needs_store);
 }
 
 void budget_desk::admit(wish const& one, answer_fn const& answer)
 {
-    auto const* home = homes_.home_of(one.program, clock_());
+    auto const* home =
+        homes_.home_of(partition_of(one.program.str()), clock_());
     if (home == nullptr)
     {
         admit_here(one, answer);
@@ -95,25 +101,41 @@
         one.program, one.most_tokens,
         incarnation_ + "/" + std::to_string(++last_turn_), home->node,
         home->address};
+    ask_home(one, wanted, most_questions, answer);
+}
+
+void budget_desk::ask_home(
+    wish const& one, grant const& wanted, int questions,
+    answer_fn const& answer)
+{
     caller_.call(
-        home->address,
+        wanted.home_address,
         http_post(
-            admit_path, home->address,
+            admit_path, wanted.home_address,
             {{"program", one.program.str()},
              {"budget", one.budget},
              {"most", one.most_tokens},
              {"only_begun", one.only_begun},
+             {"needs_store", one.needs_store},
              {"turn", wanted.turn}}),
-        admission_patience,
-        [this, one, wanted, answer](http_reply const& reply)
+        options_.admission_patience,
+        [this, one, wanted, questions, answer](http_reply const& reply)
         {
             auto const body = reply.answered && reply.status == status_ok
                                   ? json::from_cbor(reply.body, true, false)
                                   : json();
-            if (body.is_object())
+            auto const told = body.is_object()
+                                  ? body.value("answer", std::string())
+                                  : std::string();
+            if (told == pending_answer && questions > 1)
+            {
+                ask_home(one, wanted, questions - 1, answer);
+                return;
+            }
+            if (body.is_object() && told != pending_answer)
             {
                 homes_.answered(wanted.home);
-                answer(answer_of(body.value("answer", std::string())), wanted);
+                answer(answer_of(told), wanted);
                 return;
             }
             homes_.did_not_answer(wanted.home, clock_());
@@ -151,7 +173,7 @@
 
 bool budget_desk::is_home_of(std::string const& key) const
 {
-    return homes_.home_of(program_id(key), clock_()) == nullptr;
+    return homes_.home_of(key, clock_()) == nullptr;
 }
 
 bool budget_desk::is_request(std::string_view target)
@@ -185,22 +207,78 @@
     one.budget = asked.value("budget", std::uint64_t{0});
     one.most_tokens = asked.value("most", std::uint64_t{0});
     one.only_begun = asked.value("only_begun", false);
+    one.needs_store = asked.value("needs_store", false);
     auto const turn = asked.value("turn", std::string());
+    // Asked again while it is under way: the same admission, asked on.
+    auto const under_way = slow_.count(turn) > 0;
+    await(turn, reply);
+    if (under_way)
+        return;
     admit_here(
         one,
-        [this, alive = alive_, one, turn,
-         reply](admission_answer what, grant const&)
+        [this, alive = alive_, one, turn](admission_answer what, grant const&)
         {
-            if (*alive && what == admission_answer::admitted)
-            {
-                open_[turn] = {
-                    one.program, one.most_tokens, clock_() + open_at_most};
-            }
-            auto const bytes = json::to_cbor(json{{"answer", to_string(what)}});
-            reply(status_ok, std::string(bytes.begin(), bytes.end()));
+            if (*alive)
+                admitted(one, turn, what);
         });
 }
 
+/// Answers the asker once the admission is decided, or that it is under way.
+void budget_desk::await(std::string const& turn, reply_fn asker)
+{
+    auto& slow = slow_[turn];
+    slow.asker = std::move(asker);
+    slow.until = clock_() + open_at_most;
+    if (slow.answer)
+    {
+        reply_slow(turn);
+        return;
+    }
+    slow.patience = std::make_shared<boost::asio::steady_timer>(io_);
+    slow.patience->expires_after(options_.say_pending_after);
+    slow.patience->async_wait(
+        [this, alive = alive_, turn](boost::system::error_code const& error)
+        {
+            if (!error && *alive)
+                reply_slow(turn);
+        });
+}
+
+void budget_desk::admitted(
+    wish const& one, std::string const& turn, admission_answer what)
+{
+    auto const slow = slow_.find(turn);
+    auto const withdrawn = slow != slow_.end() && slow->second.withdrawn;
+    if (withdrawn && what == admission_answer::admitted)
+        ledger_.settle(one.program, one.most_tokens, 0);
+    if (withdrawn)
+    {
+        slow_.erase(slow);
+        return;
+    }
+    if (what == admission_answer::admitted)
+        open_[turn] = {one.program, one.most_tokens, clock_() + open_at_most};
+    slow_[turn].answer = what;
+    reply_slow(turn);
+}
+
+void budget_desk::reply_slow(std::string const& turn)
+{
+    auto const found = slow_.find(turn);
+    if (found == slow_.end() || !found->second.asker)
+        return;
+    auto const answer = found->second.answer;
+    auto const reply = std::move(found->second.asker);
+    found->second.asker = {};
+    if (found->second.patience)
+        found->second.patience->cancel();
+    if (answer)
+        slow_.erase(found);
+    auto const bytes = json::to_cbor(
+        json{{"answer", answer ? to_string(*answer) : pending_answer}});
+    reply(status_ok, std::string(bytes.begin(), bytes.end()));
+}
+
 void budget_desk::serve_settlement(
     std::string_view body, std::function<void(int, std::string)> const& reply)
 {
@@ -210,7 +288,11 @@
         reply(status_bad_request, {});
         return;
     }
-    auto const found = open_.find(told.value("turn", std::string()));
+    auto const turn = told.value("turn", std::string());
+    auto const slow = slow_.find(turn);
+    if (slow != slow_.end() && !slow->second.answer)
+        slow->second.withdrawn = true;
+    auto const found = open_.find(turn);
     if (found != open_.end())
     {
         auto const one = found->second;
@@ -235,6 +317,8 @@
         ledger_.settle(one.program, one.most_tokens, one.most_tokens);
         it = open_.erase(it);
     }
+    for (auto it = slow_.begin(); it != slow_.end();)
+        it = it->second.until > now ? std::next(it) : slow_.erase(it);
 }
 
 } // namespace walnutmill
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -180,7 +180,8 @@
     auto const only_begun =
         node_.random() < refusal_chance(pressure, route_->rank);
     node_.budgets.admit(
-        {program.program, *program.token_budget, most_tokens_, only_begun},
+        {program.program, *program.token_budget, most_tokens_, only_begun,
+         route_->keeps_turns},
         [self = shared_from_this()](
             admission_answer answer, budget_desk::grant const& grant)
         {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_node.hpp"
 
+#include "entry/call_limits.hpp"
 #include "entry/partitions.hpp"
 
 #include <walnutmill/hash.hpp>
@@ -38,6 +39,9 @@
 /// sites' routes takes 3 s.
 constexpr milliseconds last_call_before_end{3'100};
 constexpr milliseconds stop_step_every{50};
+/// Leases are taken once the other nodes are known: one renewal of their rows
+/// (3 s) and a reading.
+constexpr milliseconds leases_after{4'000};
 /// A node that read nothing of the store for this long, itself or through
 /// others, can't start programs: the balancer should use others.
 constexpr milliseconds blind_after{3'500};
@@ -141,9 +145,13 @@
       board_(
           zone_name(settings_.domain), clock_,
           seeded_random(seed_of(incarnation_ + "board"))),
-      links_(io_), ledger_(
-                       store_.calls(store_client::when_lost::fail_at_once),
-                       clock_, incarnation_),
+      links_(io_),
+      leases_(
+          store_.calls(store_client::when_lost::fail_at_once), clock_,
+          system_utc(), incarnation_, program_ledger::table(), lease_hooks()),
+      ledger_(
+          store_.calls(store_client::when_lost::fail_at_once), clock_,
+          incarnation_, {}, &leases_),
       budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
       history_(history_calls(store_), history_options_for(settings_)),
       loads_(io_, board_, clock_, settings_.node),
@@ -159,7 +167,8 @@
       view_(
           io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
-          {settings_.node, settings_.listen_peers, settings_.domain},
+          {settings_.node, settings_.listen_peers, settings_.domain,
+           incarnation_},
           shortest_interval,
           {[this](std::shared_ptr<routing_table const> table)
            { services_.table = std::move(table); },
@@ -279,6 +288,8 @@
         static_cast<double>(services_.calls_under_way));
     counters_.gauge(
         "walnutmill_programs_known", static_cast<double>(ledger_.programs()));
+    counters_.gauge(
+        "walnutmill_usable_leases", static_cast<double>(leases_.usable()));
     counters_.gauge(
         "walnutmill_turn_cache_bytes",
         static_cast<double>(history_.cached_bytes()));
@@ -327,12 +338,37 @@
         });
 }
 
+start_leases::hooks entry_node::lease_hooks()
+{
+    start_leases::hooks to;
+    to.is_home = [this](std::string const& partition)
+    { return budgets_.is_home_of(partition); };
+    to.is_alive = [this](std::string const& incarnation)
+    { return living_.count(incarnation) > 0; };
+    to.on_event = [this](lease_event const& one)
+    {
+        counters_.count(
+            "walnutmill_lease_events_total{what=\"" + std::string(one.what) +
+            "\"}");
+        log_.write(
+            line_weight::routine, "lease." + std::string(one.what),
+            {{"partition", one.partition},
+             {"program", one.program},
+             {"row_version", one.version},
+             {"former", one.former},
+             {"confirmed_ms_ago", ms_count(one.age)}});
+    };
+    return to;
+}
+
 void entry_node::set_members(std::vector<entry_member> const& members)
 {
     std::vector<std::string> relays;
     std::vector<home_candidate> homes;
+    living_.clear();
     for (auto const& one : members)
     {
+        living_.insert(one.incarnation);
         relays.push_back(one.address);
         homes.push_back({one.node, one.address});
     }
@@ -373,6 +409,7 @@
                           { answer_metrics(link); }));
     }
     wait_for_signal();
+    started_ = clock_();
     view_.start();
     tick();
     sweep_rows();
@@ -388,6 +425,8 @@
 {
     ledger_.tick();
     budgets_.tick();
+    if (!services_.stopping && clock_() - started_ >= leases_after)
+        leases_.tick();
     log_.flush();
     if (++ticks_ % sweep_ticks == 0)
     {
@@ -510,6 +549,7 @@
     {
         leaving_ = true;
         ledger_.settle_all();
+        leases_.release_all();
         view_.leave([this] { left_ = true; });
     }
     if (since > balancer_notices)
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -15,6 +15,8 @@
 #include "entry/row_sweeper.hpp"
 #include "entry/store_client.hpp"
 
+#include <walnutmill/start_lease.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -68,6 +70,7 @@
     void stop();
     void stop_step();
     void tick();
+    start_leases::hooks lease_hooks();
     void sweep_rows();
 
     boost::asio::io_context io_;
@@ -81,6 +84,7 @@
     store_client store_;
     engine_board board_;
     engine_links links_;
+    start_leases leases_;
     program_ledger ledger_;
     budget_desk budgets_;
     turn_history history_;
@@ -96,6 +100,9 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     std::unordered_set<caller_link*> caller_links_;
+    /// Incarnations of the other nodes.
+    std::unordered_set<std::string> living_;
+    time_point started_{};
     time_point stop_began_{};
     bool left_ = false;
     bool leaving_ = false;
--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -81,7 +81,7 @@
         homes_.did_not_answer(asked_node_, now);
         unanswered_ = 0;
     }
-    auto const* home = homes_.home_of(program_id(summing_key), now);
+    auto const* home = homes_.home_of(summing_key, now);
     auto own = own_counts();
     summary_.set(self_, own, now);
     if (home == nullptr)
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -22,6 +22,11 @@
 /// and who may carry calls, so late news cost little.
 constexpr milliseconds renew_every{3'000};
 constexpr milliseconds gone_after{10'000};
+/// After a start members are read this often for a while: nodes that lost
+/// power together write their rows anew within a second, and until that is
+/// known what their former selves had reserved keeps programs waiting.
+constexpr milliseconds first_readings{1'000};
+constexpr milliseconds first_readings_for{6'000};
 /// Longest wait for one reading: the next one starts it anew.
 constexpr milliseconds read_patience{900};
 /// Without a reading for this long the store counts as having been away: an
@@ -33,8 +38,10 @@
 
 std::string encode(entry_member const& one)
 {
-    auto const bytes =
-        json::to_cbor(json{{"address", one.address}, {"domain", one.domain}});
+    auto const bytes = json::to_cbor(json{
+        {"address", one.address},
+        {"domain", one.domain},
+        {"incarnation", one.incarnation}});
     return {bytes.begin(), bytes.end()};
 }
 
@@ -53,6 +60,7 @@
 
 void platform_view::start()
 {
+    started_ = clock_();
     read_configuration();
     read_engines();
     read_members();
@@ -210,7 +218,10 @@
         [this](range_result const& result)
         {
             members_read(result);
-            again(renew_every, members_timer_, &platform_view::read_members);
+            auto const young = clock_() - started_ < first_readings_for;
+            again(
+                young ? first_readings : renew_every, members_timer_,
+                &platform_view::read_members);
         });
 }
 
@@ -235,7 +246,8 @@
             continue;
         members.push_back(
             {row.at.key, body.value("address", std::string()),
-             body.value("domain", std::string())});
+             body.value("domain", std::string()),
+             body.value("incarnation", std::string())});
         names.push_back(row.at.key);
     }
     members_ = std::move(seen);
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -34,6 +34,8 @@
     /// IP:PORT for other nodes.
     std::string address;
     std::string domain;
+    /// Names this process among all that the node ever had.
+    std::string incarnation;
 };
 
 class platform_view
@@ -105,6 +107,7 @@
     };
     std::unordered_map<std::string, known_member> members_;
     std::vector<std::string> member_names_;
+    time_point started_{};
     time_point last_read_{};
     time_point engines_read_at_{};
     /// Until then a missing entry does not mean that its engine is gone.
--- a/src/entry/program_home.cpp
+++ b/src/entry/program_home.cpp
@@ -18,13 +18,13 @@
 }
 
 home_candidate const*
-program_homes::home_of(program_id const& program, time_point now) const
+program_homes::home_of(std::string_view key, time_point now) const
 {
     home_candidate const* best = nullptr;
-    auto best_weight = rendezvous_weight(program.str(), self_);
+    auto best_weight = rendezvous_weight(key, self_);
     for (auto const& one : others_)
     {
-        auto const weight = rendezvous_weight(program.str(), one.node);
+        auto const weight = rendezvous_weight(key, one.node);
         if (weight <= best_weight)
             continue;
         auto const found = passed_over_until_.find(one.node);
--- a/src/entry/program_home.hpp
+++ b/src/entry/program_home.hpp
@@ -2,7 +2,8 @@
 #define WALNUTMILL_SRC_ENTRY_PROGRAM_HOME_HPP
 
 /// \file
-/// Which node keeps a program's account in its memory: its home.
+/// Which node keeps a program's account in its memory: the home of the
+/// store's partition that the account lies in.
 ///
 /// Load pattern: a program's turns, tool calls and sub-agents come through
 /// two nodes on average, some through all of them. Without a home each node
@@ -17,6 +18,7 @@
 #include <walnutmill/ids.hpp>
 
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -45,9 +47,9 @@
     /// \param others the other nodes
     void set_nodes(std::vector<home_candidate> others);
 
-    /// \return the node that the program's account lies at; null: this one.
-    home_candidate const*
-    home_of(program_id const& program, time_point now) const;
+    /// \param key of what has a home: a partition of the store, say
+    /// \return the node that is its home; null: this one.
+    home_candidate const* home_of(std::string_view key, time_point now) const;
 
     void did_not_answer(std::string const& node, time_point now);
     void answered(std::string const& node);
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -93,9 +93,9 @@
 
 program_ledger::program_ledger(
     versioned_store store, clock_fn clock, std::string self,
-    ledger_options options)
+    ledger_options options, start_leases* leases)
     : store_(std::move(store)), clock_(std::move(clock)),
-      self_(std::move(self)), options_(std::move(options)),
+      self_(std::move(self)), options_(std::move(options)), leases_(leases),
       alive_(std::make_shared<bool>(true))
 {
 }
@@ -118,13 +118,13 @@
 
 void program_ledger::admit(
     program_id const& program, std::uint64_t budget, std::uint64_t most_tokens,
-    answer_fn answer)
+    answer_fn answer, bool needs_store)
 {
     auto& state = programs_[program];
     state.budget = budget;
     state.last_use = clock_();
     state.return_ahead = false;
-    state.queue.push_back({most_tokens, std::move(answer)});
+    state.queue.push_back({most_tokens, std::move(answer), needs_store});
     if (!state.changing)
         state.tries = 0;
     pump(program, state);
@@ -185,11 +185,10 @@
 /// settled: turns under way, turns that wait as far as they may start, and up
 /// to half of what nobody else has claimed.
 std::uint64_t program_ledger::wanted_reservation(
-    program_state const& state, std::uint64_t spent) const
+    program_state const& state, program_account const& account) const
 {
-    auto const others =
-        state.account ? state.account->reserved_by_others(self_) : 0;
-    auto const taken = spent + others;
+    auto const taken =
+        account.spent + state.used + account.reserved_by_others(self_);
     auto wanted = state.open;
     for (auto const& one : state.queue)
     {
@@ -207,10 +206,26 @@
     return std::max(wanted, ahead);
 }
 
+/// \return the account as the store should have it before this node's next
+/// change: a new one sets aside what holders of leases may have handed out.
+program_account program_ledger::present_account(
+    program_id const& program, program_state const& state) const
+{
+    if (state.account)
+        return *state.account;
+    program_account to;
+    if (leases_ == nullptr)
+        return to;
+    auto const partition = partition_of(program.str());
+    for (auto const& one : leases_->others_who_may_start(partition))
+        to.reserved[one] = {start_allowance(state.budget), 0};
+    return to;
+}
+
 void program_ledger::change(program_id const& program, program_state& state)
 {
-    auto const spent = (state.account ? state.account->spent : 0) + state.used;
-    auto reservation = wanted_reservation(state, spent);
+    auto const account = present_account(program, state);
+    auto reservation = wanted_reservation(state, account);
     auto const waits = [&]
     {
         return !state.queue.empty() &&
@@ -220,7 +235,7 @@
     if (waits() && state.tries > 0)
     {
         state.abandoned = held_by_the_dead(state);
-        reservation = wanted_reservation(state, spent);
+        reservation = wanted_reservation(state, account);
         if (waits())
         {
             answer_all(state, admission_answer::contended);
@@ -235,8 +250,10 @@
         send(program, state, reservation);
 }
 
-/// \return true where the account that keeps a turn out has not changed for
-/// longer than a live node would leave it.
+/// \return true where the reservations that keep a turn out are nobody's any
+/// more: all holders are known to be gone, or the account has not changed for
+/// longer than a live node would leave it. A turn that starts beside them can
+/// take the program past its budget by less than that turn, once.
 bool program_ledger::held_by_the_dead(program_state& state) const
 {
     auto const now = clock_();
@@ -246,7 +263,18 @@
         state.contended_version = state.version;
         state.contended_since = now;
     }
-    return now - state.contended_since >= options_.abandoned_after;
+    if (now - state.contended_since >= options_.abandoned_after)
+        return true;
+    if (leases_ == nullptr || !state.account)
+        return false;
+    auto const& reserved = state.account->reserved;
+    return std::none_of(
+        reserved.begin(), reserved.end(),
+        [this](auto const& one)
+        {
+            return one.first != self_ && one.second.tokens > 0 &&
+                   leases_->lives(one.first);
+        });
 }
 
 void program_ledger::send(
@@ -257,13 +285,19 @@
     sent.on_version = state.version;
     sent.reserved = reservation;
     sent.settled = state.used;
-    auto account = state.account.value_or(program_account());
+    auto account = present_account(program, state);
     account.spent += state.used;
     account.written_at = options_.utc();
     account.reserved[self_] = {reservation, sent.number};
     row_transaction one;
     auto const at = address(program);
     one.conditions.push_back({at, state.version});
+    if (state.version == 0 && leases_ != nullptr)
+    {
+        auto const lease = leases_->condition(at.partition);
+        one.conditions.push_back(lease);
+        sent.lease_version = lease.version;
+    }
     one.writes.push_back({at, encode(account)});
     state.unresolved.push_back(sent);
     state.changing = true;
@@ -271,33 +305,36 @@
     ++changes_under_way_;
     store_.commit(
         std::move(one), options_.patience,
-        [this, alive = alive_, program, sent](transaction_result result)
+        [this, alive = alive_, program, sent, account,
+         asked_at = clock_()](transaction_result const& result)
         {
             if (*alive)
-                changed(program, sent, std::move(result));
+                changed(program, sent, account, asked_at, result);
         });
 }
 
 void program_ledger::changed(
-    program_id const& program, sent_change sent, transaction_result result)
+    program_id const& program, sent_change const& sent,
+    program_account const& account, time_point asked_at,
+    transaction_result const& result)
 {
     --changes_under_way_;
     auto& state = programs_[program];
     state.changing = false;
     if (result.outcome == store_outcome::done)
     {
-        auto account = state.account.value_or(program_account());
-        account.spent += sent.settled;
-        account.reserved[self_] = {sent.reserved, sent.number};
-        stored_row const row{address(program), encode(account), result.version};
-        observe(state, &row);
+        auto const at = address(program);
+        if (leases_ != nullptr && sent.on_version == 0)
+            leases_->held_at(at.partition, sent.lease_version, asked_at);
+        stored_row const row{at, encode(account), result.version};
+        observe(program, state, &row);
         state.tries = 0;
         pump(program, state);
         return;
     }
     if (result.outcome == store_outcome::conflict)
     {
-        observe(state, result.rows.empty() ? nullptr : &result.rows.front());
+        take_in_conflict(program, state, result.rows);
         if (state.tries >= options_.conflict_tries)
         {
             answer_all(state, admission_answer::contended);
@@ -306,6 +343,42 @@
         pump(program, state);
         return;
     }
+    store_is_away(program, state);
+}
+
+/// A change's conditions did not hold: its rows are told as they are now.
+void program_ledger::take_in_conflict(
+    program_id const& program, program_state& state,
+    std::vector<stored_row> const& rows)
+{
+    auto const at = address(program);
+    auto const lease = start_leases::address(at.partition);
+    stored_row const* account = nullptr;
+    for (auto const& row : rows)
+    {
+        if (row.at == at)
+            account = &row;
+        else if (leases_ != nullptr && row.at == lease)
+            leases_->observe(at.partition, &row);
+    }
+    observe(program, state, account);
+}
+
+/// Without the store turns go on from what this node has reserved, or from the
+/// allowance of a program that surely has no account yet.
+void program_ledger::store_is_away(
+    program_id const& program, program_state& state)
+{
+    auto const may_start = leases_ != nullptr && !state.queue.empty() &&
+                           !state.queue.front().needs_store && !state.account &&
+                           state.version == 0 && leases_->may_start(program);
+    if (may_start)
+    {
+        leases_->started(program);
+        state.reserved =
+            std::max(state.reserved, start_allowance(state.budget));
+        serve_queue(state);
+    }
     answer_all(state, admission_answer::store_unavailable);
 }
 
@@ -326,18 +399,22 @@
             found.changing = false;
             if (result.outcome != store_outcome::done)
             {
-                answer_all(found, admission_answer::store_unavailable);
+                store_is_away(program, found);
                 return;
             }
             observe(
-                found, result.rows.empty() ? nullptr : &result.rows.front());
+                program, found,
+                result.rows.empty() ? nullptr : &result.rows.front());
             pump(program, found);
         });
 }
 
 /// Takes in the row as the store has it; a null pointer: there is none.
-void program_ledger::observe(program_state& state, stored_row const* row)
+void program_ledger::observe(
+    program_id const& program, program_state& state, stored_row const* row)
 {
+    if (row != nullptr && leases_ != nullptr)
+        leases_->account_seen(program);
     auto const version = row != nullptr ? row->version : 0;
     if (row != nullptr)
         state.account = decode_account(row->value).value_or(spent_up());
@@ -396,7 +473,9 @@
         auto const quiet = now - state.last_use;
         auto const idle =
             state.open == 0 && state.queue.empty() && !state.changing;
-        auto const unsettled = state.reserved > 0 || state.used > 0;
+        // A change in doubt may have reserved something, too.
+        auto const unsettled =
+            state.reserved > 0 || state.used > 0 || !state.unresolved.empty();
         if (idle && unsettled && quiet >= options_.idle_return)
         {
             state.return_ahead = true;
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -49,6 +49,7 @@
     platform::store_request request;
     time_point give_up_at;
     int attempts = 0;
+    when_lost then = when_lost::try_on;
     /// An attempt went without an answer that tells its fate.
     bool in_doubt = false;
     bool ended = false;
@@ -134,14 +135,15 @@
 
 void store_client::start(pending_ptr const& one, when_lost then)
 {
+    one->then = then;
     // Never from within the caller's own call: its state may be half set.
     boost::asio::post(
         io_,
-        [this, alive = alive_, one, then]
+        [this, alive = alive_, one]
         {
             if (!*alive)
                 return;
-            if (then == when_lost::fail_at_once && lost())
+            if (one->then == when_lost::fail_at_once && lost())
                 give_up(one);
             else
                 try_once(one);
@@ -217,6 +219,11 @@
 
 void store_client::retry_later(pending_ptr const& one)
 {
+    if (one->then == when_lost::fail_at_once && lost())
+    {
+        give_up(one);
+        return;
+    }
     auto const spread = 0.5 + random_();
     auto const pause = std::min<duration>(
         shortest_pause * (1 << std::min(one->attempts, most_doublings)),
--- a/test/budget_desk-test.cpp
+++ b/test/budget_desk-test.cpp
@@ -1,5 +1,6 @@
 #include "entry/budget_desk.hpp"
 #include "entry/caller_link.hpp"
+#include "entry/partitions.hpp"
 
 #include "fake_store.hpp"
 
@@ -29,19 +30,29 @@
     manual_clock clock;
     program_ledger home_ledger{store.calls(), clock.fn(), "home.1"};
     program_ledger asker_ledger{store.calls(), clock.fn(), "asker.1"};
-    budget_desk home{io, home_ledger, clock.fn(), "home", "home.1"};
+    budget_desk home{io,         home_ledger,
+                     clock.fn(), "home",
+                     "home.1",   {milliseconds(150), milliseconds(20)}};
+    /// Its home may take long on a busy machine without being taken for dead.
+    desk_options patient{seconds(20), milliseconds(20)};
     budget_desk asker{io, asker_ledger, clock.fn(), "asker", "asker.1"};
+    budget_desk patient_asker{io,      asker_ledger, clock.fn(),
+                              "asker", "asker.1",    patient};
+    bool store_answers = true;
     tcp::acceptor acceptor{
         io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
     program_id program;
     bool home_answers = true;
     int settlements = 0;
+    int admissions = 0;
 
     desk_fixture()
     {
-        asker.set_nodes(
-            {{"home", "127.0.0.1:" +
-                          std::to_string(acceptor.local_endpoint().port())}});
+        std::vector<home_candidate> const others{
+            {"home",
+             "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())}};
+        asker.set_nodes(others);
+        patient_asker.set_nodes(others);
         program_homes const homes = [this]
         {
             program_homes one("asker");
@@ -49,7 +60,8 @@
             return one;
         }();
         for (int i = 0;
-             program.empty() || homes.home_of(program, clock.now()) == nullptr;
+             program.empty() ||
+             homes.home_of(partition_of(program.str()), clock.now()) == nullptr;
              ++i)
             program = program_id("p" + std::to_string(i));
         accept();
@@ -84,6 +96,8 @@
         std::string const target(request.target());
         if (target == "/budget/settle")
             ++settlements;
+        else
+            ++admissions;
         if (!home_answers)
             return;
         home.serve(
@@ -108,7 +122,8 @@
         {
             io.run_for(milliseconds(2));
             io.restart();
-            store.run();
+            if (store_answers)
+                store.run();
         }
         REQUIRE(holds());
     }
@@ -190,3 +205,49 @@
     store.run();
     CHECK(ask(900).first == admission_answer::exhausted);
 }
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: a home that waits for the store is waited for")
+{
+    store_answers = false;
+    std::vector<budget_desk::grant> grants;
+    patient_asker.admit(
+        {program, 900, 572, false},
+        [&](admission_answer answer, budget_desk::grant const& grant)
+        {
+            CHECK(answer == admission_answer::admitted);
+            grants.push_back(grant);
+        });
+    // Asked again and again, it is one admission.
+    run_until([&] { return admissions >= 4; });
+    CHECK(grants.empty());
+    store_answers = true;
+    run_until([&] { return !grants.empty(); });
+    CHECK(grants.front().home == "home");
+    CHECK_FALSE(asker_ledger.knows(program));
+    CHECK(store.commits() == 1);
+    patient_asker.settle(grants.front(), 264);
+    run_until([&] { return settlements == 1; });
+    CHECK(ask(900).first == admission_answer::admitted);
+    CHECK(ask(900).first != admission_answer::admitted);
+}
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: an admission that nobody waits for is undone")
+{
+    store_answers = false;
+    auto answered = false;
+    patient_asker.admit(
+        {program, 900, 572, false},
+        [&](admission_answer, budget_desk::grant const&) { answered = true; });
+    run_until([&] { return admissions >= 2; });
+    // It says that it went on without the home's answer.
+    patient_asker.settle(
+        {program, 572, "asker.1/1", "home",
+         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())},
+        0);
+    run_until([&] { return settlements == 1; });
+    store_answers = true;
+    run_until([&] { return home_ledger.busy() == false; });
+    CHECK(ask(900).first == admission_answer::admitted);
+}
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -385,6 +385,32 @@
     CHECK(caller.call(post("/orders/x", "r1")).status == 200);
 }
 
+TEST_CASE_METHOD(
+    entry_fixture, "entry: a program starts without the store on a lease")
+{
+    auto& node = start_node();
+    test_caller metrics(node.settings.listen_metrics);
+    REQUIRE(comes_true(
+        [&]
+        {
+            auto const got = metrics.call(post("/metrics", "m1"));
+            return got.body.find("walnutmill_usable_leases 64") !=
+                   std::string::npos;
+        }));
+    store.set_down(true);
+    test_caller caller(node.settings.listen_callers);
+    std::string const program = "Program-Id: p9\r\nToken-Budget: 900\r\n";
+    CHECK(caller.call(turn("t1", program)).status == 200);
+    CHECK(engine_calls() == 1);
+    // One that has to be kept needs the store to end.
+    CHECK(
+        caller
+            .call(turn(
+                "k1", "Program-Id: p10\r\nToken-Budget: 900\r\n", "/kept/"))
+            .status == 503);
+    CHECK(engine_calls() == 1);
+}
+
 TEST_CASE_METHOD(
     entry_fixture, "entry: routes are matched by host and longest prefix")
 {
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -373,6 +373,7 @@
     settings.listen_callers = free_address();
     settings.listen_ready = free_address();
     settings.listen_peers = free_address();
+    settings.listen_metrics = free_address();
     settings.store = store.address();
     settings.stop_grace = seconds(8);
     one->process = std::make_unique<entry_node>(
--- a/test/program_home-test.cpp
+++ b/test/program_home-test.cpp
@@ -33,7 +33,7 @@
     home(program_homes const& at, std::string const& self, int program) const
     {
         auto const* found =
-            at.home_of(program_id("p" + std::to_string(program)), clock.now());
+            at.home_of("p" + std::to_string(program), clock.now());
         return found == nullptr ? self : found->node;
     }
 };
