Let new programs pass at once what dead homes hold

Cause: after all machines lost power 42 of 244 new programs were told that their budget was taken; 38 of them have 900 tokens, of which 450 were set aside for the former home, and a turn of 572 most. The rule that one turn may start beside reservations of the dead looked at the account in the store, which a new program does not have yet; and what former selves held counted as alive until members were read for the second time, 3 s after the start. Test: 'leases: a program of one turn starts beside a dead home's' fails first.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -202,7 +202,8 @@
     bool
     never_fits(program_state const& state, std::uint64_t most_tokens) const;
     void change(program_id const& program, program_state& state);
-    bool held_by_the_dead(program_state& state) const;
+    bool held_by_the_dead(
+        program_state& state, program_account const& account) const;
     std::uint64_t wanted_reservation(
         program_state const& state, program_account const& account) const;
     void send(
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -234,7 +234,7 @@
     // The account may be an old one: look again before turning a turn away.
     if (waits() && state.tries > 0)
     {
-        state.abandoned = held_by_the_dead(state);
+        state.abandoned = held_by_the_dead(state, account);
         reservation = wanted_reservation(state, account);
         if (waits())
         {
@@ -254,7 +254,8 @@
 /// more: all holders are known to be gone, or the account has not changed for
 /// longer than a live node would leave it. A turn that starts beside them can
 /// take the program past its budget by less than that turn, once.
-bool program_ledger::held_by_the_dead(program_state& state) const
+bool program_ledger::held_by_the_dead(
+    program_state& state, program_account const& account) const
 {
     auto const now = clock_();
     if (state.contended_version != state.version ||
@@ -265,9 +266,9 @@
     }
     if (now - state.contended_since >= options_.abandoned_after)
         return true;
-    if (leases_ == nullptr || !state.account)
+    if (leases_ == nullptr)
         return false;
-    auto const& reserved = state.account->reserved;
+    auto const& reserved = account.reserved;
     return std::none_of(
         reserved.begin(), reserved.end(),
         [this](auto const& one)
--- a/test/start_lease-test.cpp
+++ b/test/start_lease-test.cpp
@@ -304,6 +304,19 @@
     CHECK(back->former.at(0).until == 17);
 }
 
+TEST_CASE_METHOD(
+    lease_fixture, "leases: a program of one turn starts beside a dead home's")
+{
+    start_home("h.1");
+    auto& next = start("n.1");
+    next.home = [] { return true; };
+    next.lives = [](std::string const&) { return false; };
+    run(next);
+    // 450 of 900 are set aside, and the turn may need 572.
+    CHECK(ask(next, program, false, 900) == admission_answer::admitted);
+    CHECK(ask(next, program, false, 900) != admission_answer::admitted);
+}
+
 TEST_CASE_METHOD(
     lease_fixture, "ledger: a reservation of one known to be dead is passed")
 {
