Mend two proofs that tested nothing or judged callers wrongly

Cause, from the recorded history: 60 attempts in 61 s, each answered 504 'the call's deadline passed' after the 30 ms that the caller had set; an engine that takes longer can never serve them, and the caller asked again with the same 30 ms. Nothing was lost. Now a caller whose deadline passed doubles it. Now the proof drains only after e1 had work.

--- a/support/callers.py
+++ b/support/callers.py
@@ -126,6 +126,10 @@
             if time.monotonic() > end:
                 raise lost(f"{self.program} {attempt['request_id']}")
             time.sleep(attempt["pause"])
+            # Asked with the same time again, a call that takes longer than
+            # that never ends, however well it is served.
+            if wanted.deadline_ms and deadline_passed(attempt):
+                body["deadline_ms"] *= 2
 
     def body_of(self, wanted, number):
         # All programs use the same request ids: they must not get mixed up.
@@ -249,6 +253,11 @@
         raise lost(f"order {text!r}")
 
 
+def deadline_passed(attempt):
+    return (attempt["result"] == "refusal" and
+            attempt["body"]["error"]["code"] == "deadline_exceeded")
+
+
 def outcome_of(got):
     """Returns ("answer" | "refusal" | "broken", body)."""
     for event in got.events:
--- a/support/proofs.py
+++ b/support/proofs.py
@@ -19,6 +19,8 @@
 CONFIGURATION_BOUND = 5.0
 # Holds of ended programs are gone within this (seconds).
 HOLDS_BOUND = 30.0
+# A storm that has not shown what it is about by then ends without (seconds).
+ENOUGH_AT_MOST = 60.0
 # How a call that may not be repeated can end when a failure strikes it.
 UNKNOWN = ("answer", "outcome_unknown", "target_failed", "deadline_exceeded")
 
@@ -33,17 +35,20 @@
 
 
 def storm(running, rng, script, struck, agents=6, rounds=3, pairs=False,
-          budget=100_000, **options):
+          budget=100_000, enough=lambda: True, **options):
     """Runs programs, one after the other in each of some threads, until all
-    faults have struck. Returns (faults injected, errors)."""
+    faults have struck and there was enough of what is to be proved, or
+    ENOUGH_AT_MOST has passed. Returns (faults injected, errors)."""
     group = workload.crowd()
+    end = time.monotonic() + ENOUGH_AT_MOST
     with faults.injector(running, random.Random(rng.random()), struck,
                          rounds, pairs=pairs) as harm:
         for i in range(agents):
             own = random.Random(rng.random())
             group.add(workload.until_over, running, own, name=f"a{i + 1}",
-                      script=script, over=harm.over, budget=budget,
-                      options=options)
+                      script=script, budget=budget, options=options,
+                      over=lambda: harm.over() and (
+                          enough() or time.monotonic() > end))
         group.join()
     errors = list(group.errors)
     if harm.error:
@@ -116,15 +121,19 @@
     rng = random.Random(seed)
     with world(services=2, engine_options=["--slots", "1", "--queue", "2"],
                service_options=["--run-ms", "40"]) as running:
+        def refusals():
+            return sum(checkers.refused_not_run(a)
+                       for a in list(running.record.attempts))
         done, errors = storm(
             running, rng, workload.chain,
             [faults.service_refuses, faults.engine_refuses, faults.kill,
              faults.table_down, faults.table_loses_answers, faults.freeze,
              faults.cut_target, faults.engine_slow],
-            agents=10, pick=hurried, pause=0.02)
+            agents=10, pick=hurried, pause=0.02,
+            enough=lambda: refusals() > 0)
         seen = running.executions()
         attempts = running.record.attempts
-        refused = sum(checkers.refused_not_run(a) for a in attempts)
+        refused = refusals()
         wrong = checkers.not_run(attempts, seen)
         if refused == 0:
             wrong.append("nothing was refused as not run: nothing was tested")
@@ -295,6 +304,11 @@
         return everything_holds(running, done, errors)
 
 
+def generated(running, target):
+    return any(e["target"] == target and e["kind"] == "generate"
+               for e in running.executions())
+
+
 def leaving_target(seed):
     """A leaving target gets no new work after the stated bound."""
     rng = random.Random(seed)
@@ -314,6 +328,10 @@
         with faults.injector(running, random.Random(rng.random()), struck,
                              rounds=2) as harm:
             time.sleep(rng.uniform(0.3, 1.0))
+            # Draining an engine that had no work yet would prove nothing.
+            until = time.monotonic() + LEAVING_BOUND
+            while time.monotonic() < until and not generated(running, "e1"):
+                time.sleep(0.05)
             ordered = callers.operator(running.nodes, rng, "operator")
             accepted, at, got = ordered.order('drain e1 reason "proof"')
             harm.thread.join()
