--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -19,7 +19,7 @@
 using asio::ip::tcp;
 
 /// More than the kernel's buffers of a connection on the loopback hold.
-constexpr std::size_t large = 32U * 1'024U * 1'024U;
+constexpr std::size_t large = 33'554'432;
 
 /// A caller and a node's side of its connection, on one loop. The caller reads
 /// nothing until it is told to.
--- a/test/start_lease-test.cpp
+++ b/test/start_lease-test.cpp
@@ -47,7 +47,7 @@
 /// believes to live, are set by the test.
 struct lease_node
 {
-    lease_node(fake_store& store, day_clock& day, std::string self)
+    lease_node(fake_store& store, day_clock& day, std::string const& self)
         : name(self),
           leases(
               store.calls(), day.clock.fn(), day.utc(), self,
@@ -147,7 +147,7 @@
     CHECK(turns == 6);
     store.set_down(false);
     CHECK(ask(home, program) == admission_answer::admitted);
-    CHECK(account(program).spent == 6 * 264);
+    CHECK(account(program).spent == 1'584);
 }
 
 TEST_CASE_METHOD(
