--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -411,6 +411,17 @@
     CHECK(engine_calls() == 1);
 }
 
+TEST_CASE_METHOD(
+    entry_fixture, "entry: a call that an engine has is not said not to run")
+{
+    auto& node = start_node();
+    // The service takes the order and never answers.
+    script_desks([](link_ptr const&, http_request const&) { return true; });
+    test_caller caller(node.settings.listen_callers);
+    CHECK(caller.call(post("/orders/x", "r1")).status == 504);
+    CHECK(desk_calls() == 1);
+}
+
 TEST_CASE_METHOD(
     entry_fixture, "entry: routes are matched by host and longest prefix")
 {
