--- a/include/walnutmill/fair_queue.hpp
+++ b/include/walnutmill/fair_queue.hpp
@@ -97,7 +97,7 @@
     double first_level = 2.0;
     /// Slot-seconds of attained service that a second of waiting makes up
     /// for. A call is passed by later ones for at most level / aging_rate.
-    /// The bench finishes as many programs in time with 0 to 0.1, and fewer
+    /// The benchmark finishes as many programs in time with 0 to 0.1, and fewer
     /// under overload with 0.5.
     double aging_rate = 0.05;
     /// Slot-seconds below which a program is young: it may yet be a short one,
