Leave engines that fall silent; look again at engines that failed

Cause: a call at an engine that never answers, or that stops in the middle of a stream, was held until its deadline (3 s) or until its caller left, and a caller that left taught the node nothing of the engine.

Change: silence is measured against what was expected of the engine when the call was sent (stall_policy). A call that may run again is ended there and goes on elsewhere, or at the same engine on a new connection, within a tenth of all calls; one that may not waits on. The engine is thought worse of at once, and its idle connections are dropped. Failures now fade with time: an engine that nobody sent to any more could not show that it was well again.

Tests: with the watch off, 2 of 5 cases of 'stalled call' fail; with failures that don't fade, 2 of the board's. The world of the other tests sets the silence borne to 20 s, as their engines keep silent for other reasons.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -65,6 +65,10 @@
     /// a second of an engine's calls from one node.
     double speed_weight = 0.1;
     double failure_weight = 0.2;
+    /// Failures count half after this. An engine that nobody sends to can't
+    /// show that it is well again; spells of failing last some 5 s, and a look
+    /// each few seconds costs a call in twenty of what the spell would.
+    duration failures_halve = std::chrono::seconds(3);
     /// Time in which an engine's told load fades to its average: what calls
     /// there take (300 to 500 ms).
     duration load_fades = std::chrono::milliseconds(400);
@@ -117,6 +121,8 @@
     std::string address;
     /// Expected wait for a slot there.
     std::chrono::milliseconds wait{0};
+    /// Expected time until the first bytes of an answer, the wait included.
+    std::chrono::milliseconds first_bytes{0};
     /// Calls there, of all nodes, as estimated.
     double load = 0;
     std::uint32_t slots = 0;
@@ -158,6 +164,9 @@
     void ended(
         target_name const& engine, placement_need const& need,
         engine_outcome outcome, duration took);
+    /// A call at the engine has been silent for longer than it should be; it
+    /// may still end there.
+    void stalled(target_name const& engine);
     void told_load(target_name const& engine, engine_load const& load);
     /// Calls of other nodes at each engine, as those told each other just
     /// now.
@@ -187,7 +196,9 @@
         double peer_calls = 0;
         time_point peers_told_at{};
         double speed = 1.0;
+        /// Part of the calls that failed lately, as of failures_at.
         double failures = 0;
+        time_point failures_at{};
         time_point rests_until{};
         duration rest{0};
     };
@@ -234,6 +245,11 @@
     double expected_ms(
         engine_record const& one, placement_need const& need,
         std::uint32_t cached, double load) const;
+    double first_bytes_ms(
+        engine_record const& one, placement_need const& need,
+        std::uint32_t cached) const;
+    double failures_of(engine_record const& one, time_point now) const;
+    void add_failure(engine_record& one, time_point now) const;
     double wait_ms(engine_record const& one, double load, double call_ms) const;
     std::uint32_t
     cached_tokens(target_name const& engine, placement_need const& need) const;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -25,9 +25,6 @@
 
 /// With less left than this an engine could not produce anything.
 constexpr milliseconds least_useful{25};
-/// Engines asked for one call before it is refused, each having refused it
-/// or not been reachable.
-constexpr int most_sends = 6;
 /// Bytes that a caller who does not read may leave unsent.
 constexpr std::size_t most_unsent = 1'048'576;
 /// Bytes of one answer that is not a stream.
@@ -97,6 +94,8 @@
         try_engine();
         return;
     }
+    if (sends_ == 0)
+        node_.repeats.call_sent();
     ++sends_;
     current_ = one;
     story_["engine"] = at->engine.str();
@@ -104,8 +103,12 @@
     story_["engine_load_age_ms"] = at->load_age.count();
     story_["engine_cached"] = at->cached_tokens;
     one->sent_at = node_.clock();
+    one->heard_at = one->sent_at;
+    one->patience = stall_patience(
+        at->first_bytes, service_->model.has_value(), stalls_, node_.stalls);
     node_.board.sent(at->engine, need_);
     exchange(one);
+    watch_for_stall(one);
 }
 
 void call_flow::exchange(attempt_ptr const& one)
@@ -131,6 +134,7 @@
 void call_flow::on_head(
     attempt_ptr const& one, platform::response_head const& head)
 {
+    one->heard_at = node_.clock();
     one->answer = platform::decode_answer(head);
     if (one->answer.load)
         node_.board.told_load(one->at.engine, *one->answer.load);
@@ -139,6 +143,7 @@
 
 void call_flow::on_body(attempt_ptr const& one, std::string_view bytes)
 {
+    one->heard_at = node_.clock();
     auto const streams = route_->streams && one->runs &&
                          one->answer.status < status_ok_end &&
                          one->answer.signed_by_engine;
@@ -288,13 +293,17 @@
         deliver(one);
 }
 
-bool call_flow::may_run_elsewhere() const
+/// \param left the engine that the call ran at last
+bool call_flow::may_run_elsewhere(target_name const& left) const
 {
     // Engines that ended meanwhile don't count.
-    auto const alive = std::count_if(
+    auto alive = std::count_if(
         ran_at_.begin(), ran_at_.end(),
         [this](target_name const& one) { return node_.board.known(one); });
-    return static_cast<std::uint64_t>(alive) < route_->max_engines;
+    if (!listed(ran_at_, left))
+        ++alive;
+    return static_cast<std::uint64_t>(alive) < route_->max_engines &&
+           node_.board.engines_of(need_.service) > 1;
 }
 
 /// An engine may have run the call without bringing it to its end.
@@ -308,7 +317,7 @@
         ran_at_.push_back(engine);
     auto const repeatable =
         route_->repeats == repeatability::idempotent && sends_ < most_sends;
-    if (repeatable && may_run_elsewhere())
+    if (repeatable && may_run_elsewhere(engine))
     {
         need_.avoid.push_back(engine);
         try_engine();
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -43,7 +43,7 @@
     entry_services& node, std::shared_ptr<caller_link> link,
     caller_link::request_type&& request)
     : node_(node), link_(std::move(link)), request_(std::move(request)),
-      deadline_(node.io), arrived_(node.clock())
+      deadline_(node.io), stall_timer_(node.io), arrived_(node.clock())
 {
     ++node_.calls_under_way;
 }
@@ -338,6 +338,7 @@
     done_ = true;
     settle();
     deadline_.cancel();
+    stall_timer_.cancel();
     if (outcome != "broken off" && !left_)
         link_->finish_answer(node_.stopping);
     link_->on_gone = {};
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -9,6 +9,7 @@
 #include <walnutmill/engine_board.hpp>
 #include <walnutmill/metrics.hpp>
 #include <walnutmill/routing_table.hpp>
+#include <walnutmill/stall_policy.hpp>
 #include <walnutmill/turn_history.hpp>
 
 #include "entry/budget_desk.hpp"
@@ -42,6 +43,8 @@
     turn_history& history;
     line_log& log;
     metrics& counters;
+    stall_options stalls;
+    repeat_allowance repeats;
     /// Null until a configuration is known.
     std::shared_ptr<routing_table const> table;
     /// Nodes that share the engines' connections, this one included.
@@ -70,6 +73,9 @@
         placement at;
         engine_links::link_ptr link;
         time_point sent_at{};
+        /// When bytes of its answer came last, or when it was sent.
+        time_point heard_at{};
+        duration patience{0};
         engine_answer answer;
         std::string body;
         event_cutter events;
@@ -95,11 +101,14 @@
     void on_body(attempt_ptr const& one, std::string_view bytes);
     void on_end(attempt_ptr const& one, link_end how);
     void end_attempt(attempt_ptr const& one, engine_outcome outcome);
+    void watch_for_stall(attempt_ptr const& one);
+    void check_progress(attempt_ptr const& one);
+    bool may_leave(attempt_ptr const& one);
     void refused_by_engine(attempt_ptr const& one);
     void attempt_broke(attempt_ptr const& one);
     void attempt_completed(attempt_ptr const& one);
     void retry_or_fail(attempt_ptr const& one, bool complete_failure);
-    bool may_run_elsewhere() const;
+    bool may_run_elsewhere(target_name const& left) const;
 
     void forward_event(attempt_ptr const& one, stream_event const& event);
     void stream_completed();
@@ -125,13 +134,15 @@
     service const* service_ = nullptr;
     placement_need need_;
     boost::asio::steady_timer deadline_;
+    boost::asio::steady_timer stall_timer_;
     time_point arrived_;
     time_point give_up_at_;
     attempt_ptr current_;
     /// Engines that may have run the call.
     std::vector<target_name> ran_at_;
-    /// Told by an engine that refused: come back after this.
     int sends_ = 0;
+    /// Times that an engine was left because it had fallen silent.
+    int stalls_ = 0;
     std::uint64_t most_tokens_ = 0;
     std::uint64_t tokens_per_event_ = 1;
     std::uint64_t handed_out_ = 0;
--- a/src/entry/call_limits.hpp
+++ b/src/entry/call_limits.hpp
@@ -21,6 +21,11 @@
 constexpr std::chrono::milliseconds come_back_soon{120};
 constexpr std::chrono::milliseconds come_back_spread{250};
 
+/// Times that one call is sent: to engines that refuse it, can't be reached,
+/// or break off. Six draws miss a sound engine once in a million where one in
+/// ten is not.
+constexpr int most_sends = 6;
+
 /// First status that tells of a failure at the server.
 constexpr int status_server_error = 500;
 
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -105,6 +105,33 @@
     return load < slots ? 0 : (load - slots + 1) / slots * call_ms;
 }
 
+double engine_board::first_bytes_ms(
+    engine_record const& one, placement_need const& need,
+    std::uint32_t cached) const
+{
+    // A plain answer comes whole.
+    if (need.prompt_tokens == 0)
+        return options_.plain_ms * one.speed;
+    auto const unread = static_cast<double>(
+        need.prompt_tokens - std::min(need.prompt_tokens, cached));
+    return one.speed *
+           (options_.first_ms + unread / options_.prefill_tokens_per_ms);
+}
+
+double engine_board::failures_of(engine_record const& one, time_point now) const
+{
+    return one.failures *
+           std::exp2(
+               -ms_of(now - one.failures_at) / ms_of(options_.failures_halve));
+}
+
+void engine_board::add_failure(engine_record& one, time_point now) const
+{
+    auto const before = failures_of(one, now);
+    one.failures = before + (1 - before) * options_.failure_weight;
+    one.failures_at = now;
+}
+
 double engine_board::cost_of(
     engine_record const& one, placement_need const& need, std::uint32_t cached,
     time_point now) const
@@ -131,7 +158,8 @@
     }
     if (one.entry.zone != own_domain_)
         cost += options_.other_domain_ms;
-    return cost + one.failures * options_.failure_ms + random_() * spread_ms;
+    return cost + failures_of(one, now) * options_.failure_ms +
+           random_() * spread_ms;
 }
 
 bool engine_board::usable(
@@ -178,6 +206,9 @@
     auto const call_ms = expected_ms(*best, need, to.cached_tokens, to.load);
     to.wait = std::chrono::milliseconds(
         static_cast<std::int64_t>(wait_ms(*best, to.load, call_ms)));
+    to.first_bytes =
+        to.wait + std::chrono::milliseconds(static_cast<std::int64_t>(
+                      first_bytes_ms(*best, need, to.cached_tokens)));
     if (best->told_at != time_point{})
     {
         to.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -220,13 +251,12 @@
     auto const now = clock_();
     auto const load = load_of(one, now);
     one.own_calls -= std::min(one.own_calls, 1U);
-    auto const weight = options_.failure_weight;
     switch (outcome)
     {
     case engine_outcome::answered:
     {
         one.rest = duration(0);
-        one.failures *= 1 - weight / 2;
+        one.failures *= 1 - options_.failure_weight / 2;
         auto const cached = cached_tokens(engine, need);
         auto const expected = expected_ms(one, need, cached, load) / one.speed;
         auto const ratio = std::clamp(ms_of(took) / expected, fastest, slowest);
@@ -240,13 +270,20 @@
         rest(one, options_.first_rest, now);
         break;
     case engine_outcome::failed:
-        one.failures += (1 - one.failures) * weight;
+        add_failure(one, now);
         break;
     case engine_outcome::abandoned:
         break;
     }
 }
 
+void engine_board::stalled(target_name const& engine)
+{
+    auto const found = engines_.find(engine);
+    if (found != engines_.end())
+        add_failure(found->second, clock_());
+}
+
 void engine_board::told_load(target_name const& engine, engine_load const& load)
 {
     auto const found = engines_.find(engine);
--- a/src/entry/engine_links.cpp
+++ b/src/entry/engine_links.cpp
@@ -66,6 +66,16 @@
         link->close();
 }
 
+void engine_links::drop_idle(target_name const& engine)
+{
+    auto const found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    for (auto& link : found->second.idle)
+        link->close();
+    found->second.idle.clear();
+}
+
 void engine_links::sweep(
     std::function<bool(target_name const&)> const& still_registered)
 {
--- a/src/entry/engine_links.hpp
+++ b/src/entry/engine_links.hpp
@@ -43,6 +43,10 @@
     /// The exchange is over: keeps the connection if it can be used again.
     void give_back(target_name const& engine, link_ptr link);
 
+    /// Ends the idle connections to an engine: they may be as silent as one
+    /// that just turned out to be.
+    void drop_idle(target_name const& engine);
+
     /// Ends the idle connections to engines that are gone, and those that
     /// have been idle for long.
     void sweep(std::function<bool(target_name const&)> const& still_registered);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -84,6 +84,13 @@
     return node + "." + text;
 }
 
+stall_options stalls_of(entry_settings const& settings)
+{
+    stall_options to;
+    to.least = settings.stall_least;
+    return to;
+}
+
 /// A turn that was served is kept if that is possible at all; one that needs
 /// its history is refused at once while there is no reading it.
 versioned_store history_calls(store_client& store)
@@ -159,11 +166,22 @@
           store_.calls(store_client::when_lost::fail_at_once), system_utc(),
           swept_tables()),
       services_{
-          io_,      clock_, seeded_random(seed_of(incarnation_ + "calls")),
-          board_,   links_, budgets_,
-          history_, log_,   counters_,
-          nullptr,  1,      false,
-          true,     0},
+          io_,
+          clock_,
+          seeded_random(seed_of(incarnation_ + "calls")),
+          board_,
+          links_,
+          budgets_,
+          history_,
+          log_,
+          counters_,
+          stalls_of(settings_),
+          repeat_allowance(),
+          nullptr,
+          1,
+          false,
+          true,
+          0},
       view_(
           io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -18,6 +18,9 @@
 constexpr std::string_view variable_prefix = "WALNUTMILL_";
 constexpr char const* file_variable = "WALNUTMILL_NODE_FILE";
 constexpr double ms_per_s = 1'000;
+/// Below what a lost packet takes to be sent again, sound calls would count
+/// as stalled.
+constexpr std::uint32_t shortest_stall_ms = 200;
 
 /// Values as read, before they are checked.
 struct raw_settings
@@ -26,6 +29,8 @@
     double stop_grace_s = 8;
     std::uint32_t apply_ms = 2'000;
     std::uint32_t drain_ms = 2'000;
+    std::uint32_t stall_least_ms =
+        static_cast<std::uint32_t>(stall_options().least.count());
 };
 
 po::options_description describe(raw_settings& raw)
@@ -53,6 +58,8 @@
         "within which a configuration is in force");
     add("drain-within-ms", po::value(&raw.drain_ms),
         "within which a leaving engine gets no new work");
+    add("stall-least-ms", po::value(&raw.stall_least_ms),
+        "silence of an engine that a call always bears");
     add("settings-file", po::value(&to.file),
         "file of NAME = VALUE lines, read again on SIGHUP");
     return all;
@@ -125,6 +132,8 @@
         problems.add("stop-grace-s", "must be above 1");
     if (to.store_reads_per_s == 0)
         problems.add("store-reads-per-s", "must not be 0");
+    if (raw.stall_least_ms < shortest_stall_ms)
+        problems.add("stall-least-ms", "must be 200 at least");
     constexpr std::uint64_t least_memory_mb = 40;
     if (to.memory_mb < least_memory_mb)
         problems.add("memory-mb", "must be 40 at least");
@@ -189,6 +198,7 @@
     raw.to.stop_grace = std::chrono::milliseconds(
         static_cast<std::int64_t>(raw.stop_grace_s * ms_per_s));
     raw.to.apply_within = std::chrono::milliseconds(raw.apply_ms);
+    raw.to.stall_least = std::chrono::milliseconds(raw.stall_least_ms);
     raw.to.drain_within = std::chrono::milliseconds(raw.drain_ms);
     return raw.to;
 }
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -6,6 +6,7 @@
 /// names that may change while the node runs.
 
 #include <walnutmill/finding.hpp>
+#include <walnutmill/stall_policy.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -39,6 +40,8 @@
     std::chrono::milliseconds apply_within{2'000};
     /// Within which an engine that leaves has to be left alone.
     std::chrono::milliseconds drain_within{2'000};
+    /// Silence that an engine may always keep during a call.
+    std::chrono::milliseconds stall_least = stall_options().least;
     std::string file;
 };
 
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -198,3 +198,57 @@
     auto const chosen = choose_often(plain(), 200);
     CHECK(chosen.at("e7") < 40);
 }
+
+TEST_CASE_METHOD(
+    board_fixture, "board: a stalled engine is left alone, then tried again")
+{
+    start(4, 1);
+    auto const share_of_e0 = [&]
+    {
+        auto const chosen = choose_often(plain(), 400);
+        return chosen.count("e0") > 0 ? chosen.at("e0") : 0;
+    };
+    auto const before = share_of_e0();
+    for (int i = 0; i < 3; ++i)
+        board.stalled(target_name("e0"));
+    auto const after = share_of_e0();
+    clock.advance(seconds(60));
+    auto const later = share_of_e0();
+    CHECK(before > 60);
+    CHECK(after <= 20);
+    CHECK(later > 60);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: an engine that failed gets calls again without any")
+{
+    start(4, 1);
+    for (int i = 0; i < 6; ++i)
+    {
+        board.sent(target_name("e0"), plain());
+        board.ended(
+            target_name("e0"), plain(), engine_outcome::failed,
+            milliseconds(10));
+    }
+    auto const after = choose_often(plain(), 400);
+    clock.advance(seconds(60));
+    auto const later = choose_often(plain(), 400);
+    CHECK((after.count("e0") > 0 ? after.at("e0") : 0) <= 20);
+    CHECK(later.at("e0") > 60);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: the first bytes are expected after wait and reading")
+{
+    start(1, 1);
+    auto const idle = board.choose(turn());
+    for (int i = 0; i < 24; ++i)
+        board.sent(target_name("e0"), turn());
+    auto const full = board.choose(turn());
+    REQUIRE(idle);
+    REQUIRE(full);
+    CHECK(idle->first_bytes >= milliseconds(10));
+    CHECK(idle->first_bytes <= milliseconds(60));
+    CHECK(full->first_bytes > full->wait);
+    CHECK(full->wait > milliseconds(100));
+}
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -376,6 +376,7 @@
     settings.listen_metrics = free_address();
     settings.store = store.address();
     settings.stop_grace = seconds(8);
+    settings.stall_least = stall_least;
     one->process = std::make_unique<entry_node>(
         settings, [settings](findings&) { return settings; });
     one->thread =
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -196,6 +196,9 @@
         std::string const& extra = {}, std::string const& body = "order");
 
     std::vector<std::unique_ptr<node>> nodes;
+    /// Of nodes started from then on. Beyond all deadlines, as engines of most
+    /// tests keep silent for other reasons.
+    std::chrono::milliseconds stall_least{20'000};
 };
 
 } // namespace testing
--- /dev/null
+++ b/test/stalled_call-test.cpp
@@ -0,0 +1,136 @@
+#include "entry_world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <string>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using std::chrono::milliseconds;
+
+struct stalled_call_fixture : entry_world
+{
+    /// Requests that came to silenced targets.
+    std::atomic<int> requests{0};
+
+    stalled_call_fixture() { stall_least = milliseconds(200); }
+
+    /// Of all requests to these targets the first one is left unanswered,
+    /// after that many events.
+    void silence_the_first(standin_target& a, standin_target& b, int events)
+    {
+        for (auto* one : {&a, &b})
+        {
+            one->set_script(
+                [this, events](link_ptr const& link, http_request const& sent)
+                {
+                    if (++requests > 1)
+                        return false;
+                    std::string const id(sent["Request-Id"]);
+                    if (events > 0)
+                        link->write(
+                            standin_target::stream(id, 1, events, false));
+                    return true;
+                });
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    stalled_call_fixture,
+    "stalled call: one that may run again is answered by another engine")
+{
+    silence_the_first(desk_a, desk_b, 0);
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    auto const got = caller.call(post("/safe/x", "r1"));
+    CHECK(got.status == 200);
+    CHECK(got.whole);
+    CHECK(desk_a.calls().size() == 1);
+    CHECK(desk_b.calls().size() == 1);
+}
+
+TEST_CASE_METHOD(
+    stalled_call_fixture,
+    "stalled call: a stream that stops in the middle goes on elsewhere")
+{
+    std::atomic<int> tries{0};
+    for (auto* one : {&engine_a, &engine_b})
+    {
+        one->set_script(
+            [&](link_ptr const& link, http_request const& sent)
+            {
+                std::string const id(sent["Request-Id"]);
+                if (++tries == 1)
+                {
+                    link->write(standin_target::stream(id, 1, 2, false));
+                    return true;
+                }
+                CHECK(sent["Last-Event-Id"] == "2");
+                link->write(standin_target::stream(id, 3, 3, true));
+                link->finish_answer(false);
+                return true;
+            });
+    }
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    auto const got = caller.call(turn("t1"));
+    CHECK(got.whole);
+    CHECK(
+        got.body == standin_target::event(1) + standin_target::event(2) +
+                        standin_target::event(3));
+    CHECK(engine_a.calls().size() == 1);
+    CHECK(engine_b.calls().size() == 1);
+}
+
+TEST_CASE_METHOD(
+    stalled_call_fixture, "stalled call: an order is never sent a second time")
+{
+    silence_the_first(desk_a, desk_b, 0);
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    auto const got = caller.call(post("/orders/x", "r1"));
+    CHECK(got.status == 504);
+    CHECK(desk_a.calls().size() + desk_b.calls().size() == 1);
+}
+
+TEST_CASE_METHOD(
+    stalled_call_fixture,
+    "stalled call: a turn that can't be resumed runs once and stays unfinished")
+{
+    silence_the_first(engine_a, engine_b, 1);
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    auto const got = caller.call(turn("t1", {}, "/kept/"));
+    CHECK_FALSE(got.whole);
+    CHECK(engine_a.calls().size() + engine_b.calls().size() == 1);
+}
+
+TEST_CASE_METHOD(
+    stalled_call_fixture,
+    "stalled call: an engine that is only slow brings its work to an end")
+{
+    store.remove("servers", "ib");
+    engine_a.set_script(
+        [this](link_ptr const& link, http_request const& sent)
+        {
+            std::string const id(sent["Request-Id"]);
+            engine_a.server().later(
+                milliseconds(600),
+                [link, id]
+                {
+                    link->write(standin_target::stream(id, 1, 3, true));
+                    link->finish_answer(false);
+                });
+            return true;
+        });
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    CHECK(caller.call(turn("t1")).whole);
+}
