Soak real nodes under random faults, judged by what callers and targets saw

support/soak runs nodes as processes between callers and the stand-ins of the tests, draws faults by seed, and then checks: nothing that may run once ran twice, no promise of "not run" was false, whole answers are whole and the caller's own, kept turns got their history and are found, no budget was passed by more than a turn, and each node serves after the faults.

--- /dev/null
+++ b/support/soak.cpp
@@ -0,0 +1,89 @@
+// A soak under faults drawn at random: support/soak.
+
+#include "soak_world.hpp"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace
+{
+
+namespace po = boost::program_options;
+using walnutmill::soak::soak_options;
+using walnutmill::soak::soak_world;
+
+constexpr int promise_broken = 1;
+constexpr int bad_usage = 2;
+
+po::options_description describe(soak_options& options)
+{
+    po::options_description all("support/soak [OPTIONS]");
+    all.add_options()("help", "print this and end")(
+        "seed", po::value(&options.seed)->default_value(options.seed),
+        "of faults and callers; threads still race")(
+        "seconds", po::value(&options.seconds)->default_value(options.seconds),
+        "time under faults")(
+        "nodes", po::value(&options.nodes)->default_value(options.nodes),
+        "entry nodes")(
+        "callers", po::value(&options.callers)->default_value(options.callers),
+        "programs at a time")(
+        "program", po::value(&options.program)->required(),
+        "the walnutmill program")(
+        "directory", po::value(&options.directory)->required(),
+        "where the nodes' logs go");
+    return all;
+}
+
+int run(int count, char const* const* arguments)
+{
+    soak_options options;
+    auto const described = describe(options);
+    po::variables_map given;
+    po::store(po::parse_command_line(count, arguments, described), given);
+    if (given.count("help") > 0)
+    {
+        std::cout << described;
+        return 0;
+    }
+    po::notify(given);
+    soak_world world(options);
+    world.run();
+    for (auto const& [what, times] : world.counts())
+        std::cout << times << "  " << what << '\n';
+    auto broken = walnutmill::testing::broken_promises(world.history());
+    for (std::size_t i = 0; i < world.served_after().size(); ++i)
+    {
+        auto const served = world.served_after()[i];
+        std::cout << "node-" << i << " served " << served
+                  << " calls after the faults\n";
+        if (served == 0)
+            broken.push_back("node-" + std::to_string(i) + " serves nobody");
+    }
+    for (auto const& one : broken)
+        std::cout << "BROKEN " << one << '\n';
+    std::cout << "seed " << options.seed << ": "
+              << world.history().attempts.size() << " attempts, "
+              << world.history().runs.size() << " runs, " << broken.size()
+              << " promises broken\n";
+    return broken.empty() ? 0 : promise_broken;
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    try
+    {
+        return run(count, arguments);
+    }
+    catch (po::error const& problem)
+    {
+        std::cerr << problem.what() << '\n';
+        return bad_usage;
+    }
+    catch (std::exception const& problem)
+    {
+        std::cerr << problem.what() << '\n';
+        return promise_broken;
+    }
+}
--- /dev/null
+++ b/support/soak_world.cpp
@@ -0,0 +1,479 @@
+#include "soak_world.hpp"
+
+#include <boost/system/system_error.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace walnutmill
+{
+namespace soak
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::call_kind;
+using testing::http_request;
+using testing::link_ptr;
+using testing::recorded_attempt;
+using testing::standin_target;
+using testing::test_caller;
+
+/// A node is ready within a second; a machine under load takes longer.
+constexpr seconds ready_patience{60};
+/// Between two faults, and how long one lasts.
+constexpr milliseconds least_pause{50};
+constexpr milliseconds most_pause{500};
+constexpr milliseconds least_fault{200};
+/// Longer than the store counts as lost and than a silent engine is borne.
+constexpr milliseconds most_fault{2'000};
+/// Long enough that accounts which dead nodes hold are let go.
+constexpr seconds calm{4};
+constexpr int turns_at_most = 14;
+constexpr std::uint64_t most_tokens =
+    testing::soak_events * testing::soak_tokens_per_event;
+constexpr int tries_of_a_turn = 3;
+constexpr int status_ok = 200;
+constexpr int status_budget = 402;
+/// Calls to each node after the last fault, to see that it serves again.
+constexpr int calls_after = 20;
+
+/// Part of the calls at which a target misbehaves, each way.
+constexpr double refuses = 0.05;
+constexpr double cuts_at_once = 0.04;
+constexpr double cuts_midway = 0.05;
+constexpr double stays_silent = 0.02;
+constexpr double adds_an_answer = 0.03;
+constexpr double answers_late = 0.05;
+
+std::string sized_chunk(std::string const& text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+std::string stream_head(std::string const& id)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
+           "\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string header_of(http_request const& request, char const* name)
+{
+    return std::string(request[name]);
+}
+
+std::string path_of(call_kind kind)
+{
+    switch (kind)
+    {
+    case call_kind::turn:
+        return "/turns/x";
+    case call_kind::kept_turn:
+        return "/kept/x";
+    case call_kind::lookup:
+        return "/safe/x";
+    case call_kind::order:
+        break;
+    }
+    return "/orders/x";
+}
+
+} // namespace
+
+bool dice::chance(double of_one)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return std::uniform_real_distribution<double>(0, 1)(engine_) < of_one;
+}
+
+int dice::between(int least, int most)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return std::uniform_int_distribution<int>(least, most)(engine_);
+}
+
+soak_world::soak_world(soak_options options)
+    : options_(std::move(options)), dice_(options_.seed)
+{
+    register_engine(engine_c_, "llm");
+    for (auto* one : {&engine_a, &engine_b, &engine_c_})
+    {
+        one->set_script(
+            [this, one](link_ptr const& link, http_request const& request)
+            {
+                answer_turn(link, request, *one);
+                return true;
+            });
+    }
+    for (auto* one : {&desk_a, &desk_b})
+    {
+        one->set_script(
+            [this, one](link_ptr const& link, http_request const& request)
+            {
+                answer_plain(link, request, *one);
+                return true;
+            });
+    }
+    for (int i = 0; i < options_.nodes; ++i)
+        add_node(i);
+}
+
+void soak_world::add_node(int number)
+{
+    auto one = std::make_unique<soak_node>();
+    auto const name = "node-" + std::to_string(number);
+    one->callers = testing::free_address();
+    one->ready = testing::free_address();
+    one->process = std::make_unique<child_process>(
+        std::vector<std::string>{
+            options_.program, "entry", "--node", name, "--domain",
+            "z" + std::to_string(number + 1), "--listen-callers", one->callers,
+            "--listen-ready", one->ready, "--listen-peers",
+            testing::free_address(), "--store", store.address(),
+            "--stall-least-ms", "200"},
+        options_.directory + "/" + name + ".log");
+    one->process->start();
+    processes_.push_back(std::move(one));
+}
+
+void soak_world::await_ready(soak_node const& one) const
+{
+    auto const end = std::chrono::steady_clock::now() + ready_patience;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        try
+        {
+            test_caller caller(one.ready);
+            if (caller.call("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status ==
+                status_ok)
+                return;
+        }
+        catch (boost::system::system_error const&)
+        {
+            // It does not listen yet: asked again below.
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    throw std::runtime_error("a node does not become ready");
+}
+
+void soak_world::count(std::string const& what)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    ++counts_[what];
+}
+
+void soak_world::run()
+{
+    for (auto const& one : processes_)
+        await_ready(*one);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < options_.callers; ++i)
+        callers.emplace_back([this, i] { call_for(i); });
+    auto const end =
+        std::chrono::steady_clock::now() + seconds(options_.seconds);
+    while (std::chrono::steady_clock::now() < end)
+    {
+        std::this_thread::sleep_for(milliseconds(dice_.between(
+            static_cast<int>(least_pause.count()),
+            static_cast<int>(most_pause.count()))));
+        draw_fault();
+    }
+    faults_ = false;
+    for (auto const& one : processes_)
+        await_ready(*one);
+    std::this_thread::sleep_for(calm);
+    calling_ = false;
+    for (auto& one : callers)
+        one.join();
+    for (int node = 0; node < options_.nodes; ++node)
+    {
+        int served = 0;
+        for (int i = 0; i < calls_after; ++i)
+        {
+            program_run program;
+            program.id = "after" + std::to_string(++last_id_);
+            program.budget = 2 * most_tokens;
+            auto const got = attempt(program, call_kind::kept_turn, node);
+            served += got.whole && got.status == status_ok ? 1 : 0;
+        }
+        served_after_.push_back(served);
+    }
+}
+
+void soak_world::draw_fault()
+{
+    auto& node = *processes_[static_cast<std::size_t>(
+        dice_.between(0, options_.nodes - 1))];
+    switch (dice_.between(0, 5))
+    {
+    case 0:
+        return kill_node(node);
+    case 1:
+        return freeze_node(node);
+    case 2:
+        return stop_node(node);
+    case 3:
+        return store_away();
+    case 4:
+        return store_loses_answers();
+    default:
+        return target_leaves();
+    }
+}
+
+void soak_world::kill_node(soak_node& one)
+{
+    count("fault: node killed");
+    one.process->signal(SIGKILL);
+    one.process->wait();
+    std::this_thread::sleep_for(least_fault);
+    one.process->start();
+}
+
+void soak_world::freeze_node(soak_node& one)
+{
+    count("fault: node frozen");
+    one.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(dice_.between(
+        static_cast<int>(least_fault.count()),
+        static_cast<int>(most_fault.count()))));
+    one.process->signal(SIGCONT);
+}
+
+void soak_world::stop_node(soak_node& one)
+{
+    count("fault: node stopped as planned");
+    one.process->signal(SIGTERM);
+    if (one.process->wait() != 0)
+        count("planned stop that did not end well");
+    one.process->start();
+}
+
+void soak_world::store_away()
+{
+    count("fault: store away");
+    store.set_down(true);
+    std::this_thread::sleep_for(milliseconds(dice_.between(
+        static_cast<int>(least_fault.count()),
+        static_cast<int>(most_fault.count()))));
+    store.set_down(false);
+}
+
+void soak_world::store_loses_answers()
+{
+    count("fault: store loses answers");
+    constexpr unsigned every = 3;
+    store.lose_answers(every);
+    std::this_thread::sleep_for(most_fault / 2);
+    store.lose_answers(0);
+}
+
+void soak_world::target_leaves()
+{
+    count("fault: engine leaves");
+    store.remove("servers", engine_c_.id());
+    std::this_thread::sleep_for(most_fault / 2);
+    register_engine(engine_c_, "llm");
+}
+
+void soak_world::ran(http_request const& request, standin_target const& at)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    history_.runs.push_back(
+        {header_of(request, "Request-Id"), at.id(), request.body()});
+}
+
+/// \return true where the request has been dealt with.
+bool soak_world::misbehave(
+    link_ptr const& link, http_request const& request, standin_target& at)
+{
+    if (!faults_)
+        return false;
+    if (dice_.chance(refuses))
+    {
+        count("target refused");
+        link->write(standin_target::answer(503, "Not-Executed: 1\r\n", ""));
+        link->finish_answer(false);
+        return true;
+    }
+    auto const silent = dice_.chance(stays_silent);
+    if (silent || dice_.chance(cuts_at_once))
+    {
+        count(silent ? "target silent" : "target cut before its answer");
+        ran(request, at);
+        if (!silent)
+            standin_target::cut(link);
+        return true;
+    }
+    return false;
+}
+
+void soak_world::answer_turn(
+    link_ptr const& link, http_request const& request, standin_target& at)
+{
+    if (misbehave(link, request, at))
+        return;
+    ran(request, at);
+    auto const id = header_of(request, "Request-Id");
+    auto const after = header_of(request, "Last-Event-Id");
+    auto const first = after.empty() ? 1 : std::stoi(after) + 1;
+    auto text = stream_head(id);
+    for (int i = first; i <= testing::soak_events; ++i)
+        text += sized_chunk(testing::soak_event(id, i));
+    if (faults_ && dice_.chance(cuts_midway))
+    {
+        count("target cut in the middle");
+        constexpr std::size_t some_bytes = 20;
+        link->write(text.substr(0, text.size() - some_bytes));
+        standin_target::cut(link);
+        return;
+    }
+    text += "0\r\n\r\n";
+    if (faults_ && dice_.chance(adds_an_answer))
+    {
+        count("target added an answer");
+        text += stream_head("other") + "0\r\n\r\n";
+    }
+    auto const late = faults_ && dice_.chance(answers_late);
+    at.server().later(
+        late ? least_fault * 2 : milliseconds(dice_.between(2, 30)),
+        [link, text]
+        {
+            link->write(text);
+            link->finish_answer(false);
+        });
+}
+
+void soak_world::answer_plain(
+    link_ptr const& link, http_request const& request, standin_target& at)
+{
+    if (misbehave(link, request, at))
+        return;
+    ran(request, at);
+    auto const id = header_of(request, "Request-Id");
+    auto text = standin_target::answer(
+        status_ok, "Request-Id: " + id + "\r\nResponse-Stamp: s\r\n",
+        testing::soak_plain_body(id));
+    if (faults_ && dice_.chance(adds_an_answer))
+    {
+        count("target added an answer");
+        text += text;
+    }
+    at.server().later(
+        milliseconds(dice_.between(1, 15)),
+        [link, text]
+        {
+            link->write(text);
+            link->finish_answer(false);
+        });
+}
+
+void soak_world::call_for(int number)
+{
+    while (calling_)
+    {
+        program_run one;
+        one.id =
+            "p" + std::to_string(number) + "x" + std::to_string(++last_id_);
+        one.budget = most_tokens * static_cast<unsigned>(dice_.between(2, 20));
+        one.keeps = number % 2 == 0;
+        run_program(one);
+    }
+}
+
+void soak_world::run_program(program_run& one)
+{
+    auto const turns = dice_.between(1, turns_at_most);
+    for (int i = 0; i < turns && calling_; ++i)
+    {
+        if (!turn(one))
+            return;
+        if (dice_.chance(0.5))
+            plain(one, call_kind::lookup);
+        if (dice_.chance(0.5))
+            plain(one, call_kind::order);
+    }
+}
+
+bool soak_world::turn(program_run& one)
+{
+    auto const kind = one.keeps ? call_kind::kept_turn : call_kind::turn;
+    for (int i = 0; i < tries_of_a_turn; ++i)
+    {
+        auto const got =
+            attempt(one, kind, dice_.between(0, options_.nodes - 1));
+        if (got.status == status_ok && got.whole)
+        {
+            if (one.keeps)
+                one.last_kept = got.id;
+            return true;
+        }
+        if (got.status == status_budget)
+            return false;
+        std::this_thread::sleep_for(least_fault);
+    }
+    return false;
+}
+
+bool soak_world::plain(program_run const& one, call_kind kind)
+{
+    auto const got = attempt(one, kind, dice_.between(0, options_.nodes - 1));
+    return got.status == status_ok && got.whole;
+}
+
+recorded_attempt
+soak_world::attempt(program_run const& one, call_kind kind, int node)
+{
+    recorded_attempt to;
+    to.id = "r" + std::to_string(++last_id_);
+    to.program = one.id;
+    to.kind = kind;
+    to.budget = one.budget;
+    to.most_tokens = most_tokens;
+    to.input = "input of " + to.id + ";";
+    auto headers = "Program-Id: " + one.id + "\r\n";
+    if (kind == call_kind::turn || kind == call_kind::kept_turn)
+    {
+        headers += "Token-Budget: " + std::to_string(one.budget) +
+                   "\r\nToken-Usage: 40," + std::to_string(most_tokens) +
+                   "\r\nModel: m\r\nPrompt-Prefix: aa:30,bb:10\r\n";
+    }
+    if (kind == call_kind::kept_turn && !one.last_kept.empty())
+    {
+        to.previous = one.last_kept;
+        headers += "Previous-Turn: " + one.last_kept + "\r\n";
+    }
+    try
+    {
+        test_caller caller(processes_[static_cast<std::size_t>(node)]->callers);
+        auto const got =
+            caller.call(post(path_of(kind), to.id, headers, to.input));
+        to.status = got.status;
+        to.whole = got.whole;
+        to.body = got.body;
+    }
+    catch (boost::system::system_error const&)
+    {
+        // No connection: recorded as no answer.
+        count("attempt without a connection");
+    }
+    count(
+        "answer " + std::to_string(to.status) +
+        (to.status == status_ok && !to.whole ? ", cut" : ""));
+    std::lock_guard<std::mutex> const lock(mutex_);
+    history_.attempts.push_back(to);
+    return to;
+}
+
+} // namespace soak
+} // namespace walnutmill
--- /dev/null
+++ b/support/soak_world.hpp
@@ -0,0 +1,134 @@
+#ifndef WALNUTMILL_SUPPORT_SOAK_WORLD_HPP
+#define WALNUTMILL_SUPPORT_SOAK_WORLD_HPP
+
+/// \file
+/// Entry nodes as real processes between callers and stand-ins, under faults
+/// drawn at random; what callers and targets saw is recorded.
+
+#include "entry_world.hpp"
+#include "soak_history.hpp"
+#include "soak_process.hpp"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace walnutmill
+{
+namespace soak
+{
+
+struct soak_options
+{
+    std::uint64_t seed = 1;
+    int seconds = 20;
+    int nodes = 3;
+    int callers = 12;
+    /// The program whose nodes are run.
+    std::string program;
+    /// Where nodes' logs go.
+    std::string directory;
+};
+
+/// A seeded source of chances for several threads.
+class dice
+{
+public:
+    explicit dice(std::uint64_t seed) : engine_(seed) {}
+
+    bool chance(double of_one);
+    int between(int least, int most);
+
+private:
+    std::mutex mutex_;
+    std::mt19937_64 engine_;
+};
+
+class soak_world : private testing::entry_world
+{
+public:
+    explicit soak_world(soak_options options);
+
+    /// Runs callers under faults, then without.
+    void run();
+
+    testing::soak_history const& history() const { return history_; }
+    /// Faults and outcomes by name.
+    std::map<std::string, int> const& counts() const { return counts_; }
+    /// Attempts served by each node after the last fault was over.
+    std::vector<int> const& served_after() const { return served_after_; }
+
+private:
+    struct soak_node
+    {
+        std::string callers;
+        std::string ready;
+        std::unique_ptr<child_process> process;
+    };
+    struct program_run
+    {
+        std::string id;
+        std::uint64_t budget = 0;
+        /// The kept turn to go on from.
+        std::string last_kept;
+        bool keeps = false;
+    };
+
+    void add_node(int number);
+    void await_ready(soak_node const& one) const;
+    void count(std::string const& what);
+
+    // Faults, one at a time; each ends what it began.
+    void draw_fault();
+    void kill_node(soak_node& one);
+    void freeze_node(soak_node& one);
+    void stop_node(soak_node& one);
+    void store_away();
+    void store_loses_answers();
+    void target_leaves();
+
+    // Targets.
+    void answer_turn(
+        testing::link_ptr const& link, testing::http_request const& request,
+        testing::standin_target& at);
+    void answer_plain(
+        testing::link_ptr const& link, testing::http_request const& request,
+        testing::standin_target& at);
+    bool misbehave(
+        testing::link_ptr const& link, testing::http_request const& request,
+        testing::standin_target& at);
+    void
+    ran(testing::http_request const& request,
+        testing::standin_target const& at);
+
+    // Callers.
+    void call_for(int number);
+    void run_program(program_run& one);
+    /// \return true where it was served whole
+    bool turn(program_run& one);
+    bool plain(program_run const& one, testing::call_kind kind);
+    testing::recorded_attempt
+    attempt(program_run const& one, testing::call_kind kind, int node);
+
+    soak_options options_;
+    dice dice_;
+    std::mutex mutex_;
+    testing::soak_history history_;
+    std::map<std::string, int> counts_;
+    std::vector<int> served_after_;
+    std::atomic<std::uint64_t> last_id_{0};
+    std::atomic<bool> faults_{true};
+    std::atomic<bool> calling_{true};
+    testing::standin_target engine_c_{"ic"};
+    std::vector<std::unique_ptr<soak_node>> processes_;
+};
+
+} // namespace soak
+} // namespace walnutmill
+
+#endif
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -33,13 +33,6 @@
 /// Long enough that a loaded machine does not fail a sound node.
 constexpr seconds patience{60};
 
-std::string free_address()
-{
-    asio::io_context io;
-    tcp::acceptor const acceptor(io, any_loopback());
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 std::string query_value(std::string const& target, std::string const& name)
 {
     auto const at = target.find(name + "=");
@@ -64,6 +57,13 @@
 
 } // namespace
 
+std::string free_address()
+{
+    asio::io_context io;
+    tcp::acceptor const acceptor(io, any_loopback());
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
 standin_server::standin_server()
     : work_(io_.get_executor()), acceptor_(io_, any_loopback())
 {
@@ -149,7 +149,15 @@
     if (down_)
         status = 503;
     else if (target == "/rows-tx")
+    {
         body = transaction(json::parse(request.body()), status);
+        auto const every = lose_every_.load();
+        if (every > 0 && ++transactions_ % every == 0)
+        {
+            link->abort();
+            return;
+        }
+    }
     else
         body = range(target);
     link->write(standin_target::answer(status, {}, body.dump()));
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -30,6 +30,9 @@
 using link_ptr = std::shared_ptr<caller_link>;
 using http_request = caller_link::request_type;
 
+/// \return IP:PORT on the loopback that nobody listens on.
+std::string free_address();
+
 /// A server on a free port of the loopback, on its own thread.
 class standin_server
 {
@@ -70,6 +73,8 @@
     void remove(std::string const& table, std::string const& key);
     /// While down, every call is answered 503.
     void set_down(bool down) { down_ = down; }
+    /// Every so manieth transaction is done but not answered; 0: all are.
+    void lose_answers(unsigned every) { lose_every_ = every; }
     std::size_t count(std::string const& table) const;
 
 private:
@@ -89,6 +94,8 @@
     std::map<place, stored> rows_;
     std::uint64_t version_ = 0;
     std::atomic<bool> down_{false};
+    std::atomic<unsigned> lose_every_{0};
+    std::atomic<unsigned> transactions_{0};
     standin_server server_;
 };
 
--- /dev/null
+++ b/test/soak_history.cpp
@@ -0,0 +1,194 @@
+#include "soak_history.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace walnutmill
+{
+namespace testing
+{
+namespace
+{
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+/// Answers that promise that the call did not run and never will.
+constexpr int promises_not_run[] = {402, 408, 421, 429, 503};
+
+using findings_list = std::vector<std::string>;
+using run_counts = std::map<std::string, int>;
+
+bool is_turn(call_kind kind)
+{
+    return kind == call_kind::turn || kind == call_kind::kept_turn;
+}
+
+bool runs_once(call_kind kind)
+{
+    return kind == call_kind::kept_turn || kind == call_kind::order;
+}
+
+bool served(recorded_attempt const& one)
+{
+    return one.status == status_ok && one.whole;
+}
+
+/// \return how many whole events the body begins with.
+std::uint64_t events_of(recorded_attempt const& one)
+{
+    std::uint64_t count = 0;
+    std::string expected;
+    for (int i = 1; i <= soak_events; ++i)
+    {
+        expected += soak_event(one.id, i);
+        if (one.body.compare(0, expected.size(), expected) != 0)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+void check_runs(
+    recorded_attempt const& one, run_counts const& runs, findings_list& to)
+{
+    auto const found = runs.find(one.id);
+    auto const ran = found == runs.end() ? 0 : found->second;
+    if (runs_once(one.kind) && ran > 1)
+        to.push_back("ran " + std::to_string(ran) + " times: " + one.id);
+    auto const promised = std::find(
+        std::begin(promises_not_run), std::end(promises_not_run), one.status);
+    if (runs_once(one.kind) && ran > 0 &&
+        promised != std::end(promises_not_run))
+        to.push_back(
+            "ran, but was answered " + std::to_string(one.status) + ": " +
+            one.id);
+    if (served(one) && ran == 0)
+        to.push_back("answered without a run: " + one.id);
+}
+
+/// An answer that looks whole is the whole answer to this very request, and
+/// one that breaks off is its beginning.
+void check_answer(recorded_attempt const& one, findings_list& to)
+{
+    if (one.status != status_ok)
+        return;
+    auto expected = soak_plain_body(one.id);
+    if (is_turn(one.kind))
+    {
+        expected.clear();
+        for (int i = 1; i <= soak_events; ++i)
+            expected += soak_event(one.id, i);
+    }
+    auto const begins = expected.compare(0, one.body.size(), one.body) == 0;
+    if (one.whole ? one.body != expected : !begins)
+        to.push_back("wrong or missing pieces: " + one.id);
+}
+
+void check_budgets(soak_history const& of, findings_list& to)
+{
+    struct spending
+    {
+        std::uint64_t budget = 0;
+        std::uint64_t most = 0;
+        std::uint64_t spent = 0;
+    };
+    std::map<std::string, spending> programs;
+    for (auto const& one : of.attempts)
+    {
+        if (!is_turn(one.kind))
+            continue;
+        auto& program = programs[one.program];
+        program.budget = one.budget;
+        program.most = std::max(program.most, one.most_tokens);
+        program.spent += events_of(one) * soak_tokens_per_event;
+    }
+    for (auto const& [id, one] : programs)
+    {
+        if (one.spent > one.budget + one.most)
+            to.push_back(
+                "spent " + std::to_string(one.spent) + " of " +
+                std::to_string(one.budget) + ": " + id);
+    }
+}
+
+using attempts_by_id = std::map<std::string, recorded_attempt const*>;
+
+/// \return inputs and outputs of a turn and of all before it.
+std::string history_of(std::string const& id, attempts_by_id const& by_id)
+{
+    if (id.empty())
+        return {};
+    auto const& one = *by_id.at(id);
+    auto text = history_of(one.previous, by_id) + one.input;
+    for (int i = 1; i <= soak_events; ++i)
+        text += soak_event_data(id, i) + "\n";
+    return text;
+}
+
+void check_histories(soak_history const& of, findings_list& to)
+{
+    attempts_by_id by_id;
+    for (auto const& one : of.attempts)
+        by_id[one.id] = &one;
+    for (auto const& run : of.runs)
+    {
+        auto const found = by_id.find(run.id);
+        if (found == by_id.end())
+        {
+            to.push_back("ran, but no caller sent it: " + run.id);
+            continue;
+        }
+        auto const& one = *found->second;
+        if (one.kind == call_kind::kept_turn &&
+            run.body != history_of(one.previous, by_id) + one.input)
+            to.push_back("ran with a wrong history: " + run.id);
+    }
+    for (auto const& one : of.attempts)
+    {
+        auto const before = by_id.find(one.previous);
+        if (one.status == status_not_found && before != by_id.end() &&
+            served(*before->second))
+            to.push_back("a kept turn was not found: " + one.previous);
+    }
+}
+
+} // namespace
+
+std::string soak_event_data(std::string const& id, int number)
+{
+    return "piece " + std::to_string(number) + " of " + id;
+}
+
+std::string soak_event(std::string const& id, int number)
+{
+    return "id: " + std::to_string(number) +
+           "\ndata: " + soak_event_data(id, number) + "\n\n";
+}
+
+std::string soak_plain_body(std::string const& id)
+{
+    return "done: " + id;
+}
+
+std::vector<std::string> broken_promises(soak_history const& of)
+{
+    findings_list to;
+    run_counts runs;
+    for (auto const& one : of.runs)
+        ++runs[one.id];
+    std::set<std::string> ids;
+    for (auto const& one : of.attempts)
+    {
+        if (!ids.insert(one.id).second)
+            to.push_back("two attempts share an id: " + one.id);
+        check_runs(one, runs, to);
+        check_answer(one, to);
+    }
+    check_budgets(of, to);
+    check_histories(of, to);
+    return to;
+}
+
+} // namespace testing
+} // namespace walnutmill
