Notice the store's return sooner; reserve ahead at a program's home only

Callers of tools were told to come back after 0.12 to 0.37 s, so that their one or two repetitions were used up before the store was back: 87 programs ended by that.

Ruled out: reservations of dead nodes (one turn is let through beside them, and members that died are known by then).

Change: while the store is lost a node asks it by itself every 150 ms, over connections that are given up soon; attempts begun meanwhile wait 0.6 s at most; on its return configuration, engines and members are read at once. A node that is not a program's home, or does not know the others yet, reserves its turn alone and gives back what is left at once. Without a configuration callers are told 0.9 to 1.15 s.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -130,9 +130,13 @@
     /// \param answer called once, maybe at once
     /// \param needs_store the turn could not end without the store, so the
     /// program should not start without it either
+    /// \param as_home false where another node keeps the program's account or
+    /// may do so: then no more is reserved than the turn needs, and the rest
+    /// is given back once the turn has ended
     void admit(
         program_id const& program, std::uint64_t budget,
-        std::uint64_t most_tokens, answer_fn answer, bool needs_store = false);
+        std::uint64_t most_tokens, answer_fn answer, bool needs_store = false,
+        bool as_home = true);
 
     /// \return true where a turn of the program was asked for lately.
     bool knows(program_id const& program) const;
@@ -187,6 +191,8 @@
         bool changing = false;
         int tries = 0;
         bool return_ahead = false;
+        /// This node keeps the program's account for all.
+        bool as_home = true;
         /// The account that last kept a turn out, and since when.
         std::uint64_t contended_version = 0;
         time_point contended_since{};
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -73,7 +73,7 @@
     homes_.set_nodes(std::move(others));
 }
 
-void budget_desk::admit_here(wish const& one, answer_fn answer)
+void budget_desk::admit_here(wish const& one, bool as_home, answer_fn answer)
 {
     if (one.only_begun && !ledger_.knows(one.program))
     {
@@ -85,7 +85,7 @@
         [one, answer = std::move(answer)](admission_answer what) {
             answer(what, {one.program, one.most_tokens, {}, {}, {}});
         },
-        one.needs_store);
+        one.needs_store, as_home);
 }
 
 void budget_desk::admit(wish const& one, answer_fn const& answer)
@@ -94,7 +94,7 @@
         homes_.home_of(partition_of(one.program.str()), clock_());
     if (home == nullptr)
     {
-        admit_here(one, answer);
+        admit_here(one, homes_.knows_nodes(), answer);
         return;
     }
     grant const wanted{
@@ -142,7 +142,7 @@
             // It may have admitted the turn all the same.
             if (reply.sent)
                 send_settlement(wanted, 0, 1);
-            admit_here(one, answer);
+            admit_here(one, false, answer);
         });
 }
 
@@ -215,7 +215,7 @@
     if (under_way)
         return;
     admit_here(
-        one,
+        one, true,
         [this, alive = alive_, one, turn](admission_answer what, grant const&)
         {
             if (*alive)
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -16,9 +16,11 @@
 
 /// Where a caller states no deadline and the route no timeout.
 constexpr milliseconds default_deadline{30'000};
-/// While the store is lost nothing is gained by coming back soon: outages
-/// last seconds. Callers wait a third of their time left at most, 1 s on the
-/// sites' routes, so three tries of one turn bridge some 4 s.
+/// While the store is lost, or a node has started without it, nothing is gained
+/// by coming back soon: outages last seconds, and a tool call that used up its
+/// one or two repetitions ends its program. Callers wait a third of their time
+/// left at most, 1 s on the sites' routes, so three tries of one turn bridge
+/// some 4 s.
 constexpr milliseconds come_back_later{900};
 /// While the engines are full a call's length (0.3 to 0.5 s) changes what is
 /// free; bursts last some seconds, and a caller comes back a few times at
@@ -76,7 +78,7 @@
     give_up_at_ = arrived_ + default_deadline;
     if (!table_)
     {
-        refuse("no configuration is known yet", come_back_soon);
+        refuse("no configuration is known yet", come_back_later);
         return;
     }
     if (!node_.takes_calls)
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -148,7 +148,7 @@
                    line_weight::important,
                    reachable ? "store.regained" : "store.lost", {{"why", why}});
            },
-           &counters_}),
+           [this] { view_.refresh(); }, &counters_}),
       board_(
           zone_name(settings_.domain), clock_,
           seeded_random(seed_of(incarnation_ + "board"))),
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -67,6 +67,15 @@
     write_self();
 }
 
+void platform_view::refresh()
+{
+    // A reading under way goes on; the one that ends last sets the next time.
+    read_configuration();
+    read_engines();
+    read_members();
+    write_self();
+}
+
 void platform_view::again(
     milliseconds after, boost::asio::steady_timer& timer,
     void (platform_view::*step)())
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -57,6 +57,12 @@
     void start();
     /// Takes this node's own row away; \param done called when that is known
     /// or given up.
+    /// Reads and writes all at once rather than at its next time, as the store
+    /// has just come back: without it a node that started during an outage knew
+    /// the others 0.6 to 1 s after the store's return, and nodes that know no
+    /// others reserve budgets beside each other.
+    void refresh();
+
     void leave(std::function<void()> done);
 
     /// Time between two readings, from now on.
--- a/src/entry/program_home.cpp
+++ b/src/entry/program_home.cpp
@@ -15,6 +15,7 @@
 void program_homes::set_nodes(std::vector<home_candidate> others)
 {
     others_ = std::move(others);
+    knows_nodes_ = true;
 }
 
 home_candidate const*
--- a/src/entry/program_home.hpp
+++ b/src/entry/program_home.hpp
@@ -46,6 +46,9 @@
 
     /// \param others the other nodes
     void set_nodes(std::vector<home_candidate> others);
+    /// \return false until the other nodes were told: until then this node
+    /// takes itself for the home of all.
+    bool knows_nodes() const { return knows_nodes_; }
 
     /// \param key of what has a home: a partition of the store, say
     /// \return the node that is its home; null: this one.
@@ -58,6 +61,7 @@
     std::string self_;
     home_options options_;
     std::vector<home_candidate> others_;
+    bool knows_nodes_ = false;
     std::unordered_map<std::string, time_point> passed_over_until_;
 };
 
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -118,9 +118,10 @@
 
 void program_ledger::admit(
     program_id const& program, std::uint64_t budget, std::uint64_t most_tokens,
-    answer_fn answer, bool needs_store)
+    answer_fn answer, bool needs_store, bool as_home)
 {
     auto& state = programs_[program];
+    state.as_home = as_home;
     state.budget = budget;
     state.last_use = clock_();
     state.return_ahead = false;
@@ -199,7 +200,7 @@
             break;
         wanted += one.most_tokens;
     }
-    if (state.return_ahead || taken >= state.budget)
+    if (state.return_ahead || !state.as_home || taken >= state.budget)
         return wanted;
     auto const ahead = static_cast<std::uint64_t>(
         static_cast<double>(state.budget - taken) * options_.part_ahead);
@@ -477,7 +478,8 @@
         // A change in doubt may have reserved something, too.
         auto const unsettled =
             state.reserved > 0 || state.used > 0 || !state.unresolved.empty();
-        if (idle && unsettled && quiet >= options_.idle_return)
+        auto const idle_long = !state.as_home || quiet >= options_.idle_return;
+        if (idle && unsettled && idle_long)
         {
             state.return_ahead = true;
             state.tries = 0;
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -34,6 +34,20 @@
 /// caller's target latency. Readings of configuration and engines, some four a
 /// second, go on and find it again.
 constexpr milliseconds lost_after{300};
+/// Attempts begun while the store is lost wait no longer than this, unless its
+/// answers are slow of late: most end with the outage itself, and one that was
+/// sent into a silent store just before its return would hold its call for the
+/// longest attempt. Above what an answer takes when it takes sixty times as
+/// long (540 ms).
+constexpr milliseconds longest_while_lost{600};
+/// A lost store is asked by itself this often, straight and over connections
+/// that are given up soon, so that a node knows of its return within some
+/// 150 ms. By waiting attempts alone nodes took 420 to 620 ms.
+constexpr milliseconds probe_every{150};
+constexpr milliseconds probe_patience{400};
+/// All nodes together probe at most 500 times a second, a quarter of what the
+/// smallest site's store takes.
+constexpr milliseconds probe_every_per_node{2};
 constexpr int status_turned_away = 503;
 
 time_point now()
@@ -62,7 +76,7 @@
     hooks to)
     : io_(io), address_(std::move(address)), random_(random),
       hooks_(std::move(to)), paths_(random), caller_(io),
-      usual_time_(first_usual_time)
+      usual_time_(first_usual_time), probe_timer_(io)
 {
 }
 
@@ -78,6 +92,7 @@
 
 void store_client::set_relays(std::vector<std::string> relays)
 {
+    nodes_ = relays.size() + 1;
     paths_.set_relays(std::move(relays));
 }
 
@@ -153,7 +168,8 @@
 duration store_client::attempt_patience(pending const& one) const
 {
     auto const usual = usual_time_ * attempt_factor * (one.attempts + 1);
-    return std::clamp<duration>(usual, shortest_attempt, longest_attempt);
+    duration const longest = lost() ? longest_while_lost : longest_attempt;
+    return std::clamp<duration>(usual, shortest_attempt, longest);
 }
 
 void store_client::try_once(pending_ptr const& one)
@@ -264,12 +280,14 @@
 
 void store_client::note_success()
 {
-    if (failing_since_ != time_point{})
-    {
-        failing_since_ = {};
-        if (hooks_.on_change)
-            hooks_.on_change(true, "answered");
-    }
+    if (failing_since_ == time_point{})
+        return;
+    auto const was_lost = lost();
+    failing_since_ = {};
+    if (hooks_.on_change)
+        hooks_.on_change(true, "answered");
+    if (was_lost && hooks_.on_return)
+        hooks_.on_return();
 }
 
 void store_client::note_failure(std::string_view why)
@@ -279,9 +297,44 @@
         failing_since_ = now();
         if (hooks_.on_change)
             hooks_.on_change(false, why);
+        probe_later(lost_after);
     }
 }
 
+void store_client::probe_later(duration after)
+{
+    probe_timer_.expires_after(after);
+    probe_timer_.async_wait(
+        [this, alive = alive_](boost::system::error_code const& error)
+        {
+            if (!error && *alive && failing_since_ != time_point{})
+                probe();
+        });
+}
+
+/// Reads nothing, from a table that nobody writes.
+void store_client::probe()
+{
+    auto const nothing =
+        platform::encode_range({"walnutmill-probe", "", {}, {}});
+    caller_.call(
+        address_, platform::frame(nothing, address_), probe_patience,
+        [this, alive = alive_](http_reply const& reply)
+        {
+            store_reply const answer{reply.status, reply.body};
+            if (!*alive || !reply.answered ||
+                platform::kind_of(answer) == platform::reply_kind::turned_away)
+                return;
+            paths_.succeeded({}, now());
+            note_success();
+        });
+    auto const spread = 0.75 + random_() / 2;
+    auto const pause = std::max<duration>(
+        probe_every, probe_every_per_node * static_cast<int>(nodes_));
+    probe_later(duration(static_cast<duration::rep>(
+        static_cast<double>(pause.count()) * spread)));
+}
+
 void store_client::carry(
     platform::store_request const& request, reply_fn const& to)
 {
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -16,6 +16,7 @@
 #include "platform/store_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -34,6 +35,8 @@
     {
         /// The store became reachable or unreachable over all ways.
         std::function<void(bool reachable, std::string_view why)> on_change;
+        /// The store answers again after it counted as lost.
+        std::function<void()> on_return;
         metrics* counters = nullptr;
     };
 
@@ -82,6 +85,8 @@
     deliver(pending_ptr const& one, platform::store_reply const& reply) const;
     void note_success();
     void note_failure(std::string_view why);
+    void probe_later(duration after);
+    void probe();
 
     duration attempt_patience(pending const& one) const;
     void send_attempt(
@@ -97,6 +102,9 @@
     /// Moving average of answers' times; sets how long attempts wait.
     duration usual_time_;
     time_point failing_since_{};
+    boost::asio::steady_timer probe_timer_;
+    /// Nodes that may probe at the same time, this one included.
+    std::size_t nodes_ = 1;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/test/budget_desk-test.cpp
+++ b/test/budget_desk-test.cpp
@@ -143,6 +143,16 @@
         run_until([&] { return answered; });
         return to;
     }
+
+    /// \return what the program's account has reserved, over all nodes.
+    std::uint64_t reserved() const
+    {
+        auto const* row = store.find(
+            {program_ledger::table(), partition_of(program.str()),
+             program.str()});
+        REQUIRE(row != nullptr);
+        return decode_account(row->value).value().reserved_by_others("");
+    }
 };
 
 } // namespace
@@ -251,3 +261,34 @@
     run_until([&] { return home_ledger.busy() == false; });
     CHECK(ask(900).first == admission_answer::admitted);
 }
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: in place of a home a turn's most is reserved")
+{
+    home_answers = false;
+    REQUIRE(ask(9'000).first == admission_answer::admitted);
+    CHECK(reserved() == 572);
+}
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: without knowing the others it takes little")
+{
+    budget_desk young{io, asker_ledger, clock.fn(), "asker", "asker.1"};
+    young.admit(
+        {program, 9'000, 572, false, false},
+        [](admission_answer, budget_desk::grant const&) {});
+    store.run();
+    CHECK(reserved() == 572);
+}
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: alone it is home and reserves ahead")
+{
+    budget_desk alone{io, asker_ledger, clock.fn(), "asker", "asker.1"};
+    alone.set_nodes({});
+    alone.admit(
+        {program, 9'000, 572, false, false},
+        [](admission_answer, budget_desk::grant const&) {});
+    store.run();
+    CHECK(reserved() == 4'500);
+}
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -372,7 +372,7 @@
         stop_node(*one);
 }
 
-entry_world::node& entry_world::start_node()
+entry_world::node& entry_world::launch_node()
 {
     auto one = std::make_unique<node>();
     auto& settings = one->settings;
@@ -390,7 +390,12 @@
     one->thread =
         std::thread([process = one->process.get()] { process->run(); });
     nodes.push_back(std::move(one));
-    auto& started = *nodes.back();
+    return *nodes.back();
+}
+
+entry_world::node& entry_world::start_node()
+{
+    auto& started = launch_node();
     auto const end = std::chrono::steady_clock::now() + patience;
     while (!is_ready(started))
     {
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -188,6 +188,8 @@
         std::unique_ptr<entry_node> process;
         std::thread thread;
     };
+    /// Starts a node.
+    node& launch_node();
     /// Starts a node and waits until it is ready.
     node& start_node();
     void stop_node(node& one);
--- a/test/program_ledger-test.cpp
+++ b/test/program_ledger-test.cpp
@@ -126,6 +126,33 @@
     CHECK(ask(second, 900) == admission_answer::admitted);
 }
 
+TEST_CASE_METHOD(
+    ledger_fixture, "ledger: a node that is no home reserves its turn alone")
+{
+    auto& guest = start_node();
+    auto answer = admission_answer::store_unavailable;
+    guest.admit(
+        program, 9'000, most, [&](admission_answer one) { answer = one; },
+        false, false);
+    store.run();
+    CHECK(answer == admission_answer::admitted);
+    CHECK(account().reserved_by_others("") == most);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture, "ledger: a node that is no home gives back at once")
+{
+    auto& guest = start_node();
+    guest.admit(
+        program, 9'000, most, [](admission_answer) {}, false, false);
+    store.run();
+    guest.settle(program, most, 100);
+    guest.tick();
+    store.run();
+    CHECK(account().reserved_by_others("") == 0);
+    CHECK(account().spent == 100);
+}
+
 TEST_CASE_METHOD(
     ledger_fixture, "ledger: a reservation that lies idle is given back")
 {
--- /dev/null
+++ b/test/store_return-test.cpp
@@ -0,0 +1,124 @@
+#include "entry_world.hpp"
+
+#include "entry/platform_view.hpp"
+#include "entry/store_client.hpp"
+
+#include "fake_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A client of the stand-in store, on the test's own loop.
+struct store_return_fixture
+{
+    boost::asio::io_context io;
+    standin_rows store;
+    int returns = 0;
+    store_client client{
+        io,
+        store.address(),
+        seeded_random(3),
+        {{}, [this] { ++returns; }, nullptr}};
+
+    template<class Condition>
+    bool comes_true(Condition const& condition)
+    {
+        auto const end = std::chrono::steady_clock::now() + seconds(30);
+        while (!condition() && std::chrono::steady_clock::now() < end)
+        {
+            io.run_for(milliseconds(5));
+            io.restart();
+        }
+        return condition();
+    }
+
+    store_outcome read_once()
+    {
+        auto outcome = store_outcome::done;
+        bool ended = false;
+        client.calls(store_client::when_lost::fail_at_once)
+            .read(
+                {"some", "", "", ""}, seconds(20),
+                [&](range_result const& result)
+                {
+                    outcome = result.outcome;
+                    ended = true;
+                });
+        REQUIRE(comes_true([&] { return ended; }));
+        return outcome;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    store_return_fixture,
+    "store client: a return is noticed without any call under way")
+{
+    store.set_down(true);
+    REQUIRE(read_once() == store_outcome::unavailable);
+    CHECK(returns == 0);
+    store.set_down(false);
+    CHECK(comes_true([&] { return returns == 1; }));
+    CHECK(read_once() == store_outcome::done);
+}
+
+TEST_CASE("platform view: a refresh reads all at once")
+{
+    boost::asio::io_context io;
+    fake_store rows;
+    manual_clock clock;
+    line_log log(
+        "n", clock.fn(), [](std::string_view bytes) { return bytes.size(); },
+        line_budget());
+    platform_view view(
+        io, rows.calls(), clock.fn(), seeded_random(1), log,
+        {"n", "127.0.0.1:1", "z", "n.1"}, milliseconds(450),
+        {[](std::shared_ptr<routing_table const>) {},
+         [](std::vector<engine_entry> const&) {},
+         [](std::vector<entry_member> const&) {}});
+    view.start();
+    rows.run();
+    auto const before = rows.steps();
+    view.refresh();
+    rows.run();
+    CHECK(rows.steps() == before + 4);
+}
+
+TEST_CASE_METHOD(
+    entry_world, "entry: without a configuration callers come back later")
+{
+    store.remove("op", "config");
+    auto& node = launch_node();
+    auto const get = [&]
+    {
+        test_caller caller(node.settings.listen_callers);
+        return caller.call(post("/orders/x", "r1"));
+    };
+    caller_answer got;
+    auto const end = std::chrono::steady_clock::now() + seconds(30);
+    while (got.status == 0 && std::chrono::steady_clock::now() < end)
+    {
+        try
+        {
+            got = get();
+        }
+        catch (boost::system::system_error const&)
+        {
+            // It does not listen yet.
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+    CHECK(got.status == 503);
+    // An outage lasts seconds; the caller itself bounds the wait.
+    CHECK(std::stod(got.headers.at("Retry-After")) >= 0.9);
+}
