--- a/src/entry/start_lease.cpp
+++ b/src/entry/start_lease.cpp
@@ -191,7 +191,8 @@
     state.accounts_known = false;
     if (state.doubt_on && *state.doubt_on != version)
         state.doubt_on.reset();
-    if (held && !holds(state))
+    // A release that took effect is told of as such.
+    if (held && !holds(state) && !state.changing)
         tell("lost", partition, {});
 }
 
@@ -267,16 +268,17 @@
             if (!*alive)
                 return;
             auto& now = partitions_.at(partition);
-            now.changing = false;
             if (result.outcome == store_outcome::done)
             {
                 stored_row const row{at, encode(lease), result.version};
                 observe(partition, &row);
+                now.changing = false;
                 if (holds(now))
                     note_held(now, asked_at);
                 tell(event, partition, {});
                 return;
             }
+            now.changing = false;
             if (result.outcome == store_outcome::conflict)
                 observe(
                     partition, result.rows.empty() ? nullptr : &result.rows[0]);
--- a/test/start_lease-test.cpp
+++ b/test/start_lease-test.cpp
@@ -54,7 +54,8 @@
               program_ledger::table(),
               {[this](std::string const&) { return home(); },
                [this](std::string const& one) { return lives(one); },
-               {}}),
+               [this](lease_event const& one)
+               { events.insert(std::string(one.what)); }}),
           ledger(store.calls(), day.clock.fn(), self, options_for(day), &leases)
     {
     }
@@ -67,6 +68,8 @@
     }
 
     std::string name;
+    /// What happened to its leases.
+    std::set<std::string> events;
     std::function<bool()> home = [] { return false; };
     std::function<bool(std::string const&)> lives = [](std::string const&)
     { return true; };
@@ -174,6 +177,29 @@
     CHECK(ask(other, program) == admission_answer::store_unavailable);
 }
 
+TEST_CASE_METHOD(
+    lease_fixture, "leases: one that was released is not said to be lost")
+{
+    auto& home = start_home("h.1");
+    home.leases.release_all();
+    store.run();
+    CHECK(home.leases.usable() == 0);
+    CHECK(home.events == std::set<std::string>{"taken", "released"});
+}
+
+TEST_CASE_METHOD(
+    lease_fixture, "leases: one that another node took is said to be lost")
+{
+    auto& home = start_home("h.1");
+    auto& next = start("n.1");
+    next.home = [] { return true; };
+    next.lives = [](std::string const&) { return false; };
+    run(next);
+    day.clock.advance(seconds(6));
+    run(home);
+    CHECK(home.events.count("lost") == 1);
+}
+
 TEST_CASE_METHOD(
     lease_fixture, "leases: a turn that needs the store starts no program")
 {
