Split the entry node and the ledger by job

entry_node.cpp held 587 lines of four jobs: making and running a node, what it answers itself, signals and the planned stop; program_ledger.cpp 510 lines with the account's codec. Moved as they were, with the constants that each uses: entry_node_answers.cpp, entry_node_stop.cpp, program_account.cpp.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -30,21 +30,9 @@
 /// How often a partition is looked at: all 64 within five minutes, so that
 /// old rows are a fraction of those in use.
 constexpr milliseconds sweep_every{5'000};
-/// The balancer asks once a second and needs two misses, so it still sends
-/// callers for this long after a stop began.
-constexpr milliseconds balancer_notices{2'600};
-/// Left of the grace when the process ends whatever is under way.
-constexpr milliseconds end_before_grace{700};
-/// Left of the grace when no further call is taken: the longest one on the
-/// sites' routes takes 3 s.
-constexpr milliseconds last_call_before_end{3'100};
-constexpr milliseconds stop_step_every{50};
 /// Leases are taken once the other nodes are known: one renewal of their rows
 /// (3 s) and a reading.
 constexpr milliseconds leases_after{4'000};
-/// A node that read nothing of the store for this long, itself or through
-/// others, can't start programs: the balancer should use others.
-constexpr milliseconds blind_after{3'500};
 /// Time between two readings of configuration and engines. The shortest finds
 /// a leaving engine within a quarter of the two seconds that sites allow.
 constexpr milliseconds shortest_interval{450};
@@ -56,10 +44,6 @@
 constexpr std::uint64_t cache_part = 8;
 constexpr std::size_t bytes_in_mb = 1'048'576;
 
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
-constexpr int status_bad_request = 400;
-
 time_point steady_now()
 {
     return std::chrono::time_point_cast<duration>(
@@ -124,14 +108,6 @@
     return std::clamp(wanted, shortest_interval, longest);
 }
 
-std::string plain_answer(int status, std::string text)
-{
-    platform::own_answer answer;
-    answer.status = status;
-    answer.message = std::move(text);
-    return platform::encode_own_answer(answer, false);
-}
-
 } // namespace
 
 entry_node::entry_node(entry_settings settings, reread_fn reread)
@@ -245,117 +221,6 @@
         });
 }
 
-caller_link::hooks entry_node::caller_hooks()
-{
-    caller_link::hooks to;
-    to.on_request = [this](link_ptr const& link, request_type&& request) {
-        std::make_shared<call_flow>(services_, link, std::move(request))
-            ->start();
-    };
-    to.refuse = [this](int status, std::string_view why)
-    {
-        log_.write(
-            line_weight::important, "request.unreadable",
-            {{"status", status}, {"why", why}});
-        platform::own_answer answer;
-        answer.status = status;
-        answer.message = std::string(why);
-        return platform::encode_own_answer(answer, true);
-    };
-    to.limits = [this]
-    { return services_.table ? services_.table->limits : caller_limits(); };
-    to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
-    return to;
-}
-
-caller_link::hooks entry_node::service_hooks(
-    std::function<void(link_ptr const&, request_type const&)> answer)
-{
-    caller_link::hooks to;
-    to.on_request = [answer = std::move(answer)](
-                        link_ptr const& link, request_type&& request)
-    { answer(link, request); };
-    to.refuse = [](int status, std::string_view why)
-    { return plain_answer(status, std::string(why)); };
-    to.limits = [] { return caller_limits(); };
-    to.on_end = [](caller_link*) {};
-    return to;
-}
-
-bool entry_node::ready() const
-{
-    return services_.table && !services_.stopping &&
-           clock_() - view_.last_read() < blind_after;
-}
-
-void entry_node::answer_ready(link_ptr const& link)
-{
-    auto const is_ready = ready();
-    link->write(plain_answer(
-        is_ready ? status_ok : status_unavailable,
-        is_ready             ? "ready"
-        : services_.stopping ? "stopping"
-                             : "not in touch with the store"));
-    link->finish_answer(false);
-}
-
-void entry_node::answer_metrics(link_ptr const& link)
-{
-    counters_.gauge(
-        "walnutmill_calls_under_way",
-        static_cast<double>(services_.calls_under_way));
-    counters_.gauge(
-        "walnutmill_programs_known", static_cast<double>(ledger_.programs()));
-    counters_.gauge(
-        "walnutmill_usable_leases", static_cast<double>(leases_.usable()));
-    counters_.gauge(
-        "walnutmill_turn_cache_bytes",
-        static_cast<double>(history_.cached_bytes()));
-    counters_.gauge(
-        "walnutmill_log_lines_dropped", static_cast<double>(log_.dropped()));
-    link->write(plain_answer(status_ok, counters_.prometheus_text()));
-    link->finish_answer(false);
-}
-
-void entry_node::answer_peer(link_ptr const& link, request_type const& request)
-{
-    std::string_view const target(
-        request.target().data(), request.target().size());
-    if (!budget_desk::is_request(target))
-    {
-        carry_store_call(link, request);
-        return;
-    }
-    budgets_.serve(
-        target, request.body(),
-        [link](int status, std::string body)
-        {
-            link->write(plain_answer(status, std::move(body)));
-            link->finish_answer(false);
-        });
-}
-
-void entry_node::carry_store_call(
-    link_ptr const& link, request_type const& request)
-{
-    platform::store_request call;
-    call.method = std::string(request.method_string());
-    call.target = std::string(request.target());
-    call.body = request.body();
-    store_.carry(
-        call,
-        [link](platform::store_reply const& reply)
-        {
-            if (reply.status == 0)
-            {
-                link->abort();
-                return;
-            }
-            link->write(plain_answer(reply.status, reply.body));
-            link->finish_answer(false);
-        });
-}
-
 start_leases::hooks entry_node::lease_hooks()
 {
     start_leases::hooks to;
@@ -497,99 +362,4 @@
         });
 }
 
-void entry_node::wait_for_signal()
-{
-    signals_.async_wait(
-        [this](boost::system::error_code const& error, int signal)
-        {
-            if (error)
-                return;
-            if (signal == SIGHUP)
-                reload();
-            else
-                stop();
-            wait_for_signal();
-        });
-}
-
-void entry_node::request_stop()
-{
-    asio::post(io_, [this] { stop(); });
-}
-
-void entry_node::reload()
-{
-    findings problems;
-    auto const fresh = reread_(problems);
-    if (!problems.empty())
-    {
-        log_.write(
-            line_weight::important, "settings.rejected",
-            {{"setting", problems.items().front().place},
-             {"why", problems.items().front().message}});
-        return;
-    }
-    // Addresses that the node listens on hold until its next start.
-    settings_.store = fresh.store;
-    settings_.stop_grace = fresh.stop_grace;
-    store_.set_address(fresh.store);
-    log_.write(
-        line_weight::important, "settings.reloaded",
-        {{"store", settings_.store}});
-}
-
-void entry_node::stop()
-{
-    if (services_.stopping)
-        return;
-    services_.stopping = true;
-    stop_began_ = clock_();
-    log_.write(
-        line_weight::important, "node.stopping",
-        {{"calls", services_.calls_under_way},
-         {"connections", caller_links_.size()}});
-    stop_step();
-}
-
-/// Callers that the balancer still sends are served; connections are ended
-/// only once no request can be on its way on them.
-void entry_node::stop_step()
-{
-    auto const since = clock_() - stop_began_;
-    auto const last = since > settings_.stop_grace - end_before_grace;
-    if (since > settings_.stop_grace - end_before_grace - last_call_before_end)
-    {
-        services_.takes_calls = false;
-        boost::system::error_code ignored; // it may be closed already
-        callers_.close(ignored);
-    }
-    if (since > balancer_notices && !leaving_)
-    {
-        leaving_ = true;
-        ledger_.settle_all();
-        leases_.release_all();
-        view_.leave([this] { left_ = true; });
-    }
-    if (since > balancer_notices)
-    {
-        auto const open = caller_links_;
-        for (auto* link : open)
-            link->retire();
-    }
-    auto const drained = left_ && services_.calls_under_way == 0 &&
-                         caller_links_.empty() && !ledger_.busy();
-    if (drained || last)
-    {
-        io_.stop();
-        return;
-    }
-    stop_timer_.expires_after(stop_step_every);
-    stop_timer_.async_wait(
-        [this](boost::system::error_code const& error)
-        {
-            if (!error)
-                stop_step();
-        });
-}
-
 } // namespace walnutmill
--- /dev/null
+++ b/src/entry/entry_node_answers.cpp
@@ -0,0 +1,145 @@
+/// \file
+/// What an entry node answers itself: to callers it can't read, to the
+/// balancer, to whoever looks at its metrics, and to other nodes.
+
+#include "entry/entry_node.hpp"
+
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A node that read nothing of the store for this long, itself or through
+/// others, can't start programs: the balancer should use others.
+constexpr milliseconds blind_after{3'500};
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr int status_bad_request = 400;
+
+std::string plain_answer(int status, std::string text)
+{
+    platform::own_answer answer;
+    answer.status = status;
+    answer.message = std::move(text);
+    return platform::encode_own_answer(answer, false);
+}
+
+} // namespace
+
+caller_link::hooks entry_node::caller_hooks()
+{
+    caller_link::hooks to;
+    to.on_request = [this](link_ptr const& link, request_type&& request) {
+        std::make_shared<call_flow>(services_, link, std::move(request))
+            ->start();
+    };
+    to.refuse = [this](int status, std::string_view why)
+    {
+        log_.write(
+            line_weight::important, "request.unreadable",
+            {{"status", status}, {"why", why}});
+        platform::own_answer answer;
+        answer.status = status;
+        answer.message = std::string(why);
+        return platform::encode_own_answer(answer, true);
+    };
+    to.limits = [this]
+    { return services_.table ? services_.table->limits : caller_limits(); };
+    to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
+    return to;
+}
+
+caller_link::hooks entry_node::service_hooks(
+    std::function<void(link_ptr const&, request_type const&)> answer)
+{
+    caller_link::hooks to;
+    to.on_request = [answer = std::move(answer)](
+                        link_ptr const& link, request_type&& request)
+    { answer(link, request); };
+    to.refuse = [](int status, std::string_view why)
+    { return plain_answer(status, std::string(why)); };
+    to.limits = [] { return caller_limits(); };
+    to.on_end = [](caller_link*) {};
+    return to;
+}
+
+bool entry_node::ready() const
+{
+    return services_.table && !services_.stopping &&
+           clock_() - view_.last_read() < blind_after;
+}
+
+void entry_node::answer_ready(link_ptr const& link)
+{
+    auto const is_ready = ready();
+    link->write(plain_answer(
+        is_ready ? status_ok : status_unavailable,
+        is_ready             ? "ready"
+        : services_.stopping ? "stopping"
+                             : "not in touch with the store"));
+    link->finish_answer(false);
+}
+
+void entry_node::answer_metrics(link_ptr const& link)
+{
+    counters_.gauge(
+        "walnutmill_calls_under_way",
+        static_cast<double>(services_.calls_under_way));
+    counters_.gauge(
+        "walnutmill_programs_known", static_cast<double>(ledger_.programs()));
+    counters_.gauge(
+        "walnutmill_usable_leases", static_cast<double>(leases_.usable()));
+    counters_.gauge(
+        "walnutmill_turn_cache_bytes",
+        static_cast<double>(history_.cached_bytes()));
+    counters_.gauge(
+        "walnutmill_log_lines_dropped", static_cast<double>(log_.dropped()));
+    link->write(plain_answer(status_ok, counters_.prometheus_text()));
+    link->finish_answer(false);
+}
+
+void entry_node::answer_peer(link_ptr const& link, request_type const& request)
+{
+    std::string_view const target(
+        request.target().data(), request.target().size());
+    if (!budget_desk::is_request(target))
+    {
+        carry_store_call(link, request);
+        return;
+    }
+    budgets_.serve(
+        target, request.body(),
+        [link](int status, std::string body)
+        {
+            link->write(plain_answer(status, std::move(body)));
+            link->finish_answer(false);
+        });
+}
+
+void entry_node::carry_store_call(
+    link_ptr const& link, request_type const& request)
+{
+    platform::store_request call;
+    call.method = std::string(request.method_string());
+    call.target = std::string(request.target());
+    call.body = request.body();
+    store_.carry(
+        call,
+        [link](platform::store_reply const& reply)
+        {
+            if (reply.status == 0)
+            {
+                link->abort();
+                return;
+            }
+            link->write(plain_answer(reply.status, reply.body));
+            link->finish_answer(false);
+        });
+}
+
+} // namespace walnutmill
