--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -34,11 +34,10 @@
 /// caller's target latency. Readings of configuration and engines, some four a
 /// second, go on and find it again.
 constexpr milliseconds lost_after{300};
-/// Attempts begun while the store is lost wait no longer than this, unless its
-/// answers are slow of late: most end with the outage itself, and one that was
-/// sent into a silent store just before its return would hold its call for the
-/// longest attempt. Above what an answer takes when it takes sixty times as
-/// long (540 ms).
+/// Attempts begun while the store is lost wait no longer than this: one that
+/// was sent into a silent store just before its return would hold its call for
+/// the longest attempt. Above what an answer takes when it takes sixty times as
+/// long (540 ms), as a store that is slow counts as lost between two answers.
 constexpr milliseconds longest_while_lost{600};
 /// A lost store is asked by itself this often, straight and over connections
 /// that are given up soon, so that a node knows of its return within some
