--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -177,6 +177,7 @@
     for (auto const& one : processes_)
         await_ready(*one);
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(options_.callers));
     for (int i = 0; i < options_.callers; ++i)
         callers.emplace_back([this, i] { call_for(i); });
     auto const end =
