--- a/test/store_return-test.cpp
+++ b/test/store_return-test.cpp
@@ -83,7 +83,7 @@
     platform_view view(
         io, rows.calls(), clock.fn(), seeded_random(1), log,
         {"n", "127.0.0.1:1", "z", "n.1"}, milliseconds(450),
-        {[](std::shared_ptr<routing_table const>) {},
+        {[](std::shared_ptr<routing_table const> const&) {},
          [](std::vector<engine_entry> const&) {},
          [](std::vector<entry_member> const&) {}});
     view.start();
