--- a/src/entry/start_gate.hpp
+++ b/src/entry/start_gate.hpp
@@ -48,7 +48,8 @@
 /// 3.5 s with its repetitions; run, with the end of the answer held for the
 /// store, some 7 s, at the price of turns that ran in vain. With it four
 /// plays of a day with 7 s without the store were worth 0.55 to 0.58 instead of
-/// 0.50 to 0.55 (13 nodes, 14 engines, pressure 0.3).
+/// 0.50 to 0.55 (13 nodes, 14 engines, pressure 0.3,
+/// measured without the bound on the load).
 /// \return true where such a turn may start; false where the load is not known
 bool may_run_in_vain(
     std::optional<double> pressure, gate_options const& options = {});
