Tell an engine's incarnations apart; pass over rows of other writers

A node took the id for the incarnation: a call under way at a dead one waited out its caller's time, and what was believed of cache, load, speed and failures went over to the new one. A row with a wrong type, an unknown state or no slots was taken for an engine.

Change: entries carry an incarnation, decoded in the adapter. An older start that arrives late changes nothing. Every field of an entry is checked; an unreadable row names no engine and is logged once for each version of the row. The table is read page by page.

Ruled out: taking an entry's row version for the incarnation, since a late heartbeat of the former one is written last.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -118,6 +118,7 @@
 struct placement
 {
     target_name engine;
+    engine_incarnation incarnation;
     std::string address;
     /// Expected wait for a slot there.
     std::chrono::milliseconds wait{0};
@@ -131,6 +132,8 @@
     std::chrono::milliseconds load_age{-1};
     /// Tokens of the prompt that are likely cached there.
     std::uint32_t cached_tokens = 0;
+
+    engine_ref ref() const { return {engine, incarnation}; }
 };
 
 /// How a call at an engine ended, as far as the engine is to blame.
@@ -154,27 +157,33 @@
         zone_name own_domain, clock_fn clock, random_fn random,
         board_options options = {});
 
-    /// Takes in the engines as registered; those missing are gone.
-    void set_engines(std::vector<engine_entry> const& engines);
+    /// Takes in the engines as registered; those missing are gone. Of an
+    /// engine that started again nothing is believed any more: load, speed,
+    /// failures and cached prompts were its former incarnation's.
+    /// \return those that started again
+    std::vector<target_name>
+    set_engines(std::vector<engine_entry> const& engines);
 
     std::optional<placement> choose(placement_need const& need);
 
-    void sent(target_name const& engine, placement_need const& need);
+    // What is told of a former incarnation is passed over.
+    void sent(engine_ref const& engine, placement_need const& need);
     /// \param took from sending to the end of the answer
     void ended(
-        target_name const& engine, placement_need const& need,
+        engine_ref const& engine, placement_need const& need,
         engine_outcome outcome, duration took);
     /// A call at the engine has been silent for longer than it should be; it
     /// may still end there.
-    void stalled(target_name const& engine);
-    void told_load(target_name const& engine, engine_load const& load);
+    void stalled(engine_ref const& engine);
+    void told_load(engine_ref const& engine, engine_load const& load);
     /// Calls of other nodes at each engine, as those told each other just
     /// now.
     void set_peer_loads(
         std::function<std::uint32_t(target_name const&)> const& calls_at);
 
-    /// \return true while the engine is registered.
-    bool known(target_name const& engine) const;
+    /// \return true while the engine is registered, in that incarnation if
+    /// one is named.
+    bool known(engine_ref const& engine) const;
     std::size_t engines_of(service_name const& service) const;
     /// Calls under way from this node, by engine.
     std::vector<std::pair<target_name, std::uint32_t>> own_calls() const;
@@ -201,6 +210,8 @@
         time_point failures_at{};
         time_point rests_until{};
         duration rest{0};
+        /// When it was seen to have started again; the epoch: never.
+        time_point restarted_at{};
     };
     struct part_place
     {
@@ -238,6 +249,11 @@
     void order_engines(
         shared_part& one, std::string const& part,
         service_name const& service) const;
+    engine_record* find(engine_ref const& engine);
+    void forget_parts(target_name const& engine);
+    bool has_shared_part(
+        std::string const& part, std::string const& shared,
+        target_name const& engine) const;
     double load_of(engine_record const& one, time_point now) const;
     double cost_of(
         engine_record const& one, placement_need const& need,
--- a/include/walnutmill/routing_table.hpp
+++ b/include/walnutmill/routing_table.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace walnutmill
@@ -110,10 +111,52 @@
     draining
 };
 
+/// One run of an engine. An engine may start again under its id; it then holds
+/// and knows nothing of before.
+struct engine_incarnation
+{
+    /// When it started, in UTC milliseconds of its own clock; 0: not told.
+    std::int64_t started_at_ms = 0;
+
+    friend bool operator==(engine_incarnation a, engine_incarnation b)
+    {
+        return a.started_at_ms == b.started_at_ms;
+    }
+    friend bool operator!=(engine_incarnation a, engine_incarnation b)
+    {
+        return !(a == b);
+    }
+    friend bool operator<(engine_incarnation a, engine_incarnation b)
+    {
+        return a.started_at_ms < b.started_at_ms;
+    }
+};
+
+/// An engine, or one incarnation of it.
+struct engine_ref
+{
+    target_name id;
+    /// Empty: whichever runs at present.
+    std::optional<engine_incarnation> incarnation;
+
+    // Not explicit: a name alone stands for the present incarnation.
+    engine_ref(target_name name) : id(std::move(name)) {}
+    engine_ref(target_name name, engine_incarnation one)
+        : id(std::move(name)), incarnation(one)
+    {
+    }
+
+    friend bool operator==(engine_ref const& a, engine_ref const& b)
+    {
+        return a.id == b.id && a.incarnation == b.incarnation;
+    }
+};
+
 /// One incarnation of an engine, as it registered itself.
 struct engine_entry
 {
     target_name id;
+    engine_incarnation incarnation;
     service_name service;
     /// IP:PORT
     std::string address;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -6,7 +6,6 @@
 
 #include "entry/call_limits.hpp"
 #include "entry/call_rank.hpp"
-#include "entry/target_list.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -87,7 +86,7 @@
     }
     auto const one = std::make_shared<attempt>();
     one->at = *at;
-    one->link = node_.links.take(at->engine, at->address, connection_limit());
+    one->link = node_.links.take(at->ref(), at->address, connection_limit());
     if (!one->link)
     {
         need_.avoid.push_back(at->engine);
@@ -106,7 +105,7 @@
     one->heard_at = one->sent_at;
     one->patience = stall_patience(
         at->first_bytes, service_->model.has_value(), stalls_, node_.stalls);
-    node_.board.sent(at->engine, need_);
+    node_.board.sent(at->ref(), need_);
     exchange(one);
     watch_for_stall(one);
 }
@@ -137,7 +136,7 @@
     one->heard_at = node_.clock();
     one->answer = platform::decode_answer(head);
     if (one->answer.load)
-        node_.board.told_load(one->at.engine, *one->answer.load);
+        node_.board.told_load(one->at.ref(), *one->answer.load);
     one->runs = !one->answer.not_run;
 }
 
@@ -210,7 +209,7 @@
         // It has ended or is cut off, so a try at it counts no more.
         need_.only = target_name();
         ran_at_.erase(
-            std::remove(ran_at_.begin(), ran_at_.end(), one->at.engine),
+            std::remove(ran_at_.begin(), ran_at_.end(), one->at.ref()),
             ran_at_.end());
         need_.avoid.push_back(one->at.engine);
         try_engine();
@@ -239,8 +238,8 @@
             static_cast<std::uint32_t>(std::max<std::uint64_t>(handed_out_, 1));
     }
     node_.board.ended(
-        one->at.engine, need_, outcome, node_.clock() - one->sent_at);
-    node_.links.give_back(one->at.engine, one->link);
+        one->at.ref(), need_, outcome, node_.clock() - one->sent_at);
+    node_.links.give_back(one->at.ref(), one->link);
 }
 
 void call_flow::refused_by_engine(attempt_ptr const& one)
@@ -293,17 +292,24 @@
         deliver(one);
 }
 
+bool call_flow::ran(engine_ref const& engine) const
+{
+    return std::find(ran_at_.begin(), ran_at_.end(), engine) != ran_at_.end();
+}
+
 /// \param left the engine that the call ran at last
-bool call_flow::may_run_elsewhere(target_name const& left) const
+bool call_flow::may_run_elsewhere(engine_ref const& left) const
 {
     // Engines that ended meanwhile don't count.
     auto alive = std::count_if(
         ran_at_.begin(), ran_at_.end(),
-        [this](target_name const& one) { return node_.board.known(one); });
-    if (!listed(ran_at_, left))
+        [this](engine_ref const& one) { return node_.board.known(one); });
+    if (!ran(left))
         ++alive;
+    // An incarnation that is gone is none of the service's engines.
+    std::size_t const left_there = node_.board.known(left) ? 1 : 0;
     return static_cast<std::uint64_t>(alive) < route_->max_engines &&
-           node_.board.engines_of(need_.service) > 1;
+           node_.board.engines_of(need_.service) > left_there;
 }
 
 /// An engine may have run the call without bringing it to its end.
@@ -312,14 +318,15 @@
 {
     if (done_)
         return;
-    auto const& engine = one->at.engine;
-    if (!listed(ran_at_, engine))
+    auto const engine = one->at.ref();
+    if (!ran(engine))
         ran_at_.push_back(engine);
     auto const repeatable =
         route_->repeats == repeatability::idempotent && sends_ < most_sends;
     if (repeatable && may_run_elsewhere(engine))
     {
-        need_.avoid.push_back(engine);
+        if (node_.board.known(engine))
+            need_.avoid.push_back(engine.id);
         try_engine();
         return;
     }
@@ -332,7 +339,7 @@
     if (repeatable && !complete_failure && node_.board.known(engine))
     {
         need_.avoid.clear();
-        need_.only = engine;
+        need_.only = engine.id;
         try_engine();
         return;
     }
@@ -396,6 +403,7 @@
         line_weight::important, "call.attempt",
         {{"request", call_.id.str()},
          {"engine", one->at.engine.str()},
+         {"started_at_ms", one->at.incarnation.started_at_ms},
          {"address", one->at.address},
          {"outcome", outcome},
          {"status", one->answer.status},
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -108,7 +108,8 @@
     void attempt_broke(attempt_ptr const& one);
     void attempt_completed(attempt_ptr const& one);
     void retry_or_fail(attempt_ptr const& one, bool complete_failure);
-    bool may_run_elsewhere(target_name const& left) const;
+    bool ran(engine_ref const& engine) const;
+    bool may_run_elsewhere(engine_ref const& left) const;
 
     void forward_event(attempt_ptr const& one, stream_event const& event);
     void stream_completed();
@@ -139,7 +140,7 @@
     time_point give_up_at_;
     attempt_ptr current_;
     /// Engines that may have run the call.
-    std::vector<target_name> ran_at_;
+    std::vector<engine_ref> ran_at_;
     int sends_ = 0;
     /// Times that an engine was left because it had fallen silent.
     int stalls_ = 0;
--- a/src/entry/call_stalls.cpp
+++ b/src/entry/call_stalls.cpp
@@ -29,7 +29,7 @@
         watch_for_stall(one);
         return;
     }
-    node_.board.stalled(one->at.engine);
+    node_.board.stalled(one->at.ref());
     node_.links.drop_idle(one->at.engine);
     auto const leaves = may_leave(one);
     note_attempt(one, leaves ? "stalled, left" : "stalled, waits on");
@@ -51,7 +51,7 @@
     // At the same engine a call that waits for a slot would only lose its
     // place in the queue.
     auto const waits_there = one->at.load >= one->at.slots;
-    return (may_run_elsewhere(one->at.engine) || !waits_there) &&
+    return (may_run_elsewhere(one->at.ref()) || !waits_there) &&
            node_.repeats.take();
 }
 
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -35,14 +35,25 @@
 {
 }
 
-void engine_board::set_engines(std::vector<engine_entry> const& engines)
+std::vector<target_name>
+engine_board::set_engines(std::vector<engine_entry> const& engines)
 {
     std::unordered_map<target_name, engine_record> kept;
+    std::vector<target_name> restarted;
     by_service_.clear();
     for (auto const& entry : engines)
     {
         auto const found = engines_.find(entry.id);
-        auto state = found == engines_.end() ? engine_record() : found->second;
+        engine_record state;
+        if (found != engines_.end() &&
+            found->second.entry.incarnation == entry.incarnation)
+            state = found->second;
+        else if (found != engines_.end())
+        {
+            restarted.push_back(entry.id);
+            forget_parts(entry.id);
+            state.restarted_at = clock_();
+        }
         state.entry = entry;
         auto& group = by_service_[entry.service];
         (entry.zone == own_domain_ ? group.near : group.far)
@@ -57,11 +68,26 @@
     if (!same)
         ++engines_version_;
     engines_ = std::move(kept);
+    return restarted;
+}
+
+engine_board::engine_record* engine_board::find(engine_ref const& engine)
+{
+    auto const found = engines_.find(engine.id);
+    if (found == engines_.end())
+        return nullptr;
+    auto& one = found->second;
+    auto const present =
+        !engine.incarnation || *engine.incarnation == one.entry.incarnation;
+    return present ? &one : nullptr;
 }
 
-bool engine_board::known(target_name const& engine) const
+bool engine_board::known(engine_ref const& engine) const
 {
-    return engines_.count(engine) > 0;
+    auto const found = engines_.find(engine.id);
+    return found != engines_.end() &&
+           (!engine.incarnation ||
+            *engine.incarnation == found->second.entry.incarnation);
 }
 
 std::size_t engine_board::engines_of(service_name const& service) const
@@ -198,6 +224,7 @@
         return std::nullopt;
     placement to;
     to.engine = best->entry.id;
+    to.incarnation = best->entry.incarnation;
     to.address = best->entry.address;
     to.load = load_of(*best, now);
     to.slots = best->entry.slots;
@@ -217,16 +244,16 @@
     return to;
 }
 
-void engine_board::sent(target_name const& engine, placement_need const& need)
+void engine_board::sent(engine_ref const& engine, placement_need const& need)
 {
-    auto const found = engines_.find(engine);
-    if (found == engines_.end())
+    auto* const found = find(engine);
+    if (found == nullptr)
         return;
-    ++found->second.own_calls;
+    ++found->own_calls;
     if (need.prompt == nullptr)
         return;
     for (auto const& part : *need.prompt)
-        remember_part(part.id, engine);
+        remember_part(part.id, engine.id);
 }
 
 void engine_board::rest(
@@ -241,13 +268,13 @@
 }
 
 void engine_board::ended(
-    target_name const& engine, placement_need const& need,
+    engine_ref const& engine, placement_need const& need,
     engine_outcome outcome, duration took)
 {
-    auto const found = engines_.find(engine);
-    if (found == engines_.end())
+    auto* const found = find(engine);
+    if (found == nullptr)
         return;
-    auto& one = found->second;
+    auto& one = *found;
     auto const now = clock_();
     auto const load = load_of(one, now);
     one.own_calls -= std::min(one.own_calls, 1U);
@@ -257,7 +284,7 @@
     {
         one.rest = duration(0);
         one.failures *= 1 - options_.failure_weight / 2;
-        auto const cached = cached_tokens(engine, need);
+        auto const cached = cached_tokens(engine.id, need);
         auto const expected = expected_ms(one, need, cached, load) / one.speed;
         auto const ratio = std::clamp(ms_of(took) / expected, fastest, slowest);
         one.speed += (ratio - one.speed) * options_.speed_weight;
@@ -277,20 +304,19 @@
     }
 }
 
-void engine_board::stalled(target_name const& engine)
+void engine_board::stalled(engine_ref const& engine)
 {
-    auto const found = engines_.find(engine);
-    if (found != engines_.end())
-        add_failure(found->second, clock_());
+    if (auto* const found = find(engine))
+        add_failure(*found, clock_());
 }
 
-void engine_board::told_load(target_name const& engine, engine_load const& load)
+void engine_board::told_load(engine_ref const& engine, engine_load const& load)
 {
-    auto const found = engines_.find(engine);
-    if (found == engines_.end())
+    auto* const found = find(engine);
+    if (found == nullptr)
         return;
     constexpr double usual_weight = 0.1;
-    auto& one = found->second;
+    auto& one = *found;
     auto const all = static_cast<double>(load.running + load.waiting);
     one.told_others = std::max(0.0, all - static_cast<double>(one.own_calls));
     one.usual_others += (one.told_others - one.usual_others) * usual_weight;
--- a/src/entry/engine_board_parts.cpp
+++ b/src/entry/engine_board_parts.cpp
@@ -18,6 +18,10 @@
 /// Engines remembered for one part of a prompt: more copies of a part than
 /// this need no memory, since a tie is broken by load anyway.
 constexpr std::size_t places_a_part = 6;
+/// After this an engine that started again has been sent each shared part that
+/// belongs to it by some node: a part that is asked for less than once in two
+/// seconds is not worth a place of its own.
+constexpr std::chrono::seconds shared_read_again{2};
 /// A part's engines are kept for each service: a route may lead to two.
 std::string shared_key(placement_need const& need)
 {
@@ -37,10 +41,10 @@
     {
         auto const first = &part == &need.prompt->front();
         auto const found = parts_.find(part.id);
-        auto const lies_there = first
-                                    ? belongs(shared_key(need), engine)
-                                    : found != parts_.end() &&
-                                          listed(found->second.engines, engine);
+        auto const lies_there =
+            first ? has_shared_part(part.id, shared_key(need), engine)
+                  : found != parts_.end() &&
+                        listed(found->second.engines, engine);
         if (!lies_there)
             break;
         tokens += part.tokens;
@@ -48,6 +52,33 @@
     return tokens;
 }
 
+/// A shared part is taken to lie at the engines that it belongs to, as some
+/// node's call has read it there, but not at one that started again just now,
+/// unless this node's own call has read it since.
+bool engine_board::has_shared_part(
+    std::string const& part, std::string const& shared,
+    target_name const& engine) const
+{
+    if (!belongs(shared, engine))
+        return false;
+    auto const& one = engines_.at(engine);
+    if (one.restarted_at == time_point{} ||
+        clock_() - one.restarted_at >= shared_read_again)
+        return true;
+    auto const found = parts_.find(part);
+    return found != parts_.end() && listed(found->second.engines, engine);
+}
+
+void engine_board::forget_parts(target_name const& engine)
+{
+    for (auto& [id, place] : parts_)
+    {
+        auto& engines = place.engines;
+        engines.erase(
+            std::remove(engines.begin(), engines.end(), engine), engines.end());
+    }
+}
+
 bool engine_board::belongs(
     std::string const& part, target_name const& engine) const
 {
--- a/src/entry/engine_links.cpp
+++ b/src/entry/engine_links.cpp
@@ -1,5 +1,6 @@
 #include "entry/engine_links.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace walnutmill
@@ -32,10 +33,13 @@
 }
 
 engine_links::link_ptr engine_links::take(
-    target_name const& engine, std::string const& address, std::uint32_t limit)
+    engine_ref const& engine, std::string const& address, std::uint32_t limit)
 {
-    auto& conns = engines_[engine];
+    auto& conns = engines_[engine.id];
     auto const now = clock_type::now();
+    if (conns.incarnation != engine.incarnation)
+        restarted(engine.id);
+    conns.incarnation = engine.incarnation;
     while (!conns.idle.empty())
     {
         // The one used last is the least likely to be ended by the engine.
@@ -43,25 +47,27 @@
         conns.idle.pop_back();
         if (link->reusable() && now - link->idle_since < idle_at_most)
         {
-            ++conns.in_use;
+            conns.in_use.push_back(link);
             return link;
         }
         link->close();
     }
     auto const peer = endpoint_of(address);
-    if (!peer || conns.in_use >= limit)
+    if (!peer || conns.in_use.size() >= limit)
         return nullptr;
-    ++conns.in_use;
-    return std::make_shared<http_link>(io_, *peer, connect_patience);
+    conns.in_use.push_back(
+        std::make_shared<http_link>(io_, *peer, connect_patience));
+    return conns.in_use.back();
 }
 
-void engine_links::give_back(target_name const& engine, link_ptr link)
+void engine_links::give_back(engine_ref const& engine, link_ptr const& link)
 {
-    auto& conns = engines_[engine];
-    if (conns.in_use > 0)
-        --conns.in_use;
-    if (link->reusable())
-        conns.idle.push_back(std::move(link));
+    auto& conns = engines_[engine.id];
+    conns.in_use.erase(
+        std::remove(conns.in_use.begin(), conns.in_use.end(), link),
+        conns.in_use.end());
+    if (link->reusable() && conns.incarnation == engine.incarnation)
+        conns.idle.push_back(link);
     else
         link->close();
 }
@@ -76,6 +82,20 @@
     found->second.idle.clear();
 }
 
+void engine_links::restarted(target_name const& engine)
+{
+    drop_idle(engine);
+    auto const found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    found->second.incarnation.reset();
+    // Calls that end take themselves off the list.
+    auto const in_use = std::move(found->second.in_use);
+    found->second.in_use.clear();
+    for (auto const& link : in_use)
+        link->break_off();
+}
+
 void engine_links::sweep(
     std::function<bool(target_name const&)> const& still_registered)
 {
@@ -94,7 +114,7 @@
                 link->close();
         }
         conns.idle = std::move(kept);
-        if (!registered && conns.in_use == 0)
+        if (!registered && conns.in_use.empty())
             it = engines_.erase(it);
         else
             ++it;
--- a/src/entry/engine_links.hpp
+++ b/src/entry/engine_links.hpp
@@ -5,7 +5,7 @@
 /// Connections to engines, kept for the next call, within this node's part of
 /// what an engine takes from all nodes.
 
-#include <walnutmill/ids.hpp>
+#include <walnutmill/routing_table.hpp>
 
 #include "entry/http_link.hpp"
 
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -37,16 +38,21 @@
     /// has its part of the engine's connections in use.
     /// \param limit connections this node may have to the engine
     link_ptr take(
-        target_name const& engine, std::string const& address,
+        engine_ref const& engine, std::string const& address,
         std::uint32_t limit);
 
     /// The exchange is over: keeps the connection if it can be used again.
-    void give_back(target_name const& engine, link_ptr link);
+    void give_back(engine_ref const& engine, link_ptr const& link);
 
     /// Ends the idle connections to an engine: they may be as silent as one
     /// that just turned out to be.
     void drop_idle(target_name const& engine);
 
+    /// Ends all connections to the engine's former incarnations. Calls on them
+    /// end as broken off, rather than with their callers' patience: an engine
+    /// that crashed behind a partition never resets its connections.
+    void restarted(target_name const& engine);
+
     /// Ends the idle connections to engines that are gone, and those that
     /// have been idle for long.
     void sweep(std::function<bool(target_name const&)> const& still_registered);
@@ -54,8 +60,9 @@
 private:
     struct engine_conns
     {
+        std::optional<engine_incarnation> incarnation;
         std::vector<link_ptr> idle;
-        std::uint32_t in_use = 0;
+        std::vector<link_ptr> in_use;
     };
 
     boost::asio::io_context& io_;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -167,7 +167,7 @@
           {[this](std::shared_ptr<routing_table const> table)
            { services_.table = std::move(table); },
            [this](std::vector<engine_entry> const& engines)
-           { board_.set_engines(engines); },
+           { set_engines(engines); },
            [this](std::vector<entry_member> const& members)
            { set_members(members); }}),
       callers_(io_), ready_(io_), peers_(io_), metrics_(io_),
@@ -244,6 +244,12 @@
     return to;
 }
 
+void entry_node::set_engines(std::vector<engine_entry> const& engines)
+{
+    for (auto const& one : board_.set_engines(engines))
+        links_.restarted(one);
+}
+
 void entry_node::set_members(std::vector<entry_member> const& members)
 {
     std::vector<std::string> relays;
--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -96,6 +96,14 @@
     drop_connection();
 }
 
+void http_link::break_off()
+{
+    if (closed_)
+        return;
+    drop_connection();
+    finish(link_end::broken);
+}
+
 void http_link::drop_connection()
 {
     connected_ = false;
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -74,6 +74,10 @@
     /// Ends the connection at once; no handler is called afterwards.
     void close();
 
+    /// Ends the connection as if its peer had: for a peer that is known to be
+    /// gone, whose silence no reset may ever end.
+    void break_off();
+
     /// \return true while connected with no exchange under way and nothing
     /// that would spoil the next answer.
     bool reusable() const { return connected_ && !busy_ && !spoiled_; }
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -45,6 +45,24 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// \return empty where the row is no member's.
+std::optional<entry_member> decode_member(stored_row const& row)
+{
+    auto const body = json::from_cbor(row.value, true, false);
+    entry_member to;
+    to.node = row.at.key;
+    for (auto const& [field, value] :
+         {std::pair("address", &to.address), std::pair("domain", &to.domain),
+          std::pair("incarnation", &to.incarnation)})
+    {
+        if (!body.is_object() || !body.contains(field) ||
+            !body[field].is_string())
+            return std::nullopt;
+        *value = body[field].get<std::string>();
+    }
+    return to;
+}
+
 } // namespace
 
 platform_view::platform_view(
@@ -140,21 +158,39 @@
 }
 
 void platform_view::read_engines()
+{
+    engine_rows_.clear();
+    read_engine_rows({});
+}
+
+void platform_view::read_engine_rows(std::string const& from)
 {
     store_.read(
-        {std::string(platform::names::engines_table), "", "", ""},
+        {std::string(platform::names::engines_table), "", from, ""},
         read_patience,
-        [this](range_result const& result)
-        {
-            engines_read(result);
-            again(interval_, engines_timer_, &platform_view::read_engines);
-        });
+        [this](range_result const& result) { engines_read(result); });
 }
 
 void platform_view::engines_read(range_result const& result)
 {
-    if (result.outcome != store_outcome::done || result.truncated)
+    if (result.outcome != store_outcome::done)
+    {
+        again(interval_, engines_timer_, &platform_view::read_engines);
         return;
+    }
+    engine_rows_.insert(
+        engine_rows_.end(), result.rows.begin(), result.rows.end());
+    if (result.truncated && !result.rows.empty())
+    {
+        read_engine_rows(result.rows.back().at.key + '\0');
+        return;
+    }
+    take_in_engines();
+    again(interval_, engines_timer_, &platform_view::read_engines);
+}
+
+void platform_view::take_in_engines()
+{
     auto const now = clock_();
     // While the store was away entries lapse although their engines live;
     // those are back two seconds after its return, or gone.
@@ -163,61 +199,97 @@
     engines_read_at_ = now;
     last_read_ = now;
     std::unordered_map<std::string, known_engine> seen;
+    for (auto const& row : engine_rows_)
+        take_in_engine(row, seen);
+    keep_absent(seen);
+    engines_ = std::move(seen);
     std::vector<engine_entry> entries;
-    for (auto const& row : result.rows)
+    for (auto const& [id, one] : engines_)
     {
-        auto const& id = row.at.key;
-        auto const before = engines_.find(id);
-        known_engine one;
-        if (before != engines_.end() && before->second.row == row.version)
-            one = before->second;
-        else
-        {
-            findings problems;
-            auto decoded = platform::decode_engine(id, row.value, problems);
-            if (!decoded)
-            {
-                log_.write(
-                    line_weight::important, "engine.unreadable",
-                    {{"engine", id},
-                     {"why", problems.items().front().message}});
-                continue;
-            }
-            one = {row.version, std::move(*decoded)};
-        }
-        auto const draining = one.entry.state == engine_state::draining;
-        if (before == engines_.end() ||
-            (before->second.entry.state != one.entry.state))
-        {
-            log_.write(
-                line_weight::routine,
-                draining ? "engine.draining" : "engine.registered",
-                {{"engine", id},
-                 {"service", one.entry.service.str()},
-                 {"address", one.entry.address},
-                 {"row_version", row.version}});
-        }
-        entries.push_back(one.entry);
-        seen.emplace(id, std::move(one));
+        if (one.entry)
+            entries.push_back(*one.entry);
+    }
+    hooks_.on_engines(entries);
+}
+
+void platform_view::take_in_engine(
+    stored_row const& row, std::unordered_map<std::string, known_engine>& seen)
+{
+    auto const& id = row.at.key;
+    auto const before = engines_.find(id);
+    // Readings may overtake each other on different ways to the store.
+    if (before != engines_.end() && before->second.row >= row.version)
+    {
+        seen.emplace(id, before->second);
+        return;
+    }
+    auto one = decode_engine(row);
+    auto const* known = before != engines_.end() && before->second.entry
+                            ? &*before->second.entry
+                            : nullptr;
+    // A heartbeat of a former incarnation that was written late.
+    if (known != nullptr && one.entry &&
+        one.entry->incarnation < known->incarnation)
+        one.entry = *known;
+    if (one.entry && known != nullptr &&
+        known->incarnation < one.entry->incarnation)
+        log_engine("engine.restarted", id, one);
+    else if (
+        one.entry && (known == nullptr || known->state != one.entry->state))
+    {
+        log_engine(
+            one.entry->state == engine_state::draining ? "engine.draining"
+                                                       : "engine.registered",
+            id, one);
     }
-    for (auto& [id, one] : engines_)
+    seen.emplace(id, std::move(one));
+}
+
+platform_view::known_engine platform_view::decode_engine(stored_row const& row)
+{
+    findings problems;
+    auto decoded = platform::decode_engine(row.at.key, row.value, problems);
+    if (!decoded)
     {
-        if (seen.count(id) > 0)
+        auto const& first = problems.items().front();
+        log_.write(
+            line_weight::important, "engine.unreadable",
+            {{"place", first.place},
+             {"why", first.message},
+             {"row_version", row.version},
+             {"bytes", row.value.size()}});
+    }
+    return {row.version, std::move(decoded)};
+}
+
+/// Engines without a row live on in what a node believes for a while after an
+/// outage.
+void platform_view::keep_absent(
+    std::unordered_map<std::string, known_engine>& seen)
+{
+    auto const now = clock_();
+    for (auto const& [id, one] : engines_)
+    {
+        if (!one.entry || seen.count(id) > 0)
             continue;
         if (now < trust_absence_at_)
-        {
-            entries.push_back(one.entry);
-            seen.emplace(id, std::move(one));
-        }
+            seen.emplace(id, one);
         else
-        {
-            log_.write(
-                line_weight::routine, "engine.gone",
-                {{"engine", id}, {"service", one.entry.service.str()}});
-        }
+            log_engine("engine.gone", id, one);
     }
-    engines_ = std::move(seen);
-    hooks_.on_engines(entries);
+}
+
+void platform_view::log_engine(
+    std::string_view event, std::string const& id,
+    known_engine const& one) const
+{
+    log_.write(
+        line_weight::routine, event,
+        {{"engine", id},
+         {"service", one.entry->service.str()},
+         {"address", one.entry->address},
+         {"started_at_ms", one.entry->incarnation.started_at_ms},
+         {"row_version", one.row}});
 }
 
 void platform_view::read_members()
@@ -250,13 +322,10 @@
                        : known_member{row.version, now};
         auto const live = now - one.changed_at < gone_after;
         seen.emplace(row.at.key, one);
-        auto const body = json::from_cbor(row.value, true, false);
-        if (!live || !body.is_object() || row.at.key == self_.node)
+        auto member = decode_member(row);
+        if (!live || !member || row.at.key == self_.node)
             continue;
-        members.push_back(
-            {row.at.key, body.value("address", std::string()),
-             body.value("domain", std::string()),
-             body.value("incarnation", std::string())});
+        members.push_back(std::move(*member));
         names.push_back(row.at.key);
     }
     members_ = std::move(seen);
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -20,7 +20,9 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -55,14 +57,15 @@
         std::chrono::milliseconds interval, hooks to);
 
     void start();
-    /// Takes this node's own row away; \param done called when that is known
-    /// or given up.
+
     /// Reads and writes all at once rather than at its next time, as the store
     /// has just come back: without it a node that started during an outage knew
     /// the others 0.6 to 1 s after the store's return, and nodes that know no
     /// others reserve budgets beside each other.
     void refresh();
 
+    /// Takes this node's own row away; \param done called when that is known
+    /// or given up.
     void leave(std::function<void()> done);
 
     /// Time between two readings, from now on.
@@ -75,10 +78,28 @@
     time_point last_read() const { return last_read_; }
 
 private:
+    /// A row of the engines' table.
+    struct known_engine
+    {
+        std::uint64_t row = 0;
+        /// Empty: the row is not an engine's own.
+        std::optional<engine_entry> entry;
+    };
+
     void read_configuration();
     void configuration_read(range_result const& result);
     void read_engines();
+    void read_engine_rows(std::string const& from);
     void engines_read(range_result const& result);
+    void take_in_engines();
+    void take_in_engine(
+        stored_row const& row,
+        std::unordered_map<std::string, known_engine>& seen);
+    known_engine decode_engine(stored_row const& row);
+    void keep_absent(std::unordered_map<std::string, known_engine>& seen);
+    void log_engine(
+        std::string_view event, std::string const& id,
+        known_engine const& one) const;
     void read_members();
     void members_read(range_result const& result);
     void write_self();
@@ -99,13 +120,10 @@
     boost::asio::steady_timer self_timer_;
     std::uint64_t configuration_row_ = 0;
     std::uint64_t configuration_version_ = 0;
-    /// Decoded engines by id, with the version of their rows.
-    struct known_engine
-    {
-        std::uint64_t row = 0;
-        engine_entry entry;
-    };
+    /// By id, as last read.
     std::unordered_map<std::string, known_engine> engines_;
+    /// Rows of the reading under way, which takes a call for each 500 rows.
+    std::vector<stored_row> engine_rows_;
     struct known_member
     {
         std::uint64_t row = 0;
--- /dev/null
+++ b/test/decoder_fuzz-test.cpp
@@ -0,0 +1,218 @@
+#include "base64.hpp"
+#include "platform/answer_id.hpp"
+#include "platform/call_codec.hpp"
+#include "platform/documents.hpp"
+#include "platform/store_codec.hpp"
+
+#include "entry/event_stream.hpp"
+
+#include <walnutmill/program_ledger.hpp>
+#include <walnutmill/start_lease.hpp>
+#include <walnutmill/turn_history.hpp>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace walnutmill;
+using nlohmann::json;
+
+/// Good input of each decoder, changed at random. The environment variable
+/// WALNUTMILL_FUZZ_SEED plays another seed, WALNUTMILL_FUZZ_ROUNDS more rounds.
+struct fuzz_fixture
+{
+    std::mt19937_64 random{number_of("WALNUTMILL_FUZZ_SEED", 20'261'203)};
+    std::uint64_t rounds = number_of("WALNUTMILL_FUZZ_ROUNDS", 4'000);
+
+    static std::uint64_t number_of(char const* name, std::uint64_t otherwise)
+    {
+        auto const* text = std::getenv(name);
+        return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+    }
+
+    std::size_t below(std::size_t end) { return random() % end; }
+
+    /// Some bytes are replaced, taken out, doubled or cut off.
+    std::string spoil(std::string text)
+    {
+        static std::string const telling = "{}[]\",:0-9.eE\\\r\n\t \x00\xff";
+        auto const changes = 1 + below(6);
+        for (std::size_t i = 0; i < changes && !text.empty(); ++i)
+        {
+            auto const at = below(text.size());
+            switch (below(5))
+            {
+            case 0:
+                text[at] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(at, 1 + below(12));
+                break;
+            case 2:
+                text.insert(at, 1, telling[below(telling.size())]);
+                break;
+            case 3:
+                text.insert(at, text.substr(at, 1 + below(40)));
+                break;
+            default:
+                text.resize(at);
+                break;
+            }
+        }
+        return text;
+    }
+
+    /// \param take decodes; it must neither throw nor read out of bounds,
+    /// which the build with sanitizers shows
+    template<class Decode>
+    void play(std::vector<std::string> const& good, Decode const& take)
+    {
+        for (std::uint64_t i = 0; i < rounds; ++i)
+        {
+            auto const bytes = spoil(good[below(good.size())]);
+            INFO("round " << i << ", base64 " << to_base64(bytes));
+            CHECK_NOTHROW(take(bytes));
+        }
+    }
+};
+
+std::string const engine_document =
+    R"({"service":"desk","addr":"10.0.0.1:80","zone":"z1","version":1,)"
+    R"("slots":8,"state":"ready","cold_left_ms":0,"seq":3,)"
+    R"("born":1700000000000})";
+
+std::string const configuration_document =
+    R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+    R"("kind":"stream","retain":true,"retain_s":60,"timeout_ms":3000,)"
+    R"("split":[{"service":"s","weight":2}],"service":"s"}],)"
+    R"("services":[{"name":"s","max_conns":4,"engine":{"slots":8,)"
+    R"("stride":4}}],"limits":{"max_header_bytes":100}})";
+
+std::string const request_bytes =
+    "POST /a/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: t1\r\nDeadline-Ms: 3000\r\n"
+    "Token-Usage: 10,20\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"
+    "Token-Budget: 400\r\nFinish-Ms: 900.5\r\nLast-Event-Id: 4\r\n"
+    "Connection: close, X-Own\r\nX-Own: a\r\nContent-Length: 0\r\n\r\n";
+
+std::string const answer_bytes =
+    "HTTP/1.1 200 OK\r\nRequest-Id: t1\r\nResponse-Stamp: s\r\n"
+    "Server-Load: 3,0,8\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: documents of the store")
+{
+    play(
+        {engine_document},
+        [](std::string const& bytes)
+        {
+            findings problems;
+            auto const one = platform::decode_engine("e", bytes, problems);
+            if (one.has_value() != problems.empty())
+                throw std::runtime_error("silent failure");
+        });
+    play(
+        {configuration_document},
+        [](std::string const& bytes)
+        {
+            findings problems;
+            auto const one = platform::decode_configuration(bytes, problems);
+            if (one.has_value() != problems.empty())
+                throw std::runtime_error("silent failure");
+        });
+}
+
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: the store's replies")
+{
+    json const row{
+        {"table", "servers"},
+        {"part", ""},
+        {"key", "e"},
+        {"ver", 4},
+        {"value", to_base64(engine_document)}};
+    json const reply{{"rows", {row, row}}, {"ver", 9}, {"truncated", true}};
+    play(
+        {reply.dump()},
+        [](std::string const& bytes)
+        {
+            transaction_result written;
+            range_result read;
+            platform::decode_transaction({200, bytes}, written);
+            platform::decode_range({200, bytes}, read);
+        });
+}
+
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: heads of requests and answers")
+{
+    namespace http = boost::beast::http;
+    play(
+        {request_bytes},
+        [](std::string const& bytes)
+        {
+            http::request_parser<http::string_body> parser;
+            boost::system::error_code error;
+            parser.put(boost::asio::buffer(bytes), error);
+            findings problems;
+            if (!error && parser.is_header_done())
+                platform::decode_call(parser.get().base(), problems);
+        });
+    play(
+        {answer_bytes},
+        [](std::string const& bytes)
+        {
+            http::response_parser<http::string_body> parser;
+            boost::system::error_code error;
+            parser.put(boost::asio::buffer(bytes), error);
+            if (error || !parser.is_header_done())
+                return;
+            platform::decode_answer(parser.get().base());
+            platform::answers_request(parser.get().base(), request_id("t1"));
+        });
+}
+
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: events of a stream")
+{
+    play(
+        {"id: 1\ndata: some\n\nid: 2\ndata: more\ndata: lines\n\n"},
+        [](std::string const& bytes)
+        {
+            event_cutter events;
+            auto const half = bytes.size() / 2;
+            events.feed(std::string_view(bytes).substr(0, half));
+            events.feed(std::string_view(bytes).substr(half));
+        });
+}
+
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: the nodes' own rows")
+{
+    kept_turn turn;
+    turn.id = request_id("t1");
+    turn.chain = {request_id("t0")};
+    turn.input = "in";
+    turn.output = "out\n";
+    program_account account;
+    account.spent = 12;
+    account.reserved["n.1"] = {100, 3};
+    start_lease lease;
+    lease.holder = "n.1";
+    lease.former.push_back({"n.0", 1'700'000'000});
+    play(
+        {encode(turn), encode(account), encode(lease), "turn 2 1700000000\nx"},
+        [](std::string const& bytes)
+        {
+            decode_turn(request_id("t1"), bytes);
+            decode_account(bytes);
+            decode_lease(bytes);
+            decode_turn_head(bytes);
+        });
+}
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -121,9 +121,15 @@
 
 void standin_rows::put(
     std::string const& table, std::string const& key, json const& value)
+{
+    put_bytes(table, key, value.dump());
+}
+
+void standin_rows::put_bytes(
+    std::string const& table, std::string const& key, std::string value)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    rows_[{table, "", key}] = {value.dump(), ++version_};
+    rows_[{table, "", key}] = {std::move(value), ++version_};
 }
 
 void standin_rows::remove(std::string const& table, std::string const& key)
@@ -429,16 +435,19 @@
 }
 
 void entry_world::register_engine(
-    standin_target const& one, std::string const& service)
+    standin_target const& one, std::string const& service, std::int64_t born)
 {
     store.put(
         "servers", one.id(),
         {{"service", service},
          {"addr", one.address()},
          {"zone", "z1"},
+         {"version", 1},
          {"slots", 8},
          {"state", "ready"},
-         {"seq", 1}});
+         {"cold_left_ms", 0},
+         {"seq", 1},
+         {"born", born}});
 }
 
 json entry_world::configuration()
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -70,6 +70,9 @@
     void
     put(std::string const& table, std::string const& key,
         nlohmann::json const& value);
+    /// A value that may be no document.
+    void put_bytes(
+        std::string const& table, std::string const& key, std::string value);
     void remove(std::string const& table, std::string const& key);
     /// While down, every call is answered 503.
     void set_down(bool down) { down_ = down; }
@@ -195,7 +198,10 @@
     void stop_node(node& one);
     bool is_ready(node const& one) const;
 
-    void register_engine(standin_target const& one, std::string const& service);
+    /// \param born when the engine started, in Unix milliseconds
+    void register_engine(
+        standin_target const& one, std::string const& service,
+        std::int64_t born = 1'700'000'000'000);
     static nlohmann::json configuration();
     static std::string turn(
         std::string const& id, std::string const& extra = {},
