A home keeps what it has reserved for a program

Change: the home keeps it until it stops, is the home no more, or forgets the program after ten minutes; what it has forgotten then counts as spent. A node that stops settles what was used in the last ten seconds.

Ruled out: settling later instead of not at all, which only moves the write; dropping it without counting it as spent, which could pass a budget.

Tests: five, of which 'costs its home one write' and 'go on after a pause without the store' play the load; faults at every step with homes that keep.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -89,11 +89,28 @@
     /// below 0.5), so half carries most of them with one write, and a crash
     /// leaves as much.
     double part_ahead = 0.5;
-    /// A reservation that nobody uses is given back after this: longer than
-    /// most pauses between turns (20 to 150 ms on average on the sites'
-    /// sheets), and with the write below the second after which a refusal for
-    /// want of budget has to count ended turns as what they spent.
+    /// A reservation that nobody uses is given back after this by a node that
+    /// is not the program's home: longer than most pauses between turns (20 to
+    /// 150 ms on average), and with the write below the second after which a
+    /// refusal for want of budget has to count ended turns as what they spent.
     duration idle_return = std::chrono::milliseconds(700);
+    /// \return true where this node is the program's home. A home keeps what
+    /// it has reserved: it knows what turns have spent, and when a program has
+    /// ended nobody knows. Giving it back cost one of 2.6 writes a program, and
+    /// one that was under way when the store was lost kept the program's turns
+    /// out until its return. Null: no node is.
+    std::function<bool(program_id const&)> is_home;
+    /// A program that was started without the store gets its account once it
+    /// has been quiet for this long: longer than the pause before a caller
+    /// that was refused comes back (1.3 s), since while the write is under way
+    /// its turns wait for it.
+    duration write_new_after = std::chrono::seconds(3);
+    /// A home keeps a reservation for this long: about as long as the account
+    /// itself is kept. After that what it held counts as spent.
+    duration keep_idle = std::chrono::minutes(10);
+    /// A node that stops settles programs used since then; it has seconds to
+    /// end, and programs pause for less than a second between turns.
+    duration settle_at_stop = std::chrono::seconds(10);
     /// A settled program is forgotten here after this; its row stays.
     duration forget_after = std::chrono::seconds(30);
     /// How long the store may take for one change.
@@ -229,6 +246,10 @@
     void observe(
         program_id const& program, program_state& state, stored_row const* row);
     void apply(program_state& state, sent_change const& sent);
+    void spend_forgotten(program_state& state) const;
+    bool should_settle(
+        program_id const& program, program_state const& state,
+        duration quiet) const;
     void answer_all(program_state& state, admission_answer answer);
     row_address address(program_id const& program) const;
 
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -388,6 +388,18 @@
             [&](sent_change const& one)
             { return one.on_version != version || one.number == own.change; }),
         state.unresolved.end());
+    spend_forgotten(state);
+}
+
+/// What the row has reserved for this node although the node knows of nothing
+/// was reserved for a program that it has forgotten since: it may be spent.
+void program_ledger::spend_forgotten(program_state& state) const
+{
+    if (!state.account || state.reserved > 0 || !state.unresolved.empty())
+        return;
+    auto& own = state.account->reserved[self_];
+    state.account->spent += own.tokens;
+    own.tokens = 0;
 }
 
 void program_ledger::apply(program_state& state, sent_change const& sent)
@@ -417,6 +429,21 @@
     state.last_use = clock_();
 }
 
+/// \return true where what the node has reserved for an idle program is
+/// better given back.
+bool program_ledger::should_settle(
+    program_id const& program, program_state const& state, duration quiet) const
+{
+    if (!state.as_home)
+        return true;
+    auto const keeps = options_.is_home && options_.is_home(program);
+    if (!keeps)
+        return quiet >= options_.idle_return;
+    // Started without the store, a program has no account yet, and its
+    // partition's lease waits for one.
+    return !state.account && quiet >= options_.write_new_after;
+}
+
 void program_ledger::tick()
 {
     auto const now = clock_();
@@ -429,15 +456,16 @@
         // A change in doubt may have reserved something, too.
         auto const unsettled =
             state.reserved > 0 || state.used > 0 || !state.unresolved.empty();
-        auto const idle_long = !state.as_home || quiet >= options_.idle_return;
-        if (idle && unsettled && idle_long)
+        if (idle && unsettled && should_settle(it->first, state, quiet))
         {
             state.return_ahead = true;
             state.tries = 0;
             state.last_use = now;
             change(it->first, state);
         }
-        if (idle && !unsettled && quiet >= options_.forget_after)
+        auto const kept_for =
+            unsettled ? options_.keep_idle : options_.forget_after;
+        if (idle && !state.changing && quiet >= kept_for)
             it = programs_.erase(it);
         else
             ++it;
@@ -446,9 +474,13 @@
 
 void program_ledger::settle_all()
 {
+    auto const now = clock_();
     for (auto& [program, state] : programs_)
     {
-        if (state.changing || (state.reserved <= state.open && state.used == 0))
+        if (state.changing ||
+            (state.reserved <= state.open && state.used == 0) ||
+            (state.open == 0 &&
+             now - state.last_use >= options_.settle_at_stop))
             continue;
         state.return_ahead = true;
         state.tries = 0;
--- a/test/program_ledger-test.cpp
+++ b/test/program_ledger-test.cpp
@@ -26,14 +26,38 @@
     program_id const program{"p1"};
     std::vector<std::unique_ptr<program_ledger>> nodes;
     int incarnations = 0;
+    ledger_options options;
 
     program_ledger& start_node()
     {
         nodes.push_back(std::make_unique<program_ledger>(
-            store.calls(), clock.fn(), "n" + std::to_string(++incarnations)));
+            store.calls(), clock.fn(), "n" + std::to_string(++incarnations),
+            options));
         return *nodes.back();
     }
 
+    program_ledger& start_home()
+    {
+        options.is_home = [](program_id const&) { return true; };
+        return start_node();
+    }
+
+    /// A turn that spends 100 tokens, and a pause after it.
+    admission_answer
+    take_turn(program_ledger& node, std::uint64_t budget, duration pause)
+    {
+        auto const answer = ask(node, budget);
+        if (answer == admission_answer::admitted)
+            node.settle(program, most, 100);
+        for (auto left = pause; left.count() > 0; left -= milliseconds(200))
+        {
+            clock.advance(milliseconds(200));
+            node.tick();
+            store.run();
+        }
+        return answer;
+    }
+
     admission_answer
     ask(program_ledger& node, std::uint64_t budget, std::uint64_t tokens = most)
     {
@@ -214,12 +238,20 @@
 {
 
 /// Plays turns of one program over three nodes that may die, with faults at
-/// the given steps. \return tokens handed out.
+/// the given steps.
+/// \param homes each node takes itself for the program's home
+/// \return tokens handed out.
 std::uint64_t play(
     std::uint32_t seed, std::uint64_t budget,
-    std::vector<std::pair<std::size_t, store_fault>> const& faults)
+    std::vector<std::pair<std::size_t, store_fault>> const& faults,
+    bool homes = false)
 {
     ledger_fixture world;
+    if (homes)
+    {
+        world.options.is_home = [](program_id const&) { return true; };
+        world.options.keep_idle = seconds(2);
+    }
     for (auto const& [step, fault] : faults)
         world.store.fail_step(step, fault);
     auto random = seeded_random(seed);
@@ -248,7 +280,7 @@
         {
             world.nodes[at] = std::make_unique<program_ledger>(
                 world.store.calls(), world.clock.fn(),
-                "r" + std::to_string(turn));
+                "r" + std::to_string(turn), world.options);
         }
         world.clock.advance(milliseconds(400));
         for (auto& one : world.nodes)
@@ -300,3 +332,71 @@
         }
     }
 }
+
+TEST_CASE("ledger: the budget holds where homes keep what they reserved")
+{
+    for (std::uint32_t seed = 1; seed <= 12; ++seed)
+    {
+        for (std::size_t step = 1; step <= 30; ++step)
+        {
+            for (auto const fault : all_store_faults)
+            {
+                INFO(
+                    "seed " << seed << " step " << step << " fault "
+                            << static_cast<int>(fault));
+                REQUIRE(
+                    play(seed, 6'000, {{step, fault}}, true) < 6'000 + most);
+            }
+        }
+    }
+}
+
+// Four turns with pauses of a second, the usual program: 1 write instead of 5,
+// as each pause gave the reservation back and each turn took it anew.
+TEST_CASE_METHOD(
+    ledger_fixture, "ledger: a program with pauses costs its home one write")
+{
+    auto& home = start_home();
+    for (int i = 0; i < 4; ++i)
+        CHECK(take_turn(home, 6'000, seconds(1)) == admission_answer::admitted);
+    CHECK(store.commits() == 1);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture,
+    "ledger: a home's programs go on after a pause without the store")
+{
+    auto& home = start_home();
+    REQUIRE(take_turn(home, 6'000, seconds(1)) == admission_answer::admitted);
+    store.set_down(true);
+    for (int i = 0; i < 3; ++i)
+        CHECK(take_turn(home, 6'000, seconds(1)) == admission_answer::admitted);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture, "ledger: what a home has forgotten counts as spent")
+{
+    options.keep_idle = seconds(5);
+    auto& home = start_home();
+    REQUIRE(take_turn(home, 6'000, seconds(10)) == admission_answer::admitted);
+    CHECK(home.programs() == 0);
+    auto const held = account().reserved.begin()->second.tokens;
+    CHECK(held == 3'000);
+    REQUIRE(ask(home, 6'000) == admission_answer::admitted);
+    CHECK(account().spent == held);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture, "ledger: a node that stops settles programs under way only")
+{
+    auto& home = start_home();
+    REQUIRE(take_turn(home, 6'000, seconds(1)) == admission_answer::admitted);
+    home.settle_all();
+    store.run();
+    CHECK(account().spent == 100);
+    REQUIRE(take_turn(home, 6'000, seconds(20)) == admission_answer::admitted);
+    auto const commits = store.commits();
+    home.settle_all();
+    store.run();
+    CHECK(store.commits() == commits);
+}
