--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -33,18 +33,6 @@
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 
-std::string
-http_post(std::string_view path, std::string const& address, json const& body)
-{
-    auto const bytes = json::to_cbor(body);
-    std::string out = "POST ";
-    out.append(path).append(" HTTP/1.1\r\nHost: ").append(address);
-    out.append("\r\nContent-Type: application/cbor\r\nContent-Length: ");
-    out.append(std::to_string(bytes.size())).append("\r\n\r\n");
-    out.append(bytes.begin(), bytes.end());
-    return out;
-}
-
 admission_answer answer_of(std::string const& text)
 {
     for (auto const one :
@@ -110,7 +98,7 @@
 {
     caller_.call(
         wanted.home_address,
-        http_post(
+        cbor_request(
             admit_path, wanted.home_address,
             {{"program", one.program.str()},
              {"budget", one.budget},
@@ -159,7 +147,7 @@
 {
     caller_.call(
         one.home_address,
-        http_post(
+        cbor_request(
             settle_path, one.home_address,
             {{"turn", one.turn}, {"used", handed_out}}),
         settlement_patience,
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -32,6 +32,19 @@
 
 } // namespace
 
+std::string cbor_request(
+    std::string_view path, std::string const& address,
+    nlohmann::json const& body)
+{
+    auto const bytes = nlohmann::json::to_cbor(body);
+    std::string out = "POST ";
+    out.append(path).append(" HTTP/1.1\r\nHost: ").append(address);
+    out.append("\r\nContent-Type: application/cbor\r\nContent-Length: ");
+    out.append(std::to_string(bytes.size())).append("\r\n\r\n");
+    out.append(bytes.begin(), bytes.end());
+    return out;
+}
+
 http_caller::http_caller(boost::asio::io_context& io) : io_(io) {}
 
 http_caller::~http_caller()
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -10,10 +10,12 @@
 #include "entry/http_link.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -33,6 +35,11 @@
     duration took{0};
 };
 
+/// \return a POST request with a CBOR body, as nodes send it to each other.
+std::string cbor_request(
+    std::string_view path, std::string const& address,
+    nlohmann::json const& body);
+
 class http_caller
 {
 public:
--- a/src/entry/program_home.cpp
+++ b/src/entry/program_home.cpp
@@ -22,7 +22,8 @@
 program_homes::home_of(std::string_view key, time_point now) const
 {
     home_candidate const* best = nullptr;
-    auto best_weight = rendezvous_weight(key, self_);
+    auto best_weight =
+        self_.empty() ? std::uint64_t{0} : rendezvous_weight(key, self_);
     for (auto const& one : others_)
     {
         auto const weight = rendezvous_weight(key, one.node);
--- a/src/entry/program_home.hpp
+++ b/src/entry/program_home.hpp
@@ -42,6 +42,7 @@
 class program_homes
 {
 public:
+    /// \param self empty: this node is never the home
     explicit program_homes(std::string self, home_options options = {});
 
     /// \param others the other nodes
