Refuse turns first, then run them, while the store is away for long

Hypothesis: a turn sent during an outage bridges 2.1 s a send where it is run at once (its caller leaves a silent stream) and 1.3 s where it is refused, so that a program is lost after 6.8 s or 4.5 s; refused first and run when it comes back each send bridges 3.4 s.

Change: from one second on, fresh turns that need the store are refused with a time to come back that grows with the outage; those that came back are run and held. The usual time of a route's callers is learned from their deadlines.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -389,7 +389,8 @@
             }
             self->link_->write(last_chunk());
             self->finish("answered", false);
-        });
+        },
+        call_.program.program.str());
 }
 
 void call_flow::note_attempt(attempt_ptr const& one, std::string_view outcome)
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -149,6 +149,8 @@
     if (call_.deadline)
         wait = std::min(wait, *call_.deadline - deadline_margin);
     give_up_at_ = arrived_ + wait;
+    auto& whole = node_.whole_times[route_->name];
+    whole = std::max(whole, duration(wait));
     deadline_.expires_after(wait);
     deadline_.async_wait(
         [self = shared_from_this()](boost::system::error_code const& error)
@@ -179,6 +181,11 @@
     auto const pressure = node_.board.pressure(need_.service);
     if (pressure)
         story_["pressure"] = *pressure;
+    if (route_->keeps_turns && should_come_back(in_outage()))
+    {
+        refuse_without_store("the store that turns are kept in is away");
+        return;
+    }
     auto const only_begun =
         node_.random() < refusal_chance(pressure, route_->rank);
     node_.budgets.admit(
@@ -217,7 +224,7 @@
     else if (answer == admission_answer::contended)
         refuse("the budget is taken by turns under way", come_back_spread);
     else
-        refuse("the store of budgets does not answer", come_back_later);
+        refuse_without_store("the store of budgets does not answer");
 }
 
 void call_flow::load_history()
@@ -246,9 +253,10 @@
             else if (answer == history_answer::unknown_turn)
                 self->answer_own(status_not_found, "no such turn is kept");
             else
-                self->refuse(
-                    "the store of turns does not answer", come_back_later);
-        });
+                self->refuse_without_store(
+                    "the store of turns does not answer");
+        },
+        call_.program.program.str());
 }
 
 void call_flow::time_is_up()
@@ -282,6 +290,28 @@
     finish("caller left", false);
 }
 
+outage_call call_flow::in_outage() const
+{
+    outage_call to;
+    if (node_.store_lost_for)
+        to.lost_for = node_.store_lost_for();
+    to.time_left = time_left();
+    auto const found = node_.whole_times.find(route_->name);
+    to.whole_time =
+        found == node_.whole_times.end() ? to.time_left : found->second;
+    return to;
+}
+
+void call_flow::refuse_without_store(std::string_view why)
+{
+    auto const outage = in_outage();
+    story_["store_lost_ms"] = ms_count(outage.lost_for);
+    auto const wait = outage.lost_for.count() > 0 ? come_back_in_outage(outage)
+                                                  : come_back_later;
+    // refuse() spreads from there on.
+    refuse(why, std::max(wait - come_back_spread, come_back_soon));
+}
+
 void call_flow::refuse(std::string_view why, milliseconds come_back)
 {
     auto const spread = static_cast<std::int64_t>(
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -17,15 +17,18 @@
 #include "entry/engine_links.hpp"
 #include "entry/event_stream.hpp"
 #include "entry/line_log.hpp"
+#include "entry/outage_policy.hpp"
 #include "platform/call_codec.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace walnutmill
@@ -53,6 +56,10 @@
     /// False once a call taken now could not end before the process does.
     bool takes_calls = true;
     std::size_t calls_under_way = 0;
+    /// How long the store has answered nobody; zero while it does.
+    std::function<duration()> store_lost_for;
+    /// The longest time that callers of a route came with, by its name.
+    std::unordered_map<std::string, duration> whole_times;
 };
 
 class call_flow : public std::enable_shared_from_this<call_flow>
@@ -117,7 +124,9 @@
 
     void time_is_up();
     void caller_left();
+    outage_call in_outage() const;
     void refuse(std::string_view why, std::chrono::milliseconds come_back);
+    void refuse_without_store(std::string_view why);
     void answer_own(
         int status, std::string_view why,
         std::chrono::milliseconds come_back = std::chrono::milliseconds(0));
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <map>
 #include <random>
 #include <unistd.h>
 #include <utility>
@@ -84,14 +85,6 @@
     return to;
 }
 
-history_options history_options_for(entry_settings const& settings)
-{
-    history_options to;
-    to.cache_bytes = std::min<std::size_t>(
-        to.cache_bytes, settings.memory_mb * bytes_in_mb / cache_part);
-    return to;
-}
-
 /// \return the time between readings at which the nodes keep to their part
 /// of the store's reads, within the site's bounds.
 milliseconds read_interval(entry_settings const& settings, std::size_t nodes)
@@ -134,9 +127,10 @@
           system_utc(), incarnation_, program_ledger::table(), lease_hooks()),
       ledger_(
           store_.calls(store_client::when_lost::fail_at_once), clock_,
-          incarnation_, {}, &leases_),
+          incarnation_, options_of_ledger(), &leases_),
       budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
-      history_(history_calls(store_), history_options_for(settings_)),
+      history_(history_calls(store_), options_of_history()),
+      turns_of_peers_(io_, history_, clock_, settings_.node, settings_.domain),
       loads_(io_, board_, clock_, settings_.node),
       sweeper_(
           store_.calls(store_client::when_lost::fail_at_once), system_utc(),
@@ -157,7 +151,9 @@
           1,
           false,
           true,
-          0},
+          0,
+          [this] { return store_.lost_for(); },
+          {}},
       view_(
           io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
@@ -221,6 +217,33 @@
         });
 }
 
+ledger_options entry_node::options_of_ledger()
+{
+    ledger_options to;
+    to.is_home = [this](program_id const& program)
+    { return budgets_.is_home_of(partition_of(program.str())); };
+    return to;
+}
+
+history_options entry_node::options_of_history()
+{
+    history_options to;
+    to.cache_bytes = std::min<std::size_t>(
+        to.cache_bytes, settings_.memory_mb * bytes_in_mb / cache_part);
+    to.later = [this](milliseconds after, std::function<void()> what)
+    {
+        auto const timer = std::make_shared<asio::steady_timer>(io_, after);
+        timer->async_wait(
+            [timer,
+             what = std::move(what)](boost::system::error_code const& error)
+            {
+                if (!error)
+                    what();
+            });
+    };
+    return to;
+}
+
 start_leases::hooks entry_node::lease_hooks()
 {
     start_leases::hooks to;
@@ -254,13 +277,16 @@
 {
     std::vector<std::string> relays;
     std::vector<home_candidate> homes;
+    std::map<std::string, std::vector<home_candidate>> by_domain;
     living_.clear();
     for (auto const& one : members)
     {
         living_.insert(one.incarnation);
         relays.push_back(one.address);
         homes.push_back({one.node, one.address});
+        by_domain[one.domain].push_back({one.node, one.address});
     }
+    turns_of_peers_.set_nodes(std::move(by_domain));
     loads_.set_nodes(homes);
     budgets_.set_nodes(std::move(homes));
     services_.nodes = static_cast<std::uint32_t>(members.size() + 1);
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -9,6 +9,7 @@
 #include "entry/caller_link.hpp"
 #include "entry/engine_links.hpp"
 #include "entry/entry_settings.hpp"
+#include "entry/history_exchange.hpp"
 #include "entry/line_log.hpp"
 #include "entry/load_exchange.hpp"
 #include "entry/platform_view.hpp"
@@ -72,6 +73,8 @@
     void stop_step();
     void tick();
     start_leases::hooks lease_hooks();
+    ledger_options options_of_ledger();
+    history_options options_of_history();
     void sweep_rows();
 
     boost::asio::io_context io_;
@@ -89,6 +92,7 @@
     program_ledger ledger_;
     budget_desk budgets_;
     turn_history history_;
+    history_exchange turns_of_peers_;
     load_exchange loads_;
     row_sweeper sweeper_;
     entry_services services_;
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -107,18 +107,17 @@
 {
     std::string_view const target(
         request.target().data(), request.target().size());
-    if (!budget_desk::is_request(target))
+    auto const reply = [link](int status, std::string body)
     {
+        link->write(plain_answer(status, std::move(body)));
+        link->finish_answer(false);
+    };
+    if (budget_desk::is_request(target))
+        budgets_.serve(target, request.body(), reply);
+    else if (history_exchange::is_request(target))
+        turns_of_peers_.serve(target, request.body(), reply);
+    else
         carry_store_call(link, request);
-        return;
-    }
-    budgets_.serve(
-        target, request.body(),
-        [link](int status, std::string body)
-        {
-            link->write(plain_answer(status, std::move(body)));
-            link->finish_answer(false);
-        });
 }
 
 void entry_node::carry_store_call(
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -341,6 +341,36 @@
         404);
 }
 
+TEST_CASE_METHOD(
+    entry_fixture, "entry: the turns of one node are had by another unread")
+{
+    auto& first = start_node();
+    auto& second = start_node();
+    // Each has read of the other.
+    std::this_thread::sleep_for(seconds(2));
+    std::string const in_program = "Program-Id: p1\r\n";
+    test_caller one(first.settings.listen_callers);
+    test_caller two(second.settings.listen_callers);
+    REQUIRE(one.call(turn("t1", in_program, "/kept/")).whole);
+    REQUIRE(two.call(turn("t2", in_program + "Previous-Turn: t1\r\n", "/kept/"))
+                .whole);
+    REQUIRE(one.call(turn("t3", in_program + "Previous-Turn: t2\r\n", "/kept/"))
+                .whole);
+    CHECK(store.readings("walnutmill-turns") == 0);
+}
+
+TEST_CASE_METHOD(
+    entry_fixture, "entry: a kept turn ends while its partition is silent")
+{
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    store.silence({turn_history::partition(request_id("t1"), 0)});
+    // The first one finds out, within its time.
+    CHECK(caller.call(turn("t1", {}, "/kept/")).whole);
+    test_caller again(node.settings.listen_callers);
+    CHECK(again.call(turn("t2", "Previous-Turn: t1\r\n", "/kept/")).whole);
+}
+
 TEST_CASE_METHOD(
     entry_fixture, "entry: a kept turn has no end while it is not durable")
 {
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -147,11 +147,43 @@
     return found;
 }
 
+std::size_t standin_rows::readings(std::string const& table) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const found = readings_.find(table);
+    return found == readings_.end() ? 0 : found->second;
+}
+
+void standin_rows::silence(std::set<std::string> partitions)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    silent_ = std::move(partitions);
+}
+
+bool standin_rows::is_silent(http_request const& request) const
+{
+    std::string const target(request.target());
+    auto partition = query_value(target, "part");
+    if (target == "/rows-tx")
+    {
+        auto const body = json::parse(request.body());
+        for (auto const* list : {"writes", "remove", "expect_rev"})
+        {
+            if (!body[list].empty())
+                partition = body[list][0]["part"];
+        }
+    }
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return silent_.count(partition) > 0;
+}
+
 void standin_rows::answer(link_ptr const& link, http_request const& request)
 {
     int status = 200;
     json body = json::object();
     std::string const target(request.target());
+    if (is_silent(request))
+        return;
     if (down_)
         status = 503;
     else if (target == "/rows-tx")
@@ -210,9 +242,10 @@
     return {{"ver", version_}, {"now_ms", 1}};
 }
 
-json standin_rows::range(std::string const& target) const
+json standin_rows::range(std::string const& target)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
+    ++readings_[query_value(target, "table")];
     auto const from = query_value(target, "from");
     auto const to = query_value(target, "to");
     json rows = json::array();
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -79,6 +80,10 @@
     /// Every so manieth transaction is done but not answered; 0: all are.
     void lose_answers(unsigned every) { lose_every_ = every; }
     std::size_t count(std::string const& table) const;
+    /// \return readings of a table until now
+    std::size_t readings(std::string const& table) const;
+    /// Calls to these partitions are not answered.
+    void silence(std::set<std::string> partitions);
 
 private:
     struct stored
@@ -90,11 +95,14 @@
 
     void answer(link_ptr const& link, http_request const& request);
     nlohmann::json transaction(nlohmann::json const& body, int& status);
-    nlohmann::json range(std::string const& target) const;
+    nlohmann::json range(std::string const& target);
+    bool is_silent(http_request const& request) const;
     nlohmann::json row_json(place const& at) const;
 
     mutable std::mutex mutex_;
     std::map<place, stored> rows_;
+    std::map<std::string, std::size_t> readings_;
+    std::set<std::string> silent_;
     std::uint64_t version_ = 0;
     std::atomic<bool> down_{false};
     std::atomic<unsigned> lose_every_{0};
