Split the bytes of kept turns off; forget routes' times with the configuration

The learned time of a route's callers is dropped when the configuration changes: routes come and go, and a shorter timeout would have left every call looking like one that was refused before. 'comes_true' stood in two fixtures and is the test world's now.

--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -57,6 +57,8 @@
     /// Where the turn's bytes begin.
     std::size_t size = 0;
 };
+/// \return what a turn's first row begins with.
+std::string encode_turn_head(std::size_t pieces, std::int64_t written_at);
 /// \return empty where the value is no turn's first row.
 std::optional<turn_head> decode_turn_head(std::string_view value);
 
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -58,7 +58,8 @@
     std::size_t calls_under_way = 0;
     /// How long the store has answered nobody; zero while it does.
     std::function<duration()> store_lost_for;
-    /// The longest time that callers of a route came with, by its name.
+    /// The longest time that callers of a route came with, by its name, since
+    /// the configuration changed.
     std::unordered_map<std::string, duration> whole_times;
 };
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -154,7 +154,7 @@
            incarnation_},
           read_interval(settings_),
           {[this](std::shared_ptr<routing_table const> table)
-           { services_.table = std::move(table); },
+           { set_configuration(std::move(table)); },
            [this](std::vector<engine_entry> const& engines)
            { set_engines(engines); },
            [this](std::vector<entry_member> const& members)
@@ -260,6 +260,13 @@
     return to;
 }
 
+void entry_node::set_configuration(std::shared_ptr<routing_table const> table)
+{
+    services_.table = std::move(table);
+    // Routes come and go, and with them what callers grant them.
+    services_.whole_times.clear();
+}
+
 void entry_node::set_engines(std::vector<engine_entry> const& engines)
 {
     for (auto const& one : board_.set_engines(engines))
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -65,6 +65,7 @@
     void carry_store_call(link_ptr const& link, request_type const& request);
 
     bool ready() const;
+    void set_configuration(std::shared_ptr<routing_table const> table);
     void set_engines(std::vector<engine_entry> const& engines);
     void set_members(std::vector<entry_member> const& members);
     void wait_for_signal();
--- a/test/engine_restart-test.cpp
+++ b/test/engine_restart-test.cpp
@@ -27,15 +27,6 @@
         desk_a.set_script([this](link_ptr const&, http_request const&)
                           { return silent.load(); });
     }
-
-    template<class Condition>
-    static bool comes_true(Condition const& condition)
-    {
-        auto const end = std::chrono::steady_clock::now() + seconds(30);
-        while (!condition() && std::chrono::steady_clock::now() < end)
-            std::this_thread::sleep_for(milliseconds(10));
-        return condition();
-    }
 };
 
 } // namespace
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -33,15 +33,6 @@
         engine_a.set_script(script);
         engine_b.set_script(script);
     }
-
-    template<class Condition>
-    static bool comes_true(Condition const& condition)
-    {
-        auto const end = std::chrono::steady_clock::now() + seconds(30);
-        while (!condition() && std::chrono::steady_clock::now() < end)
-            std::this_thread::sleep_for(milliseconds(10));
-        return condition();
-    }
 };
 
 std::string const three_events = standin_target::event(1) +
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -218,6 +218,17 @@
         std::string const& path, std::string const& id,
         std::string const& extra = {}, std::string const& body = "order");
 
+    /// \return false where the condition did not hold within half a minute.
+    template<class Condition>
+    static bool comes_true(Condition const& condition)
+    {
+        auto const end =
+            std::chrono::steady_clock::now() + std::chrono::seconds(30);
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        return condition();
+    }
+
     std::vector<std::unique_ptr<node>> nodes;
     /// Of nodes started from then on. Beyond all deadlines, as engines of most
     /// tests keep silent for other reasons.
