Tell the next turn's node where a program's prompt lies

Cause: a program's turns come through any node.

Change: a turn's settlement tells the program's home the engine, its incarnation, the line's part and its tokens; the next admission's answer brings them back (prompt_places). The board remembers how many tokens of a part lie at an engine, as a line's part grows, and for a sub-agent's first turn it looks at its parent's part.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -136,6 +136,14 @@
     engine_ref ref() const { return {engine, incarnation}; }
 };
 
+/// Tokens of a part of a prompt that lie cached at an engine.
+struct prompt_place
+{
+    std::string part;
+    std::uint32_t tokens = 0;
+    engine_ref engine;
+};
+
 /// How a call at an engine ended, as far as the engine is to blame.
 enum class engine_outcome
 {
@@ -176,6 +184,8 @@
     /// may still end there.
     void stalled(engine_ref const& engine);
     void told_load(engine_ref const& engine, engine_load const& load);
+    /// Another node's call left a part of a prompt at an engine.
+    void learn(prompt_place const& place);
     /// Calls of other nodes at each engine, as those told each other just
     /// now.
     void set_peer_loads(
@@ -213,10 +223,18 @@
         /// When it was seen to have started again; the epoch: never.
         time_point restarted_at{};
     };
+    struct held_part
+    {
+        target_name engine;
+        std::uint32_t tokens = 0;
+    };
     struct part_place
     {
-        std::vector<target_name> engines;
+        /// The one that read it last comes last.
+        std::vector<held_part> at;
         std::list<std::string>::iterator use;
+
+        held_part const* find(target_name const& engine) const;
     };
 
     /// Engines by where they are.
@@ -269,7 +287,9 @@
     double wait_ms(engine_record const& one, double load, double call_ms) const;
     std::uint32_t
     cached_tokens(target_name const& engine, placement_need const& need) const;
-    void remember_part(std::string const& key, target_name const& engine);
+    std::uint32_t
+    held_tokens(std::string const& part, target_name const& engine) const;
+    void remember_part(prompt_part const& part, target_name const& engine);
     bool usable(
         engine_record const& one, placement_need const& need, time_point now,
         bool even_resting) const;
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -45,14 +45,60 @@
     return admission_answer::store_unavailable;
 }
 
+json to_json(prompt_place const& one)
+{
+    json to{
+        {"part", one.part},
+        {"tokens", one.tokens},
+        {"engine", one.engine.id.str()}};
+    if (one.engine.incarnation)
+        to["started_at_ms"] = one.engine.incarnation->started_at_ms;
+    return to;
+}
+
+/// \return empty where another version of this program wrote something else.
+std::optional<prompt_place> place_of(json const& from)
+{
+    auto const has = [&from](char const* field, json::value_t type)
+    { return from.contains(field) && from[field].type() == type; };
+    if (!from.is_object() || !has("part", json::value_t::string) ||
+        !has("engine", json::value_t::string) ||
+        !has("tokens", json::value_t::number_unsigned))
+        return std::nullopt;
+    engine_ref engine(target_name(from["engine"].get<std::string>()));
+    if (from.contains("started_at_ms") &&
+        from["started_at_ms"].is_number_integer())
+    {
+        engine.incarnation =
+            engine_incarnation{from["started_at_ms"].get<std::int64_t>()};
+    }
+    return prompt_place{
+        from["part"].get<std::string>(), from["tokens"].get<std::uint32_t>(),
+        std::move(engine)};
+}
+
+std::vector<prompt_place> places_of(json const& body)
+{
+    std::vector<prompt_place> to;
+    auto const places = body.find("places");
+    if (places == body.end())
+        return to;
+    for (auto const& one : *places)
+    {
+        if (auto place = place_of(one))
+            to.push_back(std::move(*place));
+    }
+    return to;
+}
+
 } // namespace
 
 budget_desk::budget_desk(
     boost::asio::io_context& io, program_ledger& ledger, clock_fn clock,
     std::string self, std::string incarnation, desk_options options)
     : io_(io), ledger_(ledger), clock_(std::move(clock)), caller_(io),
-      homes_(std::move(self)), incarnation_(std::move(incarnation)),
-      options_(options)
+      homes_(std::move(self)), places_(clock_),
+      incarnation_(std::move(incarnation)), options_(options)
 {
 }
 
@@ -70,8 +116,14 @@
     }
     ledger_.admit(
         one.program, one.budget, one.most_tokens,
-        [one, answer = std::move(answer)](admission_answer what) {
-            answer(what, {one.program, one.most_tokens, {}, {}, {}});
+        [this, alive = alive_, one,
+         answer = std::move(answer)](admission_answer what)
+        {
+            auto places =
+                *alive ? places_.of(one.program) : std::vector<prompt_place>();
+            answer(
+                what,
+                {one.program, one.most_tokens, {}, {}, {}, std::move(places)});
         },
         one.needs_store, as_home);
 }
@@ -85,10 +137,12 @@
         admit_here(one, homes_.knows_nodes(), answer);
         return;
     }
-    grant const wanted{
-        one.program, one.most_tokens,
-        incarnation_ + "/" + std::to_string(++last_turn_), home->node,
-        home->address};
+    grant const wanted{one.program,
+                       one.most_tokens,
+                       incarnation_ + "/" + std::to_string(++last_turn_),
+                       home->node,
+                       home->address,
+                       {}};
     ask_home(one, wanted, most_questions, answer);
 }
 
@@ -123,39 +177,49 @@
             if (body.is_object() && told != pending_answer)
             {
                 homes_.answered(wanted.home);
-                answer(answer_of(told), wanted);
+                auto granted = wanted;
+                granted.places = places_of(body);
+                answer(answer_of(told), std::move(granted));
                 return;
             }
             homes_.did_not_answer(wanted.home, clock_());
             // It may have admitted the turn all the same.
             if (reply.sent)
-                send_settlement(wanted, 0, 1);
+                send_settlement(wanted, 0, std::nullopt, 1);
             admit_here(one, false, answer);
         });
 }
 
-void budget_desk::settle(grant const& one, std::uint64_t handed_out)
+void budget_desk::settle(
+    grant const& one, std::uint64_t handed_out,
+    std::optional<prompt_place> const& left)
 {
-    if (one.home.empty())
-        ledger_.settle(one.program, one.most_tokens, handed_out);
-    else
-        send_settlement(one, handed_out, settlement_tries);
+    if (!one.home.empty())
+    {
+        send_settlement(one, handed_out, left, settlement_tries);
+        return;
+    }
+    if (left)
+        places_.note(one.program, *left);
+    ledger_.settle(one.program, one.most_tokens, handed_out);
 }
 
 void budget_desk::send_settlement(
-    grant const& one, std::uint64_t handed_out, int tries)
+    grant const& one, std::uint64_t handed_out,
+    std::optional<prompt_place> const& left, int tries)
 {
+    json told{{"turn", one.turn}, {"used", handed_out}};
+    if (left)
+        told["left"] = to_json(*left);
     caller_.call(
         one.home_address,
-        cbor_request(
-            settle_path, one.home_address,
-            {{"turn", one.turn}, {"used", handed_out}}),
+        cbor_request(settle_path, one.home_address, std::move(told)),
         settlement_patience,
-        [this, one, handed_out, tries](http_reply const& reply)
+        [this, one, handed_out, left, tries](http_reply const& reply)
         {
             // Told twice, a home finds the turn settled already.
             if (!reply.answered && tries > 1)
-                send_settlement(one, handed_out, tries - 1);
+                send_settlement(one, handed_out, left, tries - 1);
         });
 }
 
@@ -199,7 +263,7 @@
     auto const turn = asked.value("turn", std::string());
     // Asked again while it is under way: the same admission, asked on.
     auto const under_way = slow_.count(turn) > 0;
-    await(turn, reply);
+    await(turn, one.program, reply);
     if (under_way)
         return;
     admit_here(
@@ -212,9 +276,11 @@
 }
 
 /// Answers the asker once the admission is decided, or that it is under way.
-void budget_desk::await(std::string const& turn, reply_fn asker)
+void budget_desk::await(
+    std::string const& turn, program_id const& program, reply_fn asker)
 {
     auto& slow = slow_[turn];
+    slow.program = program;
     slow.asker = std::move(asker);
     slow.until = clock_() + open_at_most;
     if (slow.answer)
@@ -256,14 +322,20 @@
     if (found == slow_.end() || !found->second.asker)
         return;
     auto const answer = found->second.answer;
+    auto const program = found->second.program;
     auto const reply = std::move(found->second.asker);
     found->second.asker = {};
     if (found->second.patience)
         found->second.patience->cancel();
     if (answer)
         slow_.erase(found);
-    auto const bytes = json::to_cbor(
-        json{{"answer", answer ? to_string(*answer) : pending_answer}});
+    json told{{"answer", answer ? to_string(*answer) : pending_answer}};
+    if (answer == admission_answer::admitted)
+    {
+        for (auto const& one : places_.of(program))
+            told["places"].push_back(to_json(one));
+    }
+    auto const bytes = json::to_cbor(told);
     reply(status_ok, std::string(bytes.begin(), bytes.end()));
 }
 
@@ -285,6 +357,8 @@
     {
         auto const one = found->second;
         open_.erase(found);
+        if (auto left = place_of(told.value("left", json())))
+            places_.note(one.program, std::move(*left));
         ledger_.settle(
             one.program, one.most_tokens, told.value("used", one.most_tokens));
     }
@@ -305,6 +379,7 @@
         ledger_.settle(one.program, one.most_tokens, one.most_tokens);
         it = open_.erase(it);
     }
+    places_.sweep();
     for (auto it = slow_.begin(); it != slow_.end();)
         it = it->second.until > now ? std::next(it) : slow_.erase(it);
 }
--- a/src/entry/budget_desk.hpp
+++ b/src/entry/budget_desk.hpp
@@ -3,12 +3,14 @@
 
 /// \file
 /// Asks a program's home for its turns, and answers other nodes as the home
-/// of theirs.
+/// of theirs. With a turn's admission the home tells where the program's
+/// prompts lie, and with its settlement it is told where the turn left its own.
 
 #include <walnutmill/program_ledger.hpp>
 
 #include "entry/http_caller.hpp"
 #include "entry/program_home.hpp"
+#include "entry/prompt_places.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -49,6 +51,8 @@
         /// Empty: at this node.
         std::string home;
         std::string home_address;
+        /// Where prompts of the program lie, the latest last.
+        std::vector<prompt_place> places{};
     };
 
     /// What is asked for a turn.
@@ -75,7 +79,10 @@
     /// at this node's own ledger.
     void admit(wish const& one, answer_fn const& answer);
 
-    void settle(grant const& one, std::uint64_t handed_out);
+    /// \param left where the turn left its prompt; empty: not known
+    void settle(
+        grant const& one, std::uint64_t handed_out,
+        std::optional<prompt_place> const& left = std::nullopt);
 
     /// \return true where this node is the home of that key.
     bool is_home_of(std::string const& key) const;
@@ -102,6 +109,7 @@
     /// An admission that another node asked for and that takes long.
     struct slow_admission
     {
+        program_id program;
         /// The node's latest question, while it waits.
         reply_fn asker;
         std::optional<admission_answer> answer;
@@ -115,11 +123,14 @@
     void ask_home(
         wish const& one, grant const& wanted, int questions,
         answer_fn const& answer);
-    void await(std::string const& turn, reply_fn asker);
+    void
+    await(std::string const& turn, program_id const& program, reply_fn asker);
     void
     admitted(wish const& one, std::string const& turn, admission_answer what);
     void reply_slow(std::string const& turn);
-    void send_settlement(grant const& one, std::uint64_t handed_out, int tries);
+    void send_settlement(
+        grant const& one, std::uint64_t handed_out,
+        std::optional<prompt_place> const& left, int tries);
     void serve_admission(
         std::string_view body,
         std::function<void(int, std::string)> const& reply);
@@ -132,6 +143,7 @@
     clock_fn clock_;
     http_caller caller_;
     program_homes homes_;
+    prompt_places places_;
     std::string incarnation_;
     desk_options options_;
     std::uint64_t last_turn_ = 0;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -197,7 +197,7 @@
             self->story_["budget"] = to_string(answer);
             self->story_["budget_home"] = grant.home;
             if (answer == admission_answer::admitted)
-                self->grant_ = grant;
+                self->granted(grant);
             if (self->done_)
                 self->settle();
             else if (answer == admission_answer::admitted)
@@ -209,14 +209,38 @@
         });
 }
 
+void call_flow::granted(budget_desk::grant const& one)
+{
+    grant_ = one;
+    for (auto const& place : one.places)
+        node_.board.learn(place);
+}
+
 void call_flow::settle()
 {
     if (!grant_)
         return;
-    node_.budgets.settle(*grant_, handed_out_);
+    auto const left = prompt_left();
+    if (left)
+        node_.board.learn(*left);
+    node_.budgets.settle(*grant_, handed_out_, left);
     grant_.reset();
 }
 
+/// \return where the turn left what it read and generated; empty where it did
+/// not come to its end.
+std::optional<prompt_place> call_flow::prompt_left() const
+{
+    auto const whole =
+        current_ && current_->ended && current_->runs && handed_out_ > 0;
+    if (!whole || call_.prompt.empty())
+        return std::nullopt;
+    auto const& last = call_.prompt.back();
+    return prompt_place{
+        last.id, last.tokens + static_cast<std::uint32_t>(handed_out_),
+        current_->at.ref()};
+}
+
 void call_flow::refuse_for_budget(admission_answer answer)
 {
     if (answer == admission_answer::not_begun)
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -97,7 +97,9 @@
     void choose_service();
     void arm_deadline();
     void admit();
+    void granted(budget_desk::grant const& one);
     void settle();
+    std::optional<prompt_place> prompt_left() const;
     void refuse_for_budget(admission_answer answer);
     void load_history();
     void try_engine();
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -253,7 +253,13 @@
     if (need.prompt == nullptr)
         return;
     for (auto const& part : *need.prompt)
-        remember_part(part.id, engine.id);
+        remember_part(part, engine.id);
+}
+
+void engine_board::learn(prompt_place const& place)
+{
+    if (find(place.engine) != nullptr)
+        remember_part({place.part, place.tokens}, place.engine.id);
 }
 
 void engine_board::rest(
--- a/src/entry/engine_board_parts.cpp
+++ b/src/entry/engine_board_parts.cpp
@@ -40,18 +40,38 @@
     for (auto const& part : *need.prompt)
     {
         auto const first = &part == &need.prompt->front();
-        auto const found = parts_.find(part.id);
         auto const lies_there =
             first ? has_shared_part(part.id, shared_key(need), engine)
-                  : found != parts_.end() &&
-                        listed(found->second.engines, engine);
-        if (!lies_there)
+                        ? part.tokens
+                        : 0
+                  : held_tokens(part.id, engine);
+        tokens += std::min(part.tokens, lies_there);
+        if (lies_there < part.tokens)
             break;
-        tokens += part.tokens;
     }
     return tokens;
 }
 
+/// A line's last part grows with each turn: an engine that read an earlier
+/// turn has the beginning of it.
+std::uint32_t engine_board::held_tokens(
+    std::string const& part, target_name const& engine) const
+{
+    auto const found = parts_.find(part);
+    auto const* held =
+        found == parts_.end() ? nullptr : found->second.find(engine);
+    return held == nullptr ? 0 : held->tokens;
+}
+
+engine_board::held_part const*
+engine_board::part_place::find(target_name const& engine) const
+{
+    auto const found = std::find_if(
+        at.begin(), at.end(),
+        [&engine](held_part const& one) { return one.engine == engine; });
+    return found == at.end() ? nullptr : &*found;
+}
+
 /// A shared part is taken to lie at the engines that it belongs to, as some
 /// node's call has read it there, but not at one that started again just now,
 /// unless this node's own call has read it since.
@@ -65,17 +85,20 @@
     if (one.restarted_at == time_point{} ||
         clock_() - one.restarted_at >= shared_read_again)
         return true;
-    auto const found = parts_.find(part);
-    return found != parts_.end() && listed(found->second.engines, engine);
+    return held_tokens(part, engine) > 0;
 }
 
 void engine_board::forget_parts(target_name const& engine)
 {
     for (auto& [id, place] : parts_)
     {
-        auto& engines = place.engines;
-        engines.erase(
-            std::remove(engines.begin(), engines.end(), engine), engines.end());
+        auto& at = place.at;
+        at.erase(
+            std::remove_if(
+                at.begin(), at.end(),
+                [&engine](held_part const& one)
+                { return one.engine == engine; }),
+            at.end());
     }
 }
 
@@ -213,32 +236,38 @@
     }
 }
 
-/// Adds the engines at which the call's last part was read.
+/// Adds the engines at which the last part of the prompt that is known of was
+/// read: the call's own or, for the first turn of a sub-agent, its parent's.
 void engine_board::add_line(
     placement_need const& need, time_point now,
     std::vector<target_name>& to) const
 {
-    auto const found = parts_.find(need.prompt->back().id);
-    if (need.prompt->size() < 2 || found == parts_.end())
-        return;
-    for (auto const& id : found->second.engines)
+    for (auto part = need.prompt->rbegin(); part + 1 < need.prompt->rend();
+         ++part)
     {
-        auto const engine = engines_.find(id);
-        if (engine != engines_.end() &&
-            engine->second.entry.service == need.service &&
-            usable(engine->second, need, now, false))
-            to.push_back(id);
+        auto const found = parts_.find(part->id);
+        if (found == parts_.end())
+            continue;
+        for (auto const& held : found->second.at)
+        {
+            auto const engine = engines_.find(held.engine);
+            if (engine != engines_.end() &&
+                engine->second.entry.service == need.service &&
+                usable(engine->second, need, now, false))
+                to.push_back(held.engine);
+        }
+        return;
     }
 }
 
 void engine_board::remember_part(
-    std::string const& key, target_name const& engine)
+    prompt_part const& part, target_name const& engine)
 {
-    auto const found = parts_.find(key);
+    auto const found = parts_.find(part.id);
     if (found == parts_.end())
     {
-        auto const use = part_uses_.insert(part_uses_.end(), key);
-        parts_.emplace(key, part_place{{engine}, use});
+        auto const use = part_uses_.insert(part_uses_.end(), part.id);
+        parts_.emplace(part.id, part_place{{{engine, part.tokens}}, use});
         if (parts_.size() > options_.remembered_parts)
         {
             parts_.erase(part_uses_.front());
@@ -248,11 +277,15 @@
     }
     auto& place = found->second;
     part_uses_.splice(part_uses_.end(), part_uses_, place.use);
-    if (listed(place.engines, engine))
-        return;
-    if (place.engines.size() >= places_a_part)
-        place.engines.erase(place.engines.begin());
-    place.engines.push_back(engine);
+    auto& at = place.at;
+    auto const before = std::find_if(
+        at.begin(), at.end(),
+        [&engine](held_part const& one) { return one.engine == engine; });
+    if (before != at.end())
+        at.erase(before);
+    else if (at.size() >= places_a_part)
+        at.erase(at.begin());
+    at.push_back({engine, part.tokens});
 }
 
 } // namespace walnutmill
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -269,6 +269,8 @@
 
 void entry_node::set_engines(std::vector<engine_entry> const& engines)
 {
+    counters_.gauge(
+        "walnutmill_engines_known", static_cast<double>(engines.size()));
     for (auto const& one : board_.set_engines(engines))
         links_.restarted(one);
 }
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -90,6 +90,8 @@
     counters_.gauge(
         "walnutmill_calls_under_way",
         static_cast<double>(services_.calls_under_way));
+    counters_.gauge(
+        "walnutmill_nodes_known", static_cast<double>(services_.nodes));
     counters_.gauge(
         "walnutmill_programs_known", static_cast<double>(ledger_.programs()));
     counters_.gauge(
--- a/test/budget_desk-test.cpp
+++ b/test/budget_desk-test.cpp
@@ -292,3 +292,46 @@
     store.run();
     CHECK(reserved() == 4'500);
 }
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: the home tells where a turn left its prompt")
+{
+    auto const first = ask(2'600).second;
+    CHECK(first.places.empty());
+    engine_ref const engine(target_name("e1"), engine_incarnation{1'000});
+    asker.settle(first, 22, prompt_place{"line", 700, engine});
+    run_until([&] { return settlements == 1; });
+    auto const second = ask(2'600).second;
+    REQUIRE(second.places.size() == 1);
+    CHECK(second.places[0].part == "line");
+    CHECK(second.places[0].tokens == 700);
+    CHECK(second.places[0].engine == engine);
+}
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: a home tells of its own turns, too")
+{
+    budget_desk::grant own;
+    bool answered = false;
+    home.admit(
+        {program, 2'600, 572},
+        [&](admission_answer, budget_desk::grant grant)
+        {
+            own = std::move(grant);
+            answered = true;
+        });
+    run_until([&] { return answered; });
+    home.settle(own, 22, prompt_place{"line", 700, target_name("e1")});
+    auto const told = ask(2'600).second.places;
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].engine == engine_ref(target_name("e1")));
+}
+
+TEST_CASE_METHOD(
+    desk_fixture, "budget desk: a turn without a known end leaves no place")
+{
+    auto const first = ask(2'600).second;
+    asker.settle(first, 0);
+    run_until([&] { return settlements == 1; });
+    CHECK(ask(2'600).second.places.empty());
+}
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -252,3 +252,52 @@
     CHECK(full->first_bytes > full->wait);
     CHECK(full->wait > milliseconds(100));
 }
+
+TEST_CASE_METHOD(
+    board_fixture, "board: a line goes on where another node left it")
+{
+    start(8, 1);
+    board.learn({"own", 1'500, target_name("e5")});
+    auto const chosen = choose_often(turn(), 100);
+    CHECK(chosen.at("e5") >= 90);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: the beginning of a line counts for its tokens")
+{
+    start(8, 1);
+    board.learn({"own", 500, target_name("e2")});
+    auto need = turn();
+    need.only = target_name("e2");
+    auto const before = board.choose(need);
+    board.learn({"own", 2'000, target_name("e2")});
+    auto const after = board.choose(need);
+    REQUIRE(before);
+    REQUIRE(after);
+    CHECK(after->cached_tokens - before->cached_tokens == 1'000);
+}
+
+TEST_CASE_METHOD(
+    board_fixture,
+    "board: a sub-agent's first turn goes where its parent's prompt lies")
+{
+    start(8, 1);
+    board.learn({"own", 1'500, target_name("e5")});
+    prompt.push_back({"sub-agent", 300});
+    CHECK(choose_often(turn(), 100).at("e5") >= 90);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: a line left at a former incarnation counts nothing")
+{
+    start(8, 1);
+    for (auto& one : engines)
+        one.incarnation = {2'000};
+    board.set_engines(engines);
+    // Long enough for the shared part to have been read again everywhere.
+    clock.advance(seconds(3));
+    engine_ref const former(target_name("e5"), engine_incarnation{1'000});
+    board.learn({"own", 1'500, former});
+    CHECK(board.choose(turn())->cached_tokens == 12'600);
+    CHECK(choose_often(turn(), 100)["e5"] < 50);
+}
