Take an unmeasured engine to be as fast as its service usually is

Cause: an engine that a node had not yet measured counted as fast as the figures to start from. Where those are too short (steps of 6.1 ms against 1.1 ms), each engine new to a node looked five times as fast as the others, and the costs of reading, waiting and other failure domains were weighed at different scales from engine to engine.

Ruled out: a figure of the site; what is learned is each node's own.

Change: the board keeps the usual speed of each service, the mean of the first samples and a moving mean from then on; an engine without a sample has that speed.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -65,6 +65,9 @@
     /// a second of an engine's calls from one node.
     double speed_weight = 0.1;
     double failure_weight = 0.2;
+    /// The same for a service's usual speed: some fifty calls, two to four
+    /// seconds of a node's, in which one slow engine of ten weighs little.
+    double usual_speed_weight = 0.02;
     /// Failures count half after this. An engine that nobody sends to can't
     /// show that it is well again; spells of failing last some 5 s, and a look
     /// each few seconds costs a call in twenty of what the spell would.
@@ -214,7 +217,12 @@
         time_point told_at{};
         double peer_calls = 0;
         time_point peers_told_at{};
-        double speed = 1.0;
+        /// Time that its calls took, in times of what the figures above say;
+        /// empty until one was answered: as its service's usually do. Taken
+        /// for 1, new engines looked five times as fast as the others where
+        /// the figures were five times too short, and all nodes' calls went
+        /// there first.
+        std::optional<double> speed;
         /// Part of the calls that failed lately, as of failures_at.
         double failures = 0;
         time_point failures_at{};
@@ -282,6 +290,8 @@
     double first_bytes_ms(
         engine_record const& one, placement_need const& need,
         std::uint32_t cached) const;
+    double speed_of(engine_record const& one) const;
+    void learn_speed(engine_record& one, double sample);
     double failures_of(engine_record const& one, time_point now) const;
     void add_failure(engine_record& one, time_point now) const;
     double wait_ms(engine_record const& one, double load, double call_ms) const;
@@ -307,6 +317,12 @@
         double slots = 0;
     };
     std::unordered_map<service_name, service_pressure> pressures_;
+    struct usual_speed
+    {
+        double speed = 1.0;
+        std::uint32_t samples = 0;
+    };
+    std::unordered_map<service_name, usual_speed> usual_speeds_;
     time_point pressures_at_{};
     /// Grows when engines come or go.
     std::uint64_t engines_version_ = 1;
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -113,13 +113,13 @@
     double load) const
 {
     if (need.prompt_tokens == 0)
-        return options_.plain_ms * one.speed;
+        return options_.plain_ms * speed_of(one);
     auto const slots = static_cast<double>(one.entry.slots);
     auto const batch = std::min(load + 1, slots);
     auto const unread = static_cast<double>(
         need.prompt_tokens - std::min(need.prompt_tokens, cached));
     auto const step = options_.step_ms + options_.step_ms_per_call * batch;
-    return one.speed *
+    return speed_of(one) *
            (options_.first_ms + unread / options_.prefill_tokens_per_ms +
             static_cast<double>(need.output_tokens) * step);
 }
@@ -137,10 +137,10 @@
 {
     // A plain answer comes whole.
     if (need.prompt_tokens == 0)
-        return options_.plain_ms * one.speed;
+        return options_.plain_ms * speed_of(one);
     auto const unread = static_cast<double>(
         need.prompt_tokens - std::min(need.prompt_tokens, cached));
-    return one.speed *
+    return speed_of(one) *
            (options_.first_ms + unread / options_.prefill_tokens_per_ms);
 }
 
@@ -171,7 +171,7 @@
         // its prompt is read.
         auto const unread = static_cast<double>(
             need.prompt_tokens - std::min(need.prompt_tokens, cached));
-        cost += one.speed * load *
+        cost += speed_of(one) * load *
                 (static_cast<double>(need.output_tokens) *
                      options_.step_ms_per_call +
                  unread / options_.prefill_tokens_per_ms);
@@ -291,9 +291,9 @@
         one.rest = duration(0);
         one.failures *= 1 - options_.failure_weight / 2;
         auto const cached = cached_tokens(engine.id, need);
-        auto const expected = expected_ms(one, need, cached, load) / one.speed;
-        auto const ratio = std::clamp(ms_of(took) / expected, fastest, slowest);
-        one.speed += (ratio - one.speed) * options_.speed_weight;
+        auto const expected =
+            expected_ms(one, need, cached, load) / speed_of(one);
+        learn_speed(one, std::clamp(ms_of(took) / expected, fastest, slowest));
         break;
     }
     case engine_outcome::full:
@@ -310,6 +310,26 @@
     }
 }
 
+double engine_board::speed_of(engine_record const& one) const
+{
+    if (one.speed)
+        return *one.speed;
+    auto const usual = usual_speeds_.find(one.entry.service);
+    return usual == usual_speeds_.end() ? 1.0 : usual->second.speed;
+}
+
+void engine_board::learn_speed(engine_record& one, double sample)
+{
+    // The mean of the first samples, a moving one from then on.
+    auto& usual = usual_speeds_[one.entry.service];
+    ++usual.samples;
+    auto const weight =
+        std::max(options_.usual_speed_weight, 1.0 / usual.samples);
+    usual.speed += (sample - usual.speed) * weight;
+    auto const before = speed_of(one);
+    one.speed = before + (sample - before) * options_.speed_weight;
+}
+
 void engine_board::stalled(engine_ref const& engine)
 {
     if (auto* const found = find(engine))
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -253,6 +253,26 @@
     CHECK(full->wait > milliseconds(100));
 }
 
+TEST_CASE_METHOD(
+    board_fixture, "board: a new engine is taken to be as fast as the others")
+{
+    start(8, 1);
+    // Engines that take five times as long as the figures say.
+    for (int i = 0; i < 400; ++i)
+    {
+        auto const to = board.choose(turn());
+        board.sent(to->ref(), turn());
+        board.ended(to->ref(), turn(), engine_outcome::answered, seconds(2));
+    }
+    auto added = engines.front();
+    added.id = target_name("new");
+    engines.push_back(added);
+    board.set_engines(engines);
+    // One in nine would be its share; nodes that all took it to be five times
+    // as fast would send it nearly all.
+    CHECK(choose_often(plain(), 180)["new"] <= 40);
+}
+
 TEST_CASE_METHOD(
     board_fixture, "board: a line goes on where another node left it")
 {
--- a/test/prompt_places-test.cpp
+++ b/test/prompt_places-test.cpp
@@ -85,3 +85,118 @@
     places.note(program, at("line", 600, "e1"));
     CHECK(known() == strings{"line:600@e1"});
 }
+
+namespace
+{
+
+/// Sixteen nodes before twelve engines; the turns of each program come through
+/// any node. Engines keep all that they read.
+struct lines_fixture
+{
+    static constexpr int nodes = 16;
+    static constexpr int engines = 12;
+    static constexpr int programs = 60;
+    static constexpr int turns = 7;
+    static constexpr std::uint32_t shared_tokens = 2'560;
+    static constexpr std::uint32_t new_tokens = 550;
+
+    manual_clock clock;
+    random_fn random = seeded_random(11);
+    std::vector<std::unique_ptr<engine_board>> boards;
+    prompt_places places{clock.fn()};
+    /// Calls under way at engines.
+    std::map<std::string, std::uint32_t> calls;
+    std::map<std::pair<std::string, std::string>, std::uint32_t> cached;
+    std::uint64_t read_again = 0;
+    int turns_run = 0;
+
+    lines_fixture()
+    {
+        std::vector<engine_entry> all;
+        for (int i = 0; i < engines; ++i)
+        {
+            engine_entry one;
+            one.id = target_name("e" + std::to_string(i));
+            one.service = service_name("llm");
+            one.address = "10.0.0.1:1";
+            one.zone = zone_name("z" + std::to_string(i % 4));
+            one.slots = 8;
+            all.push_back(one);
+        }
+        for (int i = 0; i < nodes; ++i)
+        {
+            boards.push_back(std::make_unique<engine_board>(
+                zone_name("z" + std::to_string(i % 4)), clock.fn(),
+                seeded_random(static_cast<std::uint64_t>(i) + 1)));
+            boards.back()->set_engines(all);
+        }
+    }
+
+    engine_board& any_node()
+    {
+        auto const drawn = static_cast<std::size_t>(random() * nodes);
+        return *boards[std::min<std::size_t>(drawn, nodes - 1)];
+    }
+
+    void run_turn(int program, int turn, bool home_tells)
+    {
+        auto& node = any_node();
+        program_id const id("p" + std::to_string(program));
+        auto const own = static_cast<std::uint32_t>(turn + 1) * new_tokens;
+        std::vector<prompt_part> const prompt{
+            {"shared", shared_tokens}, {id.str(), own}};
+        placement_need need;
+        need.service = service_name("llm");
+        need.prompt_tokens = shared_tokens + own;
+        need.output_tokens = 34;
+        need.prompt = &prompt;
+        if (home_tells)
+        {
+            for (auto const& one : places.of(id))
+                node.learn(one);
+        }
+        auto const to = node.choose(need);
+        REQUIRE(to);
+        node.sent(to->ref(), need);
+        ++turns_run;
+        auto& held = cached[{to->engine.str(), id.str()}];
+        read_again += own - held - new_tokens;
+        held = own;
+        node.ended(
+            to->ref(), need, engine_outcome::answered, milliseconds(240));
+        places.note(id, {id.str(), own, to->ref()});
+    }
+
+    /// \return the tokens of histories that a turn reads again, on average.
+    double play(bool home_tells)
+    {
+        for (int turn = 0; turn < turns; ++turn)
+        {
+            for (int program = 0; program < programs; ++program)
+                run_turn(program, turn, home_tells);
+            clock.advance(milliseconds(300));
+        }
+        return static_cast<double>(read_again) / turns_run;
+    }
+};
+
+/// The most tokens of a history that may be read again a turn: reading 55 takes
+/// half a millisecond at 110 tokens a millisecond, a hundredth of the least
+/// that a turn lasts.
+constexpr double read_again_at_most = 55;
+
+} // namespace
+
+TEST_CASE_METHOD(
+    lines_fixture,
+    "prompt places: turns through any node go on where their line lies")
+{
+    CHECK(play(true) <= read_again_at_most);
+}
+
+TEST_CASE_METHOD(
+    lines_fixture,
+    "prompt places: without them histories are read again and again")
+{
+    CHECK(play(false) > 10 * read_again_at_most);
+}
