A node is ready only once it has read the engines

A node said that it was ready as soon as its configuration was there; the engines come with a reading of their own, a moment later on a busy machine.

Change: ready() asks for a reading of the engines as well. The balancer sends no calls to a node that could only refuse them after a restart.

--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -70,7 +70,9 @@
 
 bool entry_node::ready() const
 {
-    return services_.table && !services_.stopping &&
+    // The engines come with a reading of their own: until then each call would
+    // be refused for want of an engine.
+    return services_.table && view_.knows_engines() && !services_.stopping &&
            clock_() - view_.last_read() < blind_after;
 }
 
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -70,6 +70,8 @@
 
     /// When a configuration or the engines were last read.
     time_point last_read() const { return last_read_; }
+    /// \return true once the registered engines were read.
+    bool knows_engines() const { return engines_read_at_ != time_point{}; }
 
 private:
     /// A row of the engines' table.
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -174,7 +174,15 @@
         }
     }
     std::lock_guard<std::mutex> const lock(mutex_);
-    return silent_.count(partition) > 0;
+    return silent_.count(partition) > 0 ||
+           (!silent_table_.empty() &&
+            query_value(target, "table") == silent_table_);
+}
+
+void standin_rows::silence_table(std::string const& table)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    silent_table_ = table;
 }
 
 void standin_rows::answer(link_ptr const& link, http_request const& request)
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -84,6 +84,8 @@
     std::size_t readings(std::string const& table) const;
     /// Calls to these partitions are not answered.
     void silence(std::set<std::string> partitions);
+    /// Readings of this table are not answered; empty: all are.
+    void silence_table(std::string const& table);
 
 private:
     struct stored
@@ -103,6 +105,7 @@
     std::map<place, stored> rows_;
     std::map<std::string, std::size_t> readings_;
     std::set<std::string> silent_;
+    std::string silent_table_;
     std::uint64_t version_ = 0;
     std::atomic<bool> down_{false};
     std::atomic<unsigned> lose_every_{0};
--- a/test/store_return-test.cpp
+++ b/test/store_return-test.cpp
@@ -122,3 +122,29 @@
     // An outage lasts seconds; the caller itself bounds the wait.
     CHECK(std::stod(got.headers.at("Retry-After")) >= 0.9);
 }
+
+TEST_CASE_METHOD(
+    entry_world, "entry: a node is ready only once it knows the engines")
+{
+    store.silence_table("servers");
+    auto& node = launch_node();
+    // A path without a route is told so as soon as the configuration is there.
+    auto const is_configured = [&]
+    {
+        try
+        {
+            test_caller caller(node.settings.listen_callers);
+            return caller.call(post("/nowhere/x", "r1")).status == 404;
+        }
+        catch (boost::system::system_error const&)
+        {
+            return false;
+        }
+    };
+    REQUIRE(comes_true(is_configured));
+    CHECK_FALSE(is_ready(node));
+    store.silence_table({});
+    REQUIRE(comes_true([&] { return is_ready(node); }));
+    test_caller caller(node.settings.listen_callers);
+    CHECK(caller.call(post("/orders/x", "r2")).status == 200);
+}
