--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -189,6 +189,8 @@
     node_.ranks.seen(route_->rank, now);
     auto const goes_before_others =
         node_.ranks.has_less_urgent(route_->rank, now);
+    if (goes_before_others)
+        story_["goes_before_others"] = true;
     auto const only_begun =
         node_.random() <
         refusal_chance(pressure, route_->rank, goes_before_others);
@@ -216,6 +218,7 @@
 void call_flow::granted(budget_desk::grant const& one)
 {
     grant_ = one;
+    story_["known_lines"] = one.places.size();
     for (auto const& place : one.places)
         node_.board.learn(place);
 }
