--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -213,7 +213,7 @@
         told["left"] = to_json(*left);
     caller_.call(
         one.home_address,
-        cbor_request(settle_path, one.home_address, std::move(told)),
+        cbor_request(settle_path, one.home_address, told),
         settlement_patience,
         [this, one, handed_out, left, tries](http_reply const& reply)
         {
