Calls cut by a stop no longer outlive the node

Ruled out: the checks of the test, all of which passed.

Change: a node that has stopped ends all its connections to engines.

Before, with sanitizers: leaks of the caller's link, the call and the engine's connection in that test.

--- a/src/entry/engine_links.cpp
+++ b/src/entry/engine_links.cpp
@@ -25,9 +25,18 @@
 
 engine_links::~engine_links()
 {
-    for (auto& [id, conns] : engines_)
+    end_all();
+}
+
+void engine_links::end_all()
+{
+    auto const all = std::move(engines_);
+    engines_.clear();
+    for (auto const& [id, conns] : all)
     {
-        for (auto& link : conns.idle)
+        for (auto const& link : conns.idle)
+            link->close();
+        for (auto const& link : conns.in_use)
             link->close();
     }
 }
--- a/src/entry/engine_links.hpp
+++ b/src/entry/engine_links.hpp
@@ -53,6 +53,11 @@
     /// that crashed behind a partition never resets its connections.
     void restarted(target_name const& engine);
 
+    /// Ends all connections and drops what waits on them without a word: the
+    /// node has stopped. A call and its connection hold each other, so that
+    /// those cut by the stop would outlive the node.
+    void end_all();
+
     /// Ends the idle connections to engines that are gone, and those that
     /// have been idle for long.
     void sweep(std::function<bool(target_name const&)> const& still_registered);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -335,6 +335,7 @@
         line_weight::important, "node.stopped",
         {{"calls_cut", services_.calls_under_way}});
     log_.flush();
+    links_.end_all();
     return true;
 }
 
