Keep the ports of nodes that tests start later

Its log has listen.failed, "Address already in use": a test asked for a free port, let it go, and another test running beside it got the port for a connection before the node listened. The node ended, one of its other addresses still took the test's connection, and the test waited for an answer for good.

Ruled out: the node's readiness (the test passes alone and in every run in which the ports stay free).

Change: an address is bound and kept, not listened on, until the test ends. The same in the soak and in the Python harness.

--- a/support/harness.py
+++ b/support/harness.py
@@ -31,11 +31,17 @@
 ZONES = ["bern-hall", "zuerich-hall", "basel-hall", "luzern-hall"]
 
 
+RESERVED = []
+
+
 def free_port():
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that stays reserved until this process ends: bound, not
+    listened on, so that only a listener that sets SO_REUSEADDR gets it."""
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    RESERVED.append(held)
+    return held.getsockname()[1]
 
 
 def wait_until(what, condition, limit=READY_LIMIT, pause=0.02):
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -131,14 +131,12 @@
 {
     auto one = std::make_unique<soak_node>();
     auto const name = "node-" + std::to_string(number);
-    one->callers = testing::free_address();
-    one->ready = testing::free_address();
     one->process = std::make_unique<child_process>(
         std::vector<std::string>{
             options_.program, "entry", "--node", name, "--domain",
-            "z" + std::to_string(number + 1), "--listen-callers", one->callers,
-            "--listen-ready", one->ready, "--listen-peers",
-            testing::free_address(), "--store", store.address(),
+            "z" + std::to_string(number + 1), "--listen-callers",
+            one->callers.text(), "--listen-ready", one->ready.text(),
+            "--listen-peers", one->peers.text(), "--store", store.address(),
             "--stall-least-ms", "200"},
         options_.directory + "/" + name + ".log");
     one->process->start();
@@ -152,7 +150,7 @@
     {
         try
         {
-            test_caller caller(one.ready);
+            test_caller caller(one.ready.text());
             if (caller.call("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status ==
                 status_ok)
                 return;
@@ -456,7 +454,8 @@
     }
     try
     {
-        test_caller caller(processes_[static_cast<std::size_t>(node)]->callers);
+        test_caller caller(
+            processes_[static_cast<std::size_t>(node)]->callers.text());
         auto const got =
             caller.call(post(path_of(kind), to.id, headers, to.input));
         to.status = got.status;
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -66,8 +66,9 @@
 private:
     struct soak_node
     {
-        std::string callers;
-        std::string ready;
+        testing::reserved_address callers;
+        testing::reserved_address ready;
+        testing::reserved_address peers;
         std::unique_ptr<child_process> process;
     };
     struct program_run
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -57,11 +57,11 @@
 
 } // namespace
 
-std::string free_address()
+reserved_address::reserved_address() : held_(io_, tcp::v4())
 {
-    asio::io_context io;
-    tcp::acceptor const acceptor(io, any_loopback());
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    held_.set_option(tcp::acceptor::reuse_address(true));
+    held_.bind(any_loopback());
+    text_ = "127.0.0.1:" + std::to_string(held_.local_endpoint().port());
 }
 
 standin_server::standin_server()
@@ -425,10 +425,10 @@
     auto& settings = one->settings;
     settings.node = "node-" + std::to_string(nodes.size());
     settings.domain = "z1";
-    settings.listen_callers = free_address();
-    settings.listen_ready = free_address();
-    settings.listen_peers = free_address();
-    settings.listen_metrics = free_address();
+    settings.listen_callers = one->callers.text();
+    settings.listen_ready = one->ready.text();
+    settings.listen_peers = one->peers.text();
+    settings.listen_metrics = one->metrics.text();
     settings.store = store.address();
     settings.stop_grace = seconds(8);
     settings.stall_least = stall_least;
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -31,8 +31,22 @@
 using link_ptr = std::shared_ptr<caller_link>;
 using http_request = caller_link::request_type;
 
-/// \return IP:PORT on the loopback that nobody listens on.
-std::string free_address();
+/// IP:PORT on the loopback for a node that is started later. Bound, not
+/// listened on: the system hands the port to nobody who asks for any port,
+/// and a node, which sets SO_REUSEADDR as this does, can still listen on it.
+class reserved_address
+{
+public:
+    /// \throws boost::system::system_error where no port is left
+    reserved_address();
+
+    std::string const& text() const { return text_; }
+
+private:
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor held_;
+    std::string text_;
+};
 
 /// A server on a free port of the loopback, on its own thread.
 class standin_server
@@ -198,6 +212,10 @@
 
     struct node
     {
+        reserved_address callers;
+        reserved_address ready;
+        reserved_address peers;
+        reserved_address metrics;
         entry_settings settings;
         std::unique_ptr<entry_node> process;
         std::thread thread;
