Leave engines alone that other nodes' calls failed at

Traced: four engines went down and up by turns without leaving the registry. Such an engine cuts its calls, then looks idle (load 0 to 5 of 8 slots in a burst in which the others have more than 8) and is said to hold the program's line, so the second and third send of a turn went there, too, through nodes that had not met the fault: 64 nodes call 44 engines once in three seconds each.

Ruled out: stale connections (fresh ones were cut as well); a weight of failures that is too low: one node's single failure can't outweigh a wait of a burst without shutting out engines that lose one answer in twenty.

Change: a connection that ends without a word counts as an outcome of its own, after which the node leaves the engine alone for 0.3 s; nodes send the summing node how their calls ended lately, and leave an engine alone at which three calls and a third of all failed. New log line engine.rests.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -79,6 +79,19 @@
     /// first, and at most: a restart takes one to four seconds.
     duration first_rest = std::chrono::milliseconds(300);
     duration longest_rest = std::chrono::milliseconds(3'000);
+    /// How calls ended counts half after this: long enough to hold a few calls
+    /// of each engine over all nodes (8 to 30 a second), short enough that an
+    /// engine that went down is seen within two exchanges (400 ms).
+    duration outcomes_halve = std::chrono::milliseconds(250);
+    /// Calls of all nodes that must have failed lately for an engine to rest,
+    /// and their least number for each answered one. One lost answer in twenty,
+    /// the usual spell, gives half a failure to ten answers; at one in three a
+    /// turn that is sent three times is lost once in 27.
+    double failed_calls_to_rest = 3;
+    double failed_part_to_rest = 0.5;
+    /// How long it rests at first: restarts take one to four seconds, and each
+    /// look costs the calls of one exchange.
+    duration told_rest = std::chrono::milliseconds(600);
     /// An engine that said it was full is left alone this long: a twentieth
     /// of a call's time on all its slots.
     duration full_rest = std::chrono::milliseconds(30);
@@ -157,10 +170,19 @@
     unreachable,
     /// It broke off, sent nonsense or failed.
     failed,
+    /// It ended the connection without a word, as one that is down does.
+    silent_end,
     /// The caller left, or time was up.
     abandoned
 };
 
+/// How calls at an engine ended lately: counts in which older ones weigh less.
+struct recent_outcomes
+{
+    double failed = 0;
+    double answered = 0;
+};
+
 class engine_board
 {
 public:
@@ -194,12 +216,20 @@
     void set_peer_loads(
         std::function<std::uint32_t(target_name const&)> const& calls_at);
 
+    /// How calls of all nodes ended at each engine. One that went down looks
+    /// idle, and each of many nodes would have to lose calls there itself.
+    /// \return the engines that rest from now on
+    std::vector<std::pair<target_name, recent_outcomes>> set_all_outcomes(
+        std::function<recent_outcomes(target_name const&)> const& at);
+
     /// \return true while the engine is registered, in that incarnation if
     /// one is named.
     bool known(engine_ref const& engine) const;
     std::size_t engines_of(service_name const& service) const;
     /// Calls under way from this node, by engine.
     std::vector<std::pair<target_name, std::uint32_t>> own_calls() const;
+    /// How calls of this node ended lately, where any did.
+    std::vector<std::pair<target_name, recent_outcomes>> own_outcomes() const;
 
     /// \return calls at a service's engines, of all nodes, for each slot of
     /// theirs: above 1, calls wait. As of the last sum of the nodes' loads;
@@ -226,6 +256,9 @@
         /// Part of the calls that failed lately, as of failures_at.
         double failures = 0;
         time_point failures_at{};
+        /// How this node's calls ended, as of outcomes_at.
+        recent_outcomes outcomes;
+        time_point outcomes_at{};
         time_point rests_until{};
         duration rest{0};
         /// When it was seen to have started again; the epoch: never.
@@ -294,6 +327,8 @@
     void learn_speed(engine_record& one, double sample);
     double failures_of(engine_record const& one, time_point now) const;
     void add_failure(engine_record& one, time_point now) const;
+    recent_outcomes outcomes_of(engine_record const& one, time_point now) const;
+    void count_outcome(engine_record& one, bool failed, time_point now) const;
     double wait_ms(engine_record const& one, double load, double call_ms) const;
     std::uint32_t
     cached_tokens(target_name const& engine, placement_need const& need) const;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -254,8 +254,10 @@
 
 void call_flow::attempt_broke(attempt_ptr const& one)
 {
-    end_attempt(one, engine_outcome::failed);
-    note_attempt(one, "broke off");
+    auto const silent = one->answer.status == 0;
+    end_attempt(
+        one, silent ? engine_outcome::silent_end : engine_outcome::failed);
+    note_attempt(one, silent ? "ended without a word" : "broke off");
     retry_or_fail(one, false);
 }
 
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -16,6 +16,9 @@
 constexpr double slowest = 12.0;
 /// What other nodes said of their calls is used for this long.
 constexpr std::chrono::milliseconds peer_load_lasts{1'000};
+/// Ends of calls that weigh less than this are not told other nodes: what is
+/// left of one after a second.
+constexpr double least_told = 0.05;
 /// Random part of a cost in milliseconds, so that nodes that see the same
 /// don't all choose the same.
 constexpr double spread_ms = 4.0;
@@ -25,6 +28,12 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+duration part_of(duration whole, double part)
+{
+    return duration(
+        static_cast<duration::rep>(static_cast<double>(whole.count()) * part));
+}
+
 } // namespace
 
 engine_board::engine_board(
@@ -156,6 +165,23 @@
     auto const before = failures_of(one, now);
     one.failures = before + (1 - before) * options_.failure_weight;
     one.failures_at = now;
+    count_outcome(one, true, now);
+}
+
+recent_outcomes
+engine_board::outcomes_of(engine_record const& one, time_point now) const
+{
+    auto const fades = std::exp2(
+        -ms_of(now - one.outcomes_at) / ms_of(options_.outcomes_halve));
+    return {one.outcomes.failed * fades, one.outcomes.answered * fades};
+}
+
+void engine_board::count_outcome(
+    engine_record& one, bool failed, time_point now) const
+{
+    one.outcomes = outcomes_of(one, now);
+    one.outcomes_at = now;
+    ++(failed ? one.outcomes.failed : one.outcomes.answered);
 }
 
 double engine_board::cost_of(
@@ -289,6 +315,7 @@
     case engine_outcome::answered:
     {
         one.rest = duration(0);
+        count_outcome(one, false, now);
         one.failures *= 1 - options_.failure_weight / 2;
         auto const cached = cached_tokens(engine.id, need);
         auto const expected =
@@ -305,6 +332,10 @@
     case engine_outcome::failed:
         add_failure(one, now);
         break;
+    case engine_outcome::silent_end:
+        add_failure(one, now);
+        rest(one, options_.first_rest, now);
+        break;
     case engine_outcome::abandoned:
         break;
     }
@@ -367,6 +398,44 @@
     }
 }
 
+std::vector<std::pair<target_name, recent_outcomes>>
+engine_board::set_all_outcomes(
+    std::function<recent_outcomes(target_name const&)> const& at)
+{
+    auto const now = clock_();
+    std::vector<std::pair<target_name, recent_outcomes>> resting;
+    for (auto& [id, one] : engines_)
+    {
+        auto const all = at(id);
+        // One that has not answered since its last rest is only on trial.
+        auto const enough = one.rest.count() > 0
+                                ? options_.failed_calls_to_rest / 2
+                                : options_.failed_calls_to_rest;
+        if (one.rests_until > now || all.failed < enough ||
+            all.failed < all.answered * options_.failed_part_to_rest)
+            continue;
+        rest(one, options_.told_rest, now);
+        // Nodes come back one after the other, so that few calls try it.
+        one.rests_until += part_of(one.rest, random_());
+        resting.emplace_back(id, all);
+    }
+    return resting;
+}
+
+std::vector<std::pair<target_name, recent_outcomes>>
+engine_board::own_outcomes() const
+{
+    auto const now = clock_();
+    std::vector<std::pair<target_name, recent_outcomes>> to;
+    for (auto const& [id, one] : engines_)
+    {
+        auto const outcomes = outcomes_of(one, now);
+        if (outcomes.failed + outcomes.answered >= least_told)
+            to.emplace_back(id, outcomes);
+    }
+    return to;
+}
+
 std::vector<std::pair<target_name, std::uint32_t>>
 engine_board::own_calls() const
 {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -164,6 +164,15 @@
       signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
       stop_timer_(io_), sweep_timer_(io_)
 {
+    loads_.on_rest =
+        [this](target_name const& engine, recent_outcomes const& seen)
+    {
+        log_.write(
+            line_weight::routine, "engine.rests",
+            {{"engine", engine.str()},
+             {"failed_lately", seen.failed},
+             {"answered_lately", seen.answered}});
+    };
 }
 
 entry_node::~entry_node() = default;
--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace walnutmill
@@ -21,6 +22,13 @@
 constexpr std::chrono::milliseconds ask_every{200};
 /// Unanswered questions after which another node is asked.
 constexpr int most_unanswered = 2;
+constexpr double hundred = 100;
+
+std::uint32_t hundredths(double count)
+{
+    return static_cast<std::uint32_t>(std::lround(count * hundred));
+}
+
 /// The key whose home sums up.
 constexpr char const* summing_key = "load-summary";
 
@@ -63,12 +71,18 @@
     timer_.cancel();
 }
 
-engine_counts load_exchange::own_counts() const
+load_report load_exchange::own_report() const
 {
-    engine_counts counts;
+    load_report to;
     for (auto const& [engine, calls] : board_.own_calls())
-        counts.emplace_back(short_key(engine), calls);
-    return counts;
+        to.calls.emplace_back(short_key(engine), calls);
+    for (auto const& [engine, one] : board_.own_outcomes())
+    {
+        to.outcomes.push_back(
+            {short_key(engine), hundredths(one.failed),
+             hundredths(one.answered)});
+    }
+    return to;
 }
 
 void load_exchange::ask()
@@ -82,10 +96,10 @@
         unanswered_ = 0;
     }
     auto const* home = homes_.home_of(summing_key, now);
-    auto own = own_counts();
+    auto own = own_report();
     summary_.set(self_, own, now);
     if (home == nullptr)
-        apply(summary_.sum(now), own);
+        apply(summary_.sum(now), own.calls);
     else if (auto const to = endpoint_of(home->address))
     {
         auto const bytes = encode({true, self_, ++number_, own});
@@ -93,7 +107,7 @@
         socket_.send_to(
             asio::buffer(bytes), udp::endpoint(to->address(), to->port()), 0,
             ignored);
-        asked_counts_ = std::move(own);
+        asked_calls_ = std::move(own.calls);
         asked_node_ = home->node;
         ++unanswered_;
     }
@@ -134,22 +148,22 @@
         return;
     unanswered_ = 0;
     homes_.answered(message->node);
-    apply(message->counts, asked_counts_);
+    apply(message->report, asked_calls_);
 }
 
 void load_exchange::answer(load_message const& asked)
 {
     auto const now = clock_();
-    summary_.set(asked.node, asked.counts, now);
+    summary_.set(asked.node, asked.report, now);
     auto const bytes = encode({false, self_, asked.number, summary_.sum(now)});
     boost::system::error_code ignored; // a lost answer is asked for again
     socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
 }
 
-void load_exchange::apply(engine_counts const& sum, engine_counts const& own)
+void load_exchange::apply(load_report const& sum, engine_counts const& own)
 {
     std::unordered_map<std::uint32_t, std::uint32_t> others(
-        sum.begin(), sum.end());
+        sum.calls.begin(), sum.calls.end());
     for (auto const& [key, calls] : own)
     {
         auto& all = others[key];
@@ -161,6 +175,22 @@
             auto const found = others.find(short_key(engine));
             return found == others.end() ? 0U : found->second;
         });
+    if (sum.outcomes.empty())
+        return;
+    std::unordered_map<std::uint32_t, recent_outcomes> outcomes;
+    for (auto const& one : sum.outcomes)
+        outcomes[one.engine] = {one.failed / hundred, one.answered / hundred};
+    auto const resting = board_.set_all_outcomes(
+        [&](target_name const& engine)
+        {
+            auto const found = outcomes.find(short_key(engine));
+            return found == outcomes.end() ? recent_outcomes() : found->second;
+        });
+    for (auto const& [engine, seen] : resting)
+    {
+        if (on_rest)
+            on_rest(engine, seen);
+    }
 }
 
 } // namespace walnutmill
--- a/src/entry/load_exchange.hpp
+++ b/src/entry/load_exchange.hpp
@@ -2,8 +2,8 @@
 #define WALNUTMILL_SRC_ENTRY_LOAD_EXCHANGE_HPP
 
 /// \file
-/// Tells one node, the same for all, the calls of this one, and hears the sum
-/// over all nodes from it, by datagrams.
+/// Tells one node, the same for all, the calls of this one and how its calls
+/// ended, and hears the sum over all nodes from it, by datagrams.
 
 #include <walnutmill/engine_board.hpp>
 
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,13 +35,16 @@
     void set_nodes(std::vector<home_candidate> others);
     void stop();
 
+    /// An engine rests, as calls of all nodes failed there.
+    std::function<void(target_name const&, recent_outcomes const&)> on_rest;
+
 private:
     void ask();
     void receive();
     void take(std::string_view bytes);
     void answer(load_message const& asked);
-    void apply(engine_counts const& sum, engine_counts const& own);
-    engine_counts own_counts() const;
+    void apply(load_report const& sum, engine_counts const& own);
+    load_report own_report() const;
 
     engine_board& board_;
     clock_fn clock_;
@@ -53,7 +57,7 @@
     std::array<char, 65'536> buffer_{};
     std::uint64_t number_ = 0;
     /// The question that is not answered yet, and to whom it went.
-    engine_counts asked_counts_;
+    engine_counts asked_calls_;
     std::string asked_node_;
     int unanswered_ = 0;
 };
--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -17,13 +17,20 @@
 std::string encode(load_message const& message)
 {
     json counts = json::array();
-    for (auto const& [key, calls] : message.counts)
+    for (auto const& [key, calls] : message.report.calls)
     {
         counts.push_back(key);
         counts.push_back(calls);
     }
-    auto const bytes = json::to_cbor(
-        json::array({message.asks, message.node, message.number, counts}));
+    json outcomes = json::array();
+    for (auto const& one : message.report.outcomes)
+    {
+        outcomes.push_back(one.engine);
+        outcomes.push_back(one.failed);
+        outcomes.push_back(one.answered);
+    }
+    auto const bytes = json::to_cbor(json::array(
+        {message.asks, message.node, message.number, counts, outcomes}));
     return {bytes.begin(), bytes.end()};
 }
 
@@ -39,10 +46,18 @@
         auto const& counts = body.at(3);
         for (std::size_t i = 0; i + 1 < counts.size(); i += 2)
         {
-            to.counts.emplace_back(
+            to.report.calls.emplace_back(
                 counts[i].get<std::uint32_t>(),
                 counts[i + 1].get<std::uint32_t>());
         }
+        auto const& outcomes = body.at(4);
+        for (std::size_t i = 0; i + 2 < outcomes.size(); i += 3)
+        {
+            to.report.outcomes.push_back(
+                {outcomes[i].get<std::uint32_t>(),
+                 outcomes[i + 1].get<std::uint32_t>(),
+                 outcomes[i + 2].get<std::uint32_t>()});
+        }
         return to;
     }
     catch (json::exception const&)
@@ -55,14 +70,15 @@
 load_summary::load_summary(duration keeps) : keeps_(keeps) {}
 
 void load_summary::set(
-    std::string const& node, engine_counts counts, time_point now)
+    std::string const& node, load_report report, time_point now)
 {
-    nodes_[node] = {now, std::move(counts)};
+    nodes_[node] = {now, std::move(report)};
 }
 
-engine_counts load_summary::sum(time_point now)
+load_report load_summary::sum(time_point now)
 {
-    std::unordered_map<std::uint32_t, std::uint32_t> all;
+    std::unordered_map<std::uint32_t, std::uint32_t> calls;
+    std::unordered_map<std::uint32_t, outcome_count> outcomes;
     for (auto it = nodes_.begin(); it != nodes_.end();)
     {
         if (now - it->second.at > keeps_)
@@ -70,11 +86,25 @@
             it = nodes_.erase(it);
             continue;
         }
-        for (auto const& [key, calls] : it->second.counts)
-            all[key] += calls;
+        for (auto const& [key, count] : it->second.report.calls)
+            calls[key] += count;
+        for (auto const& one : it->second.report.outcomes)
+        {
+            auto& all = outcomes[one.engine];
+            all.engine = one.engine;
+            all.failed += one.failed;
+            all.answered += one.answered;
+        }
         ++it;
     }
-    return {all.begin(), all.end()};
+    load_report to;
+    to.calls.assign(calls.begin(), calls.end());
+    for (auto const& [key, one] : outcomes)
+    {
+        if (one.failed > 0)
+            to.outcomes.push_back(one);
+    }
+    return to;
 }
 
 } // namespace walnutmill
--- a/src/entry/load_summary.hpp
+++ b/src/entry/load_summary.hpp
@@ -2,7 +2,8 @@
 #define WALNUTMILL_SRC_ENTRY_LOAD_SUMMARY_HPP
 
 /// \file
-/// Adds up the calls that all nodes have at each engine.
+/// Adds up the calls that all nodes have at each engine, and how those ended
+/// that failed there lately.
 ///
 /// Load pattern: 13 to 80 nodes place calls on the same engines. An engine
 /// tells its load in its answers, but with 80 nodes and 45 engines a node
@@ -26,6 +27,21 @@
 /// Calls at engines, by the engines' short keys.
 using engine_counts = std::vector<std::pair<std::uint32_t, std::uint32_t>>;
 
+/// How calls at an engine ended lately, in hundredths of a call.
+struct outcome_count
+{
+    std::uint32_t engine = 0;
+    std::uint32_t failed = 0;
+    std::uint32_t answered = 0;
+};
+
+/// What one node tells, or the sum over all.
+struct load_report
+{
+    engine_counts calls;
+    std::vector<outcome_count> outcomes;
+};
+
 /// \return a key short enough for datagrams. Two engines of a few thousand
 /// share one with a chance of one in a thousand, and then share their loads.
 std::uint32_t short_key(target_name const& engine);
@@ -38,7 +54,7 @@
     std::string node;
     /// Numbers the sender's questions; the answer bears the same.
     std::uint64_t number = 0;
-    engine_counts counts;
+    load_report report;
 };
 
 std::string encode(load_message const& message);
@@ -51,18 +67,20 @@
     /// How long a node's counts are used: calls last half a second.
     explicit load_summary(duration keeps = std::chrono::milliseconds(1'000));
 
-    void set(std::string const& node, engine_counts counts, time_point now);
-    engine_counts sum(time_point now);
+    void set(std::string const& node, load_report report, time_point now);
+    /// Outcomes are summed for engines at which calls failed, the others need
+    /// no place in a datagram.
+    load_report sum(time_point now);
 
 private:
-    struct node_counts
+    struct node_report
     {
         time_point at;
-        engine_counts counts;
+        load_report report;
     };
 
     duration keeps_;
-    std::unordered_map<std::string, node_counts> nodes_;
+    std::unordered_map<std::string, node_report> nodes_;
 };
 
 } // namespace walnutmill
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -321,3 +321,57 @@
     CHECK(board.choose(turn())->cached_tokens == 12'600);
     CHECK(choose_often(turn(), 100)["e5"] < 50);
 }
+
+TEST_CASE_METHOD(
+    board_fixture, "board: an engine that ended without a word rests for a bit")
+{
+    start(4, 1);
+    auto const down = target_name("e0");
+    // The others are full, so that the one that is down looks best.
+    for (auto const* id : {"e1", "e2", "e3"})
+        board.told_load(target_name(id), {16, 200, 16});
+    CHECK(choose_often(plain(), 50)["e0"] > 25);
+    board.sent(down, plain());
+    board.ended(down, plain(), engine_outcome::silent_end, milliseconds(5));
+    CHECK(choose_often(plain(), 50)["e0"] == 0);
+    clock.advance(milliseconds(310));
+    CHECK(choose_often(plain(), 50)["e0"] > 25);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: an engine at which most nodes' calls failed rests")
+{
+    start(4, 1);
+    auto const told = [this](double failed, double answered)
+    {
+        return board.set_all_outcomes(
+            [=](target_name const& engine)
+            {
+                return engine.str() == "e0" ? recent_outcomes{failed, answered}
+                                            : recent_outcomes{0, 30};
+            });
+    };
+    CHECK(told(1, 0).empty());
+    CHECK(told(4, 40).empty());
+    auto const resting = told(8, 2);
+    REQUIRE(resting.size() == 1);
+    CHECK(resting[0].first == target_name("e0"));
+    // It rests already.
+    CHECK(told(8, 2).empty());
+    CHECK(choose_often(plain(), 200).count("e0") == 0);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: outcomes told to others fade within a second")
+{
+    start(4, 1);
+    auto const one = target_name("e1");
+    board.sent(one, plain());
+    board.ended(one, plain(), engine_outcome::failed, milliseconds(5));
+    REQUIRE(board.own_outcomes().size() == 1);
+    CHECK(board.own_outcomes()[0].second.failed == Approx(1));
+    clock.advance(milliseconds(250));
+    CHECK(board.own_outcomes()[0].second.failed == Approx(0.5));
+    clock.advance(seconds(2));
+    CHECK(board.own_outcomes().empty());
+}
--- a/test/load_summary-test.cpp
+++ b/test/load_summary-test.cpp
@@ -18,7 +18,7 @@
 
     std::uint32_t calls_at(std::uint32_t key)
     {
-        for (auto const& [one, calls] : summary.sum(clock.now()))
+        for (auto const& [one, calls] : summary.sum(clock.now()).calls)
         {
             if (one == key)
                 return calls;
@@ -31,8 +31,8 @@
 
 TEST_CASE_METHOD(summary_fixture, "load summary: calls of all nodes add up")
 {
-    summary.set("a", {{1, 3}, {2, 1}}, clock.now());
-    summary.set("b", {{1, 4}}, clock.now());
+    summary.set("a", {{{1, 3}, {2, 1}}, {}}, clock.now());
+    summary.set("b", {{{1, 4}}, {}}, clock.now());
     CHECK(calls_at(1) == 7);
     CHECK(calls_at(2) == 1);
 }
@@ -40,8 +40,8 @@
 TEST_CASE_METHOD(
     summary_fixture, "load summary: a node's news replace what it said before")
 {
-    summary.set("a", {{1, 3}}, clock.now());
-    summary.set("a", {{2, 5}}, clock.now());
+    summary.set("a", {{{1, 3}}, {}}, clock.now());
+    summary.set("a", {{{2, 5}}, {}}, clock.now());
     CHECK(calls_at(1) == 0);
     CHECK(calls_at(2) == 5);
 }
@@ -49,28 +49,45 @@
 TEST_CASE_METHOD(
     summary_fixture, "load summary: a node that fell silent counts no more")
 {
-    summary.set("a", {{1, 3}}, clock.now());
+    summary.set("a", {{{1, 3}}, {}}, clock.now());
     clock.advance(seconds(2));
-    summary.set("b", {{1, 4}}, clock.now());
+    summary.set("b", {{{1, 4}}, {}}, clock.now());
     CHECK(calls_at(1) == 4);
 }
 
+TEST_CASE_METHOD(
+    summary_fixture, "load summary: outcomes add up where calls failed")
+{
+    summary.set("a", {{}, {{1, 100, 40}, {2, 0, 300}}}, clock.now());
+    summary.set("b", {{}, {{1, 50, 20}, {2, 0, 100}}}, clock.now());
+    auto const outcomes = summary.sum(clock.now()).outcomes;
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].engine == 1);
+    CHECK(outcomes[0].failed == 150);
+    CHECK(outcomes[0].answered == 60);
+}
+
 TEST_CASE("load message: comes back as it was sent")
 {
-    load_message const sent{true, "n1", 7, {{11, 2}, {4'000'000'000U, 9}}};
+    load_message const sent{
+        true, "n1", 7, {{{11, 2}, {4'000'000'000U, 9}}, {{11, 250, 40}}}};
     auto const got = decode_load_message(encode(sent));
     REQUIRE(got);
     CHECK(got->asks);
     CHECK(got->node == "n1");
     CHECK(got->number == 7);
-    CHECK(got->counts == sent.counts);
+    CHECK(got->report.calls == sent.report.calls);
+    REQUIRE(got->report.outcomes.size() == 1);
+    CHECK(got->report.outcomes[0].engine == 11);
+    CHECK(got->report.outcomes[0].failed == 250);
+    CHECK(got->report.outcomes[0].answered == 40);
 }
 
 TEST_CASE("load message: stray bytes are none")
 {
     CHECK_FALSE(decode_load_message("hello"));
     CHECK_FALSE(decode_load_message(""));
-    auto bytes = encode({true, "n1", 7, {{11, 2}}});
+    auto bytes = encode({true, "n1", 7, {{{11, 2}}, {{11, 1, 2}}}});
     for (std::size_t cut = 0; cut < bytes.size(); ++cut)
         CHECK_FALSE(decode_load_message(bytes.substr(0, cut)));
 }
