Don't let failures of a former incarnation rest the new one

Change: what others tell is passed over for 2.2 s after an engine started again (a failure fades in 1 s, the sum drops a node's last word after 1 s, an exchange is 0.2 s); a message may lack outcomes.

--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -19,6 +19,10 @@
 /// Ends of calls that weigh less than this are not told other nodes: what is
 /// left of one after a second.
 constexpr double least_told = 0.05;
+/// What nodes tell of an engine's calls may be of its former incarnation for
+/// this long after it started again: until a failure has faded (1 s), the sum
+/// has dropped a node's last word (1 s) and the sum is an exchange old.
+constexpr std::chrono::milliseconds former_told{2'200};
 /// Random part of a cost in milliseconds, so that nodes that see the same
 /// don't all choose the same.
 constexpr double spread_ms = 4.0;
@@ -406,6 +410,10 @@
     std::vector<std::pair<target_name, recent_outcomes>> resting;
     for (auto& [id, one] : engines_)
     {
+        auto const is_new = one.restarted_at != time_point{} &&
+                            now - one.restarted_at < former_told;
+        if (is_new)
+            continue;
         auto const all = at(id);
         // One that has not answered since its last rest is only on trial.
         auto const enough = one.rest.count() > 0
--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -50,7 +50,8 @@
                 counts[i].get<std::uint32_t>(),
                 counts[i + 1].get<std::uint32_t>());
         }
-        auto const& outcomes = body.at(4);
+        // Nodes of an earlier version don't tell of outcomes.
+        auto const outcomes = body.size() > 4 ? body.at(4) : json::array();
         for (std::size_t i = 0; i + 2 < outcomes.size(); i += 3)
         {
             to.report.outcomes.push_back(
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -375,3 +375,24 @@
     clock.advance(seconds(2));
     CHECK(board.own_outcomes().empty());
 }
+
+TEST_CASE_METHOD(
+    board_fixture,
+    "board: failures of a former incarnation don't make the new one rest")
+{
+    start(4, 1);
+    engines[0].incarnation = {2'000};
+    board.set_engines(engines);
+    auto const told = [this]
+    {
+        return board.set_all_outcomes(
+            [](target_name const& engine)
+            {
+                return engine.str() == "e0" ? recent_outcomes{8, 0}
+                                            : recent_outcomes{0, 30};
+            });
+    };
+    CHECK(told().empty());
+    clock.advance(seconds(3));
+    CHECK(told().size() == 1);
+}
--- a/test/load_summary-test.cpp
+++ b/test/load_summary-test.cpp
@@ -83,6 +83,17 @@
     CHECK(got->report.outcomes[0].answered == 40);
 }
 
+TEST_CASE("load message: one of an earlier version has no outcomes")
+{
+    // [true, "n1", 7, [11, 2]]
+    std::string const bytes{'\x84', '\xf5', '\x62', 'n',   '1',
+                            '\x07', '\x82', '\x0b', '\x02'};
+    auto const got = decode_load_message(bytes);
+    REQUIRE(got);
+    CHECK(got->report.calls == engine_counts{{11, 2}});
+    CHECK(got->report.outcomes.empty());
+}
+
 TEST_CASE("load message: stray bytes are none")
 {
     CHECK_FALSE(decode_load_message("hello"));
