--- a/test/engine_rest_load-test.cpp
+++ b/test/engine_rest_load-test.cpp
@@ -1,7 +1,5 @@
 #include <walnutmill/engine_board.hpp>
 
-#include "entry/load_summary.hpp"
-
 #include <catch2/catch.hpp>
 
 #include <memory>
