--- a/include/walnutmill/hash.hpp
+++ b/include/walnutmill/hash.hpp
@@ -23,6 +23,9 @@
 std::uint64_t
 rendezvous_weight(std::string_view key, std::string_view candidate);
 
+/// The same of a candidate whose name was hashed before.
+std::uint64_t rendezvous_weight(std::string_view key, std::uint64_t candidate);
+
 } // namespace walnutmill
 
 #endif
--- a/include/walnutmill/versioned_store.hpp
+++ b/include/walnutmill/versioned_store.hpp
@@ -92,6 +92,8 @@
 {
     store_outcome outcome = store_outcome::unavailable;
     std::vector<stored_row> rows;
+    /// The store's newest version when the rows were read; 0: not told.
+    std::uint64_t version = 0;
     /// More rows follow the last one.
     bool truncated = false;
 };
--- a/src/entry/budget_desk.cpp
+++ b/src/entry/budget_desk.cpp
@@ -45,6 +45,13 @@
     return admission_answer::store_unavailable;
 }
 
+home_options home_options_of(double own_strength)
+{
+    home_options to;
+    to.own_strength = own_strength;
+    return to;
+}
+
 json to_json(prompt_place const& one)
 {
     json to{
@@ -95,9 +102,10 @@
 
 budget_desk::budget_desk(
     boost::asio::io_context& io, program_ledger& ledger, clock_fn clock,
-    std::string self, std::string incarnation, desk_options options)
+    std::string self, std::string incarnation, desk_options options,
+    double own_strength)
     : io_(io), ledger_(ledger), clock_(std::move(clock)), caller_(io),
-      homes_(std::move(self)), places_(clock_),
+      homes_(std::move(self), home_options_of(own_strength)), places_(clock_),
       incarnation_(std::move(incarnation)), options_(options)
 {
 }
--- a/src/entry/budget_desk.hpp
+++ b/src/entry/budget_desk.hpp
@@ -71,7 +71,8 @@
 
     budget_desk(
         boost::asio::io_context& io, program_ledger& ledger, clock_fn clock,
-        std::string self, std::string incarnation, desk_options options = {});
+        std::string self, std::string incarnation, desk_options options = {},
+        double own_strength = 1);
 
     void set_nodes(std::vector<home_candidate> others);
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -118,13 +118,16 @@
       ledger_(
           store_.calls(store_client::when_lost::fail_at_once), clock_,
           incarnation_, options_of_ledger(), &leases_),
-      budgets_(io_, ledger_, clock_, settings_.node, incarnation_),
+      budgets_(
+          io_, ledger_, clock_, settings_.node, incarnation_, {},
+          settings_.strength),
       history_(history_calls(store_), options_of_history()),
       turns_of_peers_(io_, history_, clock_, settings_.node, settings_.domain),
       loads_(io_, board_, clock_, settings_.node),
       sweeper_(
           store_.calls(store_client::when_lost::fail_at_once), system_utc(),
           swept_tables()),
+      view_caller_(io_),
       services_{
           io_,
           clock_,
@@ -149,14 +152,8 @@
           io_, store_.calls(store_client::when_lost::try_on), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
           {settings_.node, settings_.listen_peers, settings_.domain,
-           incarnation_},
-          read_interval(settings_),
-          {[this](std::shared_ptr<routing_table const> table)
-           { set_configuration(std::move(table)); },
-           [this](std::vector<engine_entry> const& engines)
-           { set_engines(engines); },
-           [this](std::vector<entry_member> const& members)
-           { set_members(members); }}),
+           incarnation_, settings_.strength},
+          read_interval(settings_), view_hooks()),
       callers_(io_), ready_(io_), peers_(io_), metrics_(io_),
       signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
       stop_timer_(io_), sweep_timer_(io_)
@@ -292,8 +289,9 @@
     {
         living_.insert(one.incarnation);
         relays.push_back(one.address);
-        homes.push_back({one.node, one.address});
-        by_domain[one.domain].push_back({one.node, one.address});
+        home_candidate const home{one.node, one.address, one.strength};
+        homes.push_back(home);
+        by_domain[one.domain].push_back(home);
     }
     turns_of_peers_.set_nodes(std::move(by_domain));
     loads_.set_nodes(homes);
@@ -303,6 +301,22 @@
     store_.set_relays(std::move(relays));
 }
 
+platform_view::hooks entry_node::view_hooks()
+{
+    platform_view::hooks to;
+    to.on_configuration = [this](std::shared_ptr<routing_table const> table)
+    { set_configuration(std::move(table)); };
+    to.on_engines = [this](std::vector<engine_entry> const& engines)
+    { set_engines(engines); };
+    to.on_members = [this](std::vector<entry_member> const& members)
+    { set_members(members); };
+    to.ask = [this](
+                 std::string const& address, std::string query,
+                 platform_view::told_fn const& done)
+    { ask_for_sections(address, std::move(query), done); };
+    return to;
+}
+
 bool entry_node::run()
 {
     log_.write(
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -62,6 +62,11 @@
     void answer_ready(link_ptr const& link);
     void answer_metrics(link_ptr const& link);
     void answer_peer(link_ptr const& link, request_type const& request);
+    platform_view::hooks view_hooks();
+    void ask_for_sections(
+        std::string const& address, std::string query,
+        platform_view::told_fn const& done);
+    void answer_sections(link_ptr const& link, request_type const& request);
     void carry_store_call(link_ptr const& link, request_type const& request);
 
     bool ready() const;
@@ -96,6 +101,7 @@
     history_exchange turns_of_peers_;
     load_exchange loads_;
     row_sweeper sweeper_;
+    http_caller view_caller_;
     entry_services services_;
     platform_view view_;
     acceptor callers_;
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -17,6 +17,11 @@
 /// others, can't start programs: the balancer should use others.
 constexpr milliseconds blind_after{3'500};
 
+/// Another node's query for the tables it has read.
+constexpr std::string_view sections_path = "/cluster/sections";
+/// Longest wait for the answer; the store is read instead.
+constexpr milliseconds sections_patience{150};
+
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr int status_bad_request = 400;
@@ -120,10 +125,38 @@
         budgets_.serve(target, request.body(), reply);
     else if (history_exchange::is_request(target))
         turns_of_peers_.serve(target, request.body(), reply);
+    else if (target == sections_path)
+        answer_sections(link, request);
     else
         carry_store_call(link, request);
 }
 
+void entry_node::ask_for_sections(
+    std::string const& address, std::string query,
+    platform_view::told_fn const& done)
+{
+    view_caller_.call(
+        address, cbor_bytes_request(sections_path, address, query),
+        sections_patience,
+        [done](http_reply reply)
+        {
+            if (reply.answered && reply.status == status_ok)
+                done(std::move(reply.body));
+            else
+                done(std::nullopt);
+        });
+}
+
+void entry_node::answer_sections(
+    link_ptr const& link, request_type const& request)
+{
+    auto answer = view_.serve(request.body());
+    link->write(plain_answer(
+        answer ? status_ok : status_unavailable,
+        answer ? std::move(*answer) : std::string("nothing was read yet")));
+    link->finish_answer(false);
+}
+
 void entry_node::carry_store_call(
     link_ptr const& link, request_type const& request)
 {
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -27,6 +27,8 @@
 {
     entry_settings to;
     double stop_grace_s = 8;
+    double cpu_share = 1;
+    double cores = 1;
     std::uint32_t apply_ms = 2'000;
     std::uint32_t drain_ms = 2'000;
     std::uint32_t stall_least_ms =
@@ -48,6 +50,10 @@
     add("listen-metrics", po::value(&to.listen_metrics),
         "IP:PORT of the metrics (empty: none)");
     add("store", po::value(&to.store), "IP:PORT of the platform's store");
+    add("cpu-share", po::value(&raw.cpu_share),
+        "share of each core that the process may use, above 0");
+    add("cores", po::value(&raw.cores),
+        "cores of the VM; with cpu-share, duties for other nodes go by it");
     add("memory-mb", po::value(&to.memory_mb),
         "memory that the process may use");
     add("stop-grace-s", po::value(&raw.stop_grace_s),
@@ -126,6 +132,10 @@
     check_address("listen-peers", to.listen_peers, true, problems);
     check_address("listen-metrics", to.listen_metrics, false, problems);
     check_address("store", to.store, true, problems);
+    if (!(raw.cpu_share > 0))
+        problems.add("cpu-share", "must be above 0");
+    if (!(raw.cores > 0))
+        problems.add("cores", "must be above 0");
     if (raw.stop_grace_s <= 1)
         problems.add("stop-grace-s", "must be above 1");
     if (raw.stall_least_ms < shortest_stall_ms)
@@ -191,6 +201,7 @@
         return raw.to;
     }
     check(raw, problems);
+    raw.to.strength = raw.cpu_share * raw.cores;
     raw.to.stop_grace = std::chrono::milliseconds(
         static_cast<std::int64_t>(raw.stop_grace_s * ms_per_s));
     raw.to.apply_within = std::chrono::milliseconds(raw.apply_ms);
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -30,6 +30,8 @@
     std::string listen_metrics;
     /// IP:PORT of the platform's store.
     std::string store;
+    /// Processor share of this VM, in cores.
+    double strength = 1;
     /// Bytes of memory that the process may use.
     std::uint64_t memory_mb = 120;
     /// From the signal to stop until the process is killed.
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -37,12 +37,18 @@
     nlohmann::json const& body)
 {
     auto const bytes = nlohmann::json::to_cbor(body);
+    return cbor_bytes_request(
+        path, address, std::string(bytes.begin(), bytes.end()));
+}
+
+std::string cbor_bytes_request(
+    std::string_view path, std::string const& address, std::string_view body)
+{
     std::string out = "POST ";
     out.append(path).append(" HTTP/1.1\r\nHost: ").append(address);
     out.append("\r\nContent-Type: application/cbor\r\nContent-Length: ");
-    out.append(std::to_string(bytes.size())).append("\r\n\r\n");
-    out.append(bytes.begin(), bytes.end());
-    return out;
+    out.append(std::to_string(body.size())).append("\r\n\r\n");
+    return out.append(body);
 }
 
 http_caller::http_caller(boost::asio::io_context& io) : io_(io) {}
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -39,6 +39,9 @@
 std::string cbor_request(
     std::string_view path, std::string const& address,
     nlohmann::json const& body);
+/// The same of a body that is CBOR already.
+std::string cbor_bytes_request(
+    std::string_view path, std::string const& address, std::string_view body);
 
 class http_caller
 {
--- /dev/null
+++ b/src/entry/member_roster.cpp
@@ -0,0 +1,95 @@
+#include "entry/member_roster.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace walnutmill
+{
+namespace
+{
+
+using nlohmann::json;
+
+/// A member counts until its row, renewed every 3 s, has not changed for this
+/// long.
+constexpr std::chrono::milliseconds gone_after{10'000};
+/// Cores above which a stated strength is no machine's.
+constexpr double most_cores = 1'024;
+
+/// \return 0 where none is stated, or none that a machine has.
+double strength_of(json const& body)
+{
+    auto const found = body.find("strength");
+    if (found == body.end() || !found->is_number())
+        return 0;
+    auto const cores = found->get<double>();
+    return std::isfinite(cores) && cores > 0 && cores <= most_cores ? cores : 0;
+}
+
+/// \return empty where the row is no member's.
+std::optional<entry_member> decode_member(stored_row const& row)
+{
+    auto const body = json::from_cbor(row.value, true, false);
+    entry_member to;
+    to.node = row.at.key;
+    for (auto const& [field, value] :
+         {std::pair("address", &to.address), std::pair("domain", &to.domain),
+          std::pair("incarnation", &to.incarnation)})
+    {
+        if (!body.is_object() || !body.contains(field) ||
+            !body[field].is_string())
+            return std::nullopt;
+        *value = body[field].get<std::string>();
+    }
+    to.strength = strength_of(body);
+    return to;
+}
+
+} // namespace
+
+std::string encode(entry_member const& one)
+{
+    auto const bytes = json::to_cbor(json{
+        {"address", one.address},
+        {"domain", one.domain},
+        {"incarnation", one.incarnation},
+        {"strength", one.strength}});
+    return {bytes.begin(), bytes.end()};
+}
+
+std::vector<entry_member>
+member_roster::live(std::vector<stored_row> const& rows, time_point now)
+{
+    std::unordered_map<std::string, known_row> seen;
+    std::vector<entry_member> members;
+    for (auto const& row : rows)
+    {
+        auto const before = rows_.find(row.at.key);
+        auto const is_new = before == rows_.end();
+        auto const one = !is_new && before->second.version == row.version
+                             ? before->second
+                             : known_row{row.version, now};
+        seen.emplace(row.at.key, one);
+        auto member = decode_member(row);
+        if (!member || now - one.changed_at >= gone_after)
+            continue;
+        if (is_new && member->strength == 0)
+            log_unstated(*member);
+        members.push_back(std::move(*member));
+    }
+    rows_ = std::move(seen);
+    return members;
+}
+
+void member_roster::log_unstated(entry_member const& one) const
+{
+    log_.write(
+        line_weight::important, "member.strength_unstated",
+        {{"member", one.node}, {"incarnation", one.incarnation}});
+}
+
+} // namespace walnutmill
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace walnutmill
@@ -13,53 +14,41 @@
 namespace
 {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr char const* members_table = "walnutmill-nodes";
-/// A node renews its row this often, and is counted until its row has not
-/// changed for three times as long; it only sets how connections are shared
-/// and who may carry calls, so late news cost little.
+/// The duty of reading for a failure domain.
+constexpr char const* reader_key = "cluster-reader";
+/// Interval between renewals of a node's row.
 constexpr milliseconds renew_every{3'000};
-constexpr milliseconds gone_after{10'000};
-/// After a start members are read this often for a while: nodes that lost
-/// power together write their rows anew within a second, and until that is
-/// known what their former selves had reserved keeps programs waiting.
+/// Intervals between readings of the members, and between questions to the
+/// reader, for a while after a start: nodes that lost power together write
+/// their rows anew within a second, and until that is known what their former
+/// selves had reserved keeps programs waiting.
 constexpr milliseconds first_readings{1'000};
+constexpr milliseconds first_readings_for_others{300};
+constexpr milliseconds first_questions{200};
 constexpr milliseconds first_readings_for{6'000};
 /// Longest wait for one reading: the next one starts it anew.
 constexpr milliseconds read_patience{900};
-/// Without a reading for this long the store counts as having been away: an
-/// engine's entry lapses after three beats of 1.2 s.
-constexpr milliseconds outage{2'000};
-/// Within this after the store's return lapsed entries are back (platform's
-/// page).
-constexpr milliseconds entries_return{2'000};
-
-std::string encode(entry_member const& one)
-{
-    auto const bytes = json::to_cbor(json{
-        {"address", one.address},
-        {"domain", one.domain},
-        {"incarnation", one.incarnation}});
-    return {bytes.begin(), bytes.end()};
-}
-
-/// \return empty where the row is no member's.
-std::optional<entry_member> decode_member(stored_row const& row)
-{
-    auto const body = json::from_cbor(row.value, true, false);
-    entry_member to;
-    to.node = row.at.key;
-    for (auto const& [field, value] :
-         {std::pair("address", &to.address), std::pair("domain", &to.domain),
-          std::pair("incarnation", &to.incarnation)})
-    {
-        if (!body.is_object() || !body.contains(field) ||
-            !body[field].is_string())
-            return std::nullopt;
-        *value = body[field].get<std::string>();
-    }
+/// A node that was asked within this time reads for others, twice as often.
+constexpr milliseconds asked_lately{3'000};
+/// Intervals between readings that a reading of another node may be old.
+constexpr double oldest_reading = 1.5;
+
+home_options reader_options(entry_member const& self)
+{
+    home_options to;
+    to.own_strength = self.strength;
+    to.strength_power = single_duty_power;
+    return to;
+}
+
+std::uint64_t as_of(range_result const& result)
+{
+    auto to = result.version;
+    for (auto const& row : result.rows)
+        to = std::max(to, row.version);
     return to;
 }
 
@@ -72,26 +61,57 @@
     : store_(std::move(store)), clock_(std::move(clock)),
       random_(std::move(random)), log_(log), self_(std::move(self)),
       interval_(interval), hooks_(std::move(to)), configuration_timer_(io),
-      engines_timer_(io), members_timer_(io), self_timer_(io)
+      engines_timer_(io), members_timer_(io), ask_timer_(io), self_timer_(io),
+      engines_(log), members_(log), reader_(self_.node, reader_options(self_))
 {
 }
 
 void platform_view::start()
 {
     started_ = clock_();
-    read_configuration();
-    read_engines();
-    read_members();
+    read_all();
     write_self();
+    if (hooks_.ask)
+        again(question_interval(), ask_timer_, &platform_view::ask_peer);
 }
 
 void platform_view::refresh()
 {
     // A reading under way goes on; the one that ends last sets the next time.
+    if (follows())
+        ask_peer();
+    else
+        read_all();
+    write_self();
+}
+
+void platform_view::read_all()
+{
     read_configuration();
     read_engines();
     read_members();
-    write_self();
+}
+
+cluster_section& platform_view::section(cluster_table which)
+{
+    return sections_[static_cast<std::size_t>(which)];
+}
+
+cluster_section const& platform_view::section(cluster_table which) const
+{
+    return sections_[static_cast<std::size_t>(which)];
+}
+
+time_point platform_view::last_read() const
+{
+    return std::max(
+        section(cluster_table::configuration).read_at,
+        section(cluster_table::engines).read_at);
+}
+
+bool platform_view::knows_engines() const
+{
+    return section(cluster_table::engines).known();
 }
 
 void platform_view::again(
@@ -110,8 +130,77 @@
         });
 }
 
+/// \return the time between readings: two of them, by the reader and by the
+/// node that asks it, lie between a change and its effect.
+milliseconds platform_view::reading_interval() const
+{
+    return reads_for_others() ? interval_ / 2 : interval_;
+}
+
+bool platform_view::reads_for_others() const
+{
+    return asked_at_ != time_point{} && clock_() - asked_at_ < asked_lately;
+}
+
+bool platform_view::is_young() const
+{
+    return clock_() - started_ < first_readings_for;
+}
+
+milliseconds platform_view::question_interval() const
+{
+    auto const usual = interval_ / 2;
+    return is_young() ? std::min(usual, first_questions) : usual;
+}
+
+/// Takes in a reading unless a newer one is known.
+/// \return false where its bytes can't be read
+bool platform_view::take_in(cluster_table which, cluster_section fresh)
+{
+    auto& known = section(which);
+    if (known.known() && fresh.as_of < known.as_of)
+        return true;
+    auto const changed = !known.known() || fresh.digest != known.digest;
+    auto const before = known;
+    fresh.read_at = std::max(fresh.read_at, known.read_at);
+    if (changed)
+        known = std::move(fresh);
+    else
+    {
+        known.as_of = fresh.as_of;
+        known.read_at = fresh.read_at;
+    }
+    auto const taken = !changed || take_in_changed(which);
+    if (!taken)
+        known = before;
+    else if (!changed && which == cluster_table::engines)
+        confirm_engines();
+    return taken;
+}
+
+bool platform_view::take_in_changed(cluster_table which)
+{
+    switch (which)
+    {
+    case cluster_table::configuration:
+        return take_in_configuration();
+    case cluster_table::engines:
+        return take_in_engines();
+    case cluster_table::members:
+        break;
+    }
+    return take_in_members();
+}
+
 void platform_view::read_configuration()
 {
+    if (follows())
+    {
+        again(
+            interval_, configuration_timer_,
+            &platform_view::read_configuration);
+        return;
+    }
     std::string const key(platform::names::configuration_key);
     store_.read(
         {std::string(platform::names::operator_table), "", key, key + '\0'},
@@ -120,7 +209,7 @@
         {
             configuration_read(result);
             again(
-                interval_, configuration_timer_,
+                reading_interval(), configuration_timer_,
                 &platform_view::read_configuration);
         });
 }
@@ -129,23 +218,33 @@
 {
     if (result.outcome != store_outcome::done)
         return;
-    last_read_ = clock_();
-    if (result.rows.empty() || result.rows[0].version <= configuration_row_)
-        return;
+    configuration_row row;
+    if (!result.rows.empty())
+        row = {result.rows[0].version, result.rows[0].value};
+    take_in(
+        cluster_table::configuration,
+        make_section(as_of(result), clock_(), encode(row)));
+}
+
+bool platform_view::take_in_configuration()
+{
+    auto const row =
+        decode_configuration_row(section(cluster_table::configuration).bytes);
+    if (!row || row->version <= configuration_row_)
+        return row.has_value();
     findings problems;
-    auto decoded =
-        platform::decode_configuration(result.rows[0].value, problems);
+    auto decoded = platform::decode_configuration(row->document, problems);
     if (!decoded)
     {
         log_.write(
             line_weight::important, "configuration.unreadable",
-            {{"row_version", result.rows[0].version},
+            {{"row_version", row->version},
              {"why", problems.items().front().message}});
-        return;
+        return true;
     }
-    configuration_row_ = result.rows[0].version;
+    configuration_row_ = row->version;
     if (decoded->version < configuration_version_)
-        return;
+        return true;
     configuration_version_ = decoded->version;
     log_.write(
         line_weight::important, "configuration.applied",
@@ -155,11 +254,18 @@
          {"services", decoded->services.size()}});
     hooks_.on_configuration(
         std::make_shared<routing_table const>(std::move(*decoded)));
+    return true;
 }
 
 void platform_view::read_engines()
 {
+    if (follows())
+    {
+        again(interval_, engines_timer_, &platform_view::read_engines);
+        return;
+    }
     engine_rows_.clear();
+    engine_rows_as_of_ = 0;
     read_engine_rows({});
 }
 
@@ -175,9 +281,12 @@
 {
     if (result.outcome != store_outcome::done)
     {
-        again(interval_, engines_timer_, &platform_view::read_engines);
+        again(reading_interval(), engines_timer_, &platform_view::read_engines);
         return;
     }
+    // Later pages may be newer than the first one.
+    if (engine_rows_.empty())
+        engine_rows_as_of_ = as_of(result);
     engine_rows_.insert(
         engine_rows_.end(), result.rows.begin(), result.rows.end());
     if (result.truncated && !result.rows.empty())
@@ -185,67 +294,34 @@
         read_engine_rows(result.rows.back().at.key + '\0');
         return;
     }
-    take_in_engines();
-    again(interval_, engines_timer_, &platform_view::read_engines);
+    confirmed_at_ = clock_();
+    take_in(
+        cluster_table::engines,
+        make_section(
+            engine_rows_as_of_, confirmed_at_, encode(decode_engines())));
+    again(reading_interval(), engines_timer_, &platform_view::read_engines);
 }
 
-void platform_view::take_in_engines()
+std::vector<engine_entry> platform_view::decode_engines()
 {
-    auto const now = clock_();
-    // While the store was away entries lapse although their engines live;
-    // those are back two seconds after its return, or gone.
-    if (engines_read_at_ != time_point{} && now - engines_read_at_ > outage)
-        trust_absence_at_ = now + entries_return;
-    engines_read_at_ = now;
-    last_read_ = now;
-    std::unordered_map<std::string, known_engine> seen;
+    std::unordered_map<std::string, decoded_row> seen;
+    std::vector<engine_entry> to;
     for (auto const& row : engine_rows_)
-        take_in_engine(row, seen);
-    keep_absent(seen);
-    engines_ = std::move(seen);
-    std::vector<engine_entry> entries;
-    for (auto const& [id, one] : engines_)
     {
+        auto const before = decoded_.find(row.at.key);
+        auto one =
+            before != decoded_.end() && before->second.version == row.version
+                ? before->second
+                : decoded_row{row.version, decode_engine(row)};
         if (one.entry)
-            entries.push_back(*one.entry);
+            to.push_back(*one.entry);
+        seen.emplace(row.at.key, std::move(one));
     }
-    hooks_.on_engines(entries);
-}
-
-void platform_view::take_in_engine(
-    stored_row const& row, std::unordered_map<std::string, known_engine>& seen)
-{
-    auto const& id = row.at.key;
-    auto const before = engines_.find(id);
-    // Readings may overtake each other on different ways to the store.
-    if (before != engines_.end() && before->second.row >= row.version)
-    {
-        seen.emplace(id, before->second);
-        return;
-    }
-    auto one = decode_engine(row);
-    auto const* known = before != engines_.end() && before->second.entry
-                            ? &*before->second.entry
-                            : nullptr;
-    // A heartbeat of a former incarnation that was written late.
-    if (known != nullptr && one.entry &&
-        one.entry->incarnation < known->incarnation)
-        one.entry = *known;
-    if (one.entry && known != nullptr &&
-        known->incarnation < one.entry->incarnation)
-        log_engine("engine.restarted", id, one);
-    else if (
-        one.entry && (known == nullptr || known->state != one.entry->state))
-    {
-        log_engine(
-            one.entry->state == engine_state::draining ? "engine.draining"
-                                                       : "engine.registered",
-            id, one);
-    }
-    seen.emplace(id, std::move(one));
+    decoded_ = std::move(seen);
+    return to;
 }
 
-platform_view::known_engine platform_view::decode_engine(stored_row const& row)
+std::optional<engine_entry> platform_view::decode_engine(stored_row const& row)
 {
     findings problems;
     auto decoded = platform::decode_engine(row.at.key, row.value, problems);
@@ -259,50 +335,43 @@
              {"row_version", row.version},
              {"bytes", row.value.size()}});
     }
-    return {row.version, std::move(decoded)};
+    return decoded;
 }
 
-/// Engines without a row live on in what a node believes for a while after an
-/// outage.
-void platform_view::keep_absent(
-    std::unordered_map<std::string, known_engine>& seen)
+bool platform_view::take_in_engines()
 {
-    auto const now = clock_();
-    for (auto const& [id, one] : engines_)
-    {
-        if (!one.entry || seen.count(id) > 0)
-            continue;
-        if (now < trust_absence_at_)
-            seen.emplace(id, one);
-        else
-            log_engine("engine.gone", id, one);
-    }
+    auto const& known = section(cluster_table::engines);
+    auto const entries = decode_engine_list(known.bytes);
+    if (!entries)
+        return false;
+    hooks_.on_engines(engines_.take_in(*entries, known.as_of, known.read_at));
+    return true;
 }
 
-void platform_view::log_engine(
-    std::string_view event, std::string const& id,
-    known_engine const& one) const
+void platform_view::confirm_engines()
 {
-    log_.write(
-        line_weight::routine, event,
-        {{"engine", id},
-         {"service", one.entry->service.str()},
-         {"address", one.entry->address},
-         {"started_at_ms", one.entry->incarnation.started_at_ms},
-         {"row_version", one.row}});
+    engines_.confirm(section(cluster_table::engines).read_at);
+    // Some may be gone by now although the table did not change.
+    if (engines_.keeps_absent())
+        take_in_engines();
 }
 
 void platform_view::read_members()
 {
+    auto const interval = !is_young()          ? renew_every
+                          : reads_for_others() ? first_readings_for_others
+                                               : first_readings;
+    if (follows())
+    {
+        again(interval, members_timer_, &platform_view::read_members);
+        return;
+    }
     store_.read(
         {members_table, "", "", ""}, read_patience,
-        [this](range_result const& result)
+        [this, interval](range_result const& result)
         {
             members_read(result);
-            auto const young = clock_() - started_ < first_readings_for;
-            again(
-                young ? first_readings : renew_every, members_timer_,
-                &platform_view::read_members);
+            again(interval, members_timer_, &platform_view::read_members);
         });
 }
 
@@ -311,31 +380,156 @@
     if (result.outcome != store_outcome::done)
         return;
     auto const now = clock_();
-    std::unordered_map<std::string, known_member> seen;
-    std::vector<entry_member> members;
-    std::vector<std::string> names;
-    for (auto const& row : result.rows)
+    take_in(
+        cluster_table::members,
+        make_section(
+            as_of(result), now, encode(members_.live(result.rows, now))));
+}
+
+bool platform_view::take_in_members()
+{
+    auto members = decode_member_list(section(cluster_table::members).bytes);
+    if (!members)
+        return false;
+    members->erase(
+        std::remove_if(
+            members->begin(), members->end(),
+            [this](entry_member const& one) { return one.node == self_.node; }),
+        members->end());
+    std::vector<home_candidate> neighbors;
+    for (auto const& one : *members)
     {
-        auto const before = members_.find(row.at.key);
-        auto one = before != members_.end() && before->second.row == row.version
-                       ? before->second
-                       : known_member{row.version, now};
-        auto const live = now - one.changed_at < gone_after;
-        seen.emplace(row.at.key, one);
-        auto member = decode_member(row);
-        if (!live || !member || row.at.key == self_.node)
-            continue;
-        members.push_back(std::move(*member));
-        names.push_back(row.at.key);
+        if (one.domain == self_.domain)
+            neighbors.push_back({one.node, one.address, one.strength});
     }
-    members_ = std::move(seen);
-    if (names != member_names_)
+    reader_.set_nodes(std::move(neighbors));
+    log_members(*members);
+    hooks_.on_members(*members);
+    return true;
+}
+
+void platform_view::log_members(std::vector<entry_member> const& members)
+{
+    std::set<std::string> names;
+    for (auto const& one : members)
+        names.insert(one.node);
+    std::vector<std::string> joined;
+    std::vector<std::string> left;
+    std::set_difference(
+        names.begin(), names.end(), member_names_.begin(), member_names_.end(),
+        std::back_inserter(joined));
+    std::set_difference(
+        member_names_.begin(), member_names_.end(), names.begin(), names.end(),
+        std::back_inserter(left));
+    if (!joined.empty() || !left.empty())
     {
         log_.write(
-            line_weight::important, "members.changed", {{"nodes", names}});
-        member_names_ = names;
+            line_weight::important, "members.changed",
+            {{"joined", joined}, {"left", left}, {"nodes", names.size()}});
     }
-    hooks_.on_members(members);
+    member_names_ = std::move(names);
+}
+
+/// Asks the node that reads for this failure domain, if that is another one.
+void platform_view::ask_peer()
+{
+    again(question_interval(), ask_timer_, &platform_view::ask_peer);
+    auto const* reader = reader_.home_of(reader_key, clock_());
+    if (reader == nullptr || !hooks_.ask)
+        return;
+    section_query query;
+    for (std::size_t i = 0; i < cluster_tables; ++i)
+        query.digests[i] = sections_[i].digest;
+    hooks_.ask(
+        reader->address, encode(query),
+        [this, peer = *reader](std::optional<std::string> const& answer)
+        { told(peer, answer); });
+}
+
+void platform_view::told(
+    home_candidate const& peer, std::optional<std::string> const& answer)
+{
+    auto const now = clock_();
+    auto const outcome =
+        answer ? take_in_told(*answer) : told_outcome::unusable;
+    if (outcome == told_outcome::behind)
+        return;
+    auto const had_followed = follows();
+    if (outcome == told_outcome::taken)
+    {
+        reader_.answered(peer.node);
+        follows_until_ = now + interval_;
+        if (!had_followed)
+        {
+            log_.write(
+                line_weight::routine, "view.follows", {{"reader", peer.node}});
+        }
+        return;
+    }
+    reader_.did_not_answer(peer.node, now);
+    follows_until_ = {};
+    // Otherwise own readings are under way.
+    if (!had_followed)
+        return;
+    log_.write(
+        line_weight::routine, "view.reads_itself",
+        {{"reader", peer.node},
+         {"why", answer ? "old or unreadable" : "no answer"}});
+    read_all();
+}
+
+platform_view::told_outcome platform_view::take_in_told(std::string_view bytes)
+{
+    auto const told = decode_told_sections(bytes);
+    if (!told)
+        return told_outcome::unusable;
+    auto const now = clock_();
+    // Engines renew their rows all the time, so that a later reading has a
+    // higher version.
+    auto const& engines =
+        (*told)[static_cast<std::size_t>(cluster_table::engines)];
+    if (engines.as_of > section(cluster_table::engines).as_of)
+        confirmed_at_ = std::max(confirmed_at_, now - engines.age);
+    if (now - confirmed_at_ > interval_ * oldest_reading)
+        return told_outcome::unusable;
+    auto outcome = told_outcome::taken;
+    for (std::size_t i = 0; i < cluster_tables; ++i)
+    {
+        auto const& one = (*told)[i];
+        auto const which = static_cast<cluster_table>(i);
+        if (which != cluster_table::members &&
+            one.age > interval_ * oldest_reading)
+            return told_outcome::unusable;
+        if (one.as_of < sections_[i].as_of)
+        {
+            // Members are read less often than the others.
+            if (which != cluster_table::members)
+                outcome = told_outcome::behind;
+            continue;
+        }
+        auto fresh = sections_[i];
+        if (one.bytes)
+            fresh = make_section(one.as_of, {}, *one.bytes);
+        if (fresh.digest != one.digest)
+            return told_outcome::unusable;
+        fresh.as_of = one.as_of;
+        fresh.read_at = now - one.age;
+        if (!take_in(which, std::move(fresh)))
+            return told_outcome::unusable;
+    }
+    return outcome;
+}
+
+std::optional<std::string> platform_view::serve(std::string_view query)
+{
+    asked_at_ = clock_();
+    auto const asked = decode_section_query(query);
+    if (!asked)
+        return std::nullopt;
+    auto const answer = answer_query(*asked, sections_, clock_());
+    if (!answer)
+        return std::nullopt;
+    return encode(*answer);
 }
 
 void platform_view::write_self()
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -3,17 +3,24 @@
 
 /// \file
 /// What a node believes of the configuration, the engines and the other
-/// nodes: rows of the store, read whole again and again.
+/// nodes: tables of the store, read whole again and again.
 ///
-/// Reading whole has no state that an outage, a lost history or a silent feed
-/// could leave wrong, and a row's version tells whether it changed.
+/// One node of each failure domain reads the store; the others ask that node
+/// which tables have changed, and read the store themselves where it does not
+/// answer, or only with old readings. Reading whole has no state that an
+/// outage, a lost history or a silent feed could leave wrong. A reading never
+/// replaces one of a higher version.
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/random.hpp>
 #include <walnutmill/routing_table.hpp>
 #include <walnutmill/versioned_store.hpp>
 
+#include "entry/cluster_section.hpp"
+#include "entry/engine_roster.hpp"
 #include "entry/line_log.hpp"
+#include "entry/member_roster.hpp"
+#include "entry/program_home.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -21,6 +28,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -29,26 +37,23 @@
 namespace walnutmill
 {
 
-/// Another entry node, as it registered itself.
-struct entry_member
-{
-    std::string node;
-    /// IP:PORT for other nodes.
-    std::string address;
-    std::string domain;
-    /// Names this process among all that the node ever had.
-    std::string incarnation;
-};
-
 class platform_view
 {
 public:
+    /// \param answer empty where the node did not answer
+    using told_fn = std::function<void(std::optional<std::string> answer)>;
+
     struct hooks
     {
         std::function<void(std::shared_ptr<routing_table const>)>
             on_configuration;
         std::function<void(std::vector<engine_entry> const&)> on_engines;
         std::function<void(std::vector<entry_member> const&)> on_members;
+        /// Asks another node, to be answered by its serve(); null: all is read
+        /// from the store.
+        std::function<void(
+            std::string const& address, std::string query, told_fn)>
+            ask{};
     };
 
     platform_view(
@@ -58,46 +63,75 @@
 
     void start();
 
-    /// Reads and writes all at once rather than at its next time, as the store
-    /// has just come back: without it a node that started during an outage knew
-    /// the others 0.6 to 1 s after the store's return, and nodes that know no
-    /// others reserve budgets beside each other.
+    /// Takes in and writes all at once rather than at its next time, as the
+    /// store has just come back: nodes that know no others reserve budgets
+    /// beside each other.
     void refresh();
 
     /// Takes this node's own row away; \param done called when that is known
     /// or given up.
     void leave(std::function<void()> done);
 
-    /// When a configuration or the engines were last read.
-    time_point last_read() const { return last_read_; }
+    /// When a configuration or the engines were last read, by this node or the
+    /// one that told it.
+    time_point last_read() const;
     /// \return true once the registered engines were read.
-    bool knows_engines() const { return engines_read_at_ != time_point{}; }
+    bool knows_engines() const;
+
+    /// Answers another node's query. \return empty where it can't be answered
+    std::optional<std::string> serve(std::string_view query);
 
 private:
-    /// A row of the engines' table.
-    struct known_engine
+    /// A row of the engines' table as this node read it last.
+    struct decoded_row
     {
-        std::uint64_t row = 0;
+        std::uint64_t version = 0;
         /// Empty: the row is not an engine's own.
         std::optional<engine_entry> entry;
     };
 
+    cluster_section& section(cluster_table which);
+    cluster_section const& section(cluster_table which) const;
+    bool take_in(cluster_table which, cluster_section fresh);
+    bool take_in_changed(cluster_table which);
+    bool take_in_configuration();
+    bool take_in_engines();
+    void confirm_engines();
+    bool take_in_members();
+
+    std::chrono::milliseconds reading_interval() const;
+    std::chrono::milliseconds question_interval() const;
+    bool reads_for_others() const;
+    bool is_young() const;
+    bool follows() const { return clock_() < follows_until_; }
+    void read_all();
     void read_configuration();
     void configuration_read(range_result const& result);
     void read_engines();
     void read_engine_rows(std::string const& from);
     void engines_read(range_result const& result);
-    void take_in_engines();
-    void take_in_engine(
-        stored_row const& row,
-        std::unordered_map<std::string, known_engine>& seen);
-    known_engine decode_engine(stored_row const& row);
-    void keep_absent(std::unordered_map<std::string, known_engine>& seen);
-    void log_engine(
-        std::string_view event, std::string const& id,
-        known_engine const& one) const;
+    std::vector<engine_entry> decode_engines();
+    std::optional<engine_entry> decode_engine(stored_row const& row);
     void read_members();
     void members_read(range_result const& result);
+
+    /// What another node's answer was good for.
+    enum class told_outcome
+    {
+        /// It stands in for readings of the store.
+        taken,
+        /// It is older than what this node has read itself.
+        behind,
+        /// It is unreadable, or too old for the bounds of a change.
+        unusable
+    };
+
+    void ask_peer();
+    void
+    told(home_candidate const& peer, std::optional<std::string> const& answer);
+    told_outcome take_in_told(std::string_view bytes);
+    void log_members(std::vector<entry_member> const& members);
+
     void write_self();
     void again(
         std::chrono::milliseconds after, boost::asio::steady_timer& timer,
@@ -113,25 +147,28 @@
     boost::asio::steady_timer configuration_timer_;
     boost::asio::steady_timer engines_timer_;
     boost::asio::steady_timer members_timer_;
+    boost::asio::steady_timer ask_timer_;
     boost::asio::steady_timer self_timer_;
+    cluster_sections sections_;
     std::uint64_t configuration_row_ = 0;
     std::uint64_t configuration_version_ = 0;
-    /// By id, as last read.
-    std::unordered_map<std::string, known_engine> engines_;
+    engine_roster engines_;
+    member_roster members_;
+    std::unordered_map<std::string, decoded_row> decoded_;
     /// Rows of the reading under way, which takes a call for each 500 rows.
     std::vector<stored_row> engine_rows_;
-    struct known_member
-    {
-        std::uint64_t row = 0;
-        time_point changed_at{};
-    };
-    std::unordered_map<std::string, known_member> members_;
-    std::vector<std::string> member_names_;
+    std::uint64_t engine_rows_as_of_ = 0;
+    /// The node of the own failure domain that reads for the others.
+    program_homes reader_;
+    /// Until then another node's readings stand in for own ones.
+    time_point follows_until_{};
+    std::set<std::string> member_names_;
+    /// When the engines were read at the latest, by this node's own clock: the
+    /// clock of a reader that was suspended makes its readings look newer.
+    time_point confirmed_at_{};
+    /// When another node last asked.
+    time_point asked_at_{};
     time_point started_{};
-    time_point last_read_{};
-    time_point engines_read_at_{};
-    /// Until then a missing entry does not mean that its engine is gone.
-    time_point trust_absence_at_{};
     bool leaving_ = false;
 };
 
--- a/src/entry/program_home.hpp
+++ b/src/entry/program_home.hpp
@@ -2,21 +2,24 @@
 #define WALNUTMILL_SRC_ENTRY_PROGRAM_HOME_HPP
 
 /// \file
-/// Which node keeps a program's account in its memory: the home of the
-/// store's partition that the account lies in.
+/// Which node has a duty for all others, such as keeping a program's account
+/// in its memory: the home of the store's partition that the account lies in.
 ///
 /// Load pattern: a program's turns, tool calls and sub-agents come through
 /// two nodes on average, some through all of them. Without a home each node
-/// reserves and settles for itself: 4.5 writes a program were measured at 13
-/// nodes, more than the store takes at 80, against two with a home.
+/// reserves and settles for itself, more writes than the store takes at 80
+/// nodes. Nodes differ in processor share by a factor of four and more: with
+/// equal weights most duties fall to the weakest.
 ///
-/// The home is chosen anew by each node from those it knows, and is never
-/// needed for safety: the account in the store decides, and two nodes that
-/// take themselves for the home both reserve there.
+/// Weighted rendezvous hashing (Schindelhauer and Schomaker 2005). Each node
+/// chooses from those it knows, and the choice is never needed for safety: the
+/// account in the store decides, and two nodes that take themselves for the
+/// home both reserve there.
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +33,8 @@
     std::string node;
     /// IP:PORT for other nodes.
     std::string address;
+    /// Processor share, in cores.
+    double strength = 1;
 };
 
 struct home_options
@@ -37,8 +42,16 @@
     /// How long a home that did not answer is passed over: a frozen or cut
     /// node costs each program one wait in that time.
     duration passed_over_for = std::chrono::seconds(2);
+    /// Processor share of this node, in cores.
+    double own_strength = 1;
+    /// Weight of a node is its strength to this power: 1 spreads many duties
+    /// in proportion, a higher one keeps a single duty off weak nodes.
+    double strength_power = 1;
 };
 
+/// Strength power for a duty that a single node performs.
+constexpr double single_duty_power = 4;
+
 class program_homes
 {
 public:
@@ -59,11 +72,29 @@
     void answered(std::string const& node);
 
 private:
+    /// Nodes that go before this one for a key, the first ones.
+    struct ranking
+    {
+        std::vector<std::uint32_t> first;
+        bool more = false;
+    };
+
+    double score(std::string_view key, std::uint64_t seed, double weight) const;
+    double weight_of(double strength) const;
+    ranking rank(std::string_view key, std::size_t most) const;
+    home_candidate const*
+    first_present(ranking const& order, time_point now) const;
+
     std::string self_;
     home_options options_;
+    std::uint64_t self_seed_;
     std::vector<home_candidate> others_;
+    /// By index of the node: hash of its name, and its weight.
+    std::vector<std::uint64_t> seeds_;
+    std::vector<double> weights_;
     bool knows_nodes_ = false;
     std::unordered_map<std::string, time_point> passed_over_until_;
+    mutable std::unordered_map<std::string, ranking> rankings_;
 };
 
 } // namespace walnutmill
--- a/src/hash.cpp
+++ b/src/hash.cpp
@@ -17,9 +17,14 @@
 
 std::uint64_t
 rendezvous_weight(std::string_view key, std::string_view candidate)
+{
+    return rendezvous_weight(key, stable_hash(candidate));
+}
+
+std::uint64_t rendezvous_weight(std::string_view key, std::uint64_t candidate)
 {
     // The candidate's hash seeds the key's, so that no separator is needed.
-    return XXH64(key.data(), key.size(), stable_hash(candidate));
+    return XXH64(key.data(), key.size(), candidate);
 }
 
 } // namespace walnutmill
--- /dev/null
+++ b/test/cluster_section-test.cpp
@@ -0,0 +1,119 @@
+#include "entry/cluster_section.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace
+{
+
+using namespace walnutmill;
+using std::chrono::milliseconds;
+
+struct section_fixture
+{
+    manual_clock clock;
+    cluster_sections known;
+
+    section_fixture()
+    {
+        clock.advance(milliseconds(5'000));
+        known[0] = make_section(10, clock.now(), encode(row()));
+        known[1] = make_section(11, clock.now(), encode(engines()));
+        known[2] = make_section(12, clock.now(), encode(members()));
+    }
+
+    static configuration_row row() { return {7, "{\"version\": 3}"}; }
+
+    static std::vector<engine_entry> engines()
+    {
+        engine_entry one;
+        one.id = target_name("e1");
+        one.service = service_name("llm");
+        one.address = "10.0.0.1:80";
+        one.zone = zone_name("z1");
+        one.slots = 6;
+        one.state = engine_state::draining;
+        one.incarnation.started_at_ms = 17;
+        return {one};
+    }
+
+    static std::vector<entry_member> members()
+    {
+        return {{"n1", "10.0.0.2:90", "z1", "n1.x", 0.12}};
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    section_fixture, "cluster section: tables come back as they were sent")
+{
+    auto const configuration = decode_configuration_row(known[0].bytes);
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    CHECK(configuration->document == row().document);
+    auto const read = decode_engine_list(known[1].bytes);
+    REQUIRE(read);
+    REQUIRE(read->size() == 1);
+    CHECK(read->front().id == target_name("e1"));
+    CHECK(read->front().service == service_name("llm"));
+    CHECK(read->front().address == "10.0.0.1:80");
+    CHECK(read->front().zone == zone_name("z1"));
+    CHECK(read->front().slots == 6);
+    CHECK(read->front().state == engine_state::draining);
+    CHECK(read->front().incarnation.started_at_ms == 17);
+    auto const nodes = decode_member_list(known[2].bytes);
+    REQUIRE(nodes);
+    REQUIRE(nodes->size() == 1);
+    CHECK(nodes->front().node == "n1");
+    CHECK(nodes->front().address == "10.0.0.2:90");
+    CHECK(nodes->front().domain == "z1");
+    CHECK(nodes->front().incarnation == "n1.x");
+    CHECK(nodes->front().strength == 0.12);
+}
+
+TEST_CASE_METHOD(
+    section_fixture, "cluster section: only tables that differ are told whole")
+{
+    section_query query;
+    query.digests = {known[0].digest, 1, known[2].digest};
+    clock.advance(milliseconds(40));
+    auto const answer = answer_query(query, known, clock.now());
+    REQUIRE(answer);
+    auto const told = decode_told_sections(encode(*answer));
+    REQUIRE(told);
+    CHECK_FALSE((*told)[0].bytes);
+    REQUIRE((*told)[1].bytes);
+    CHECK(*(*told)[1].bytes == known[1].bytes);
+    CHECK_FALSE((*told)[2].bytes);
+    for (std::size_t i = 0; i < cluster_tables; ++i)
+    {
+        CHECK((*told)[i].as_of == known[i].as_of);
+        CHECK((*told)[i].digest == known[i].digest);
+        CHECK((*told)[i].age == milliseconds(40));
+    }
+}
+
+TEST_CASE_METHOD(
+    section_fixture,
+    "cluster section: a node that has not read all tables tells none")
+{
+    known[2] = {};
+    CHECK_FALSE(answer_query({}, known, clock.now()));
+}
+
+TEST_CASE_METHOD(
+    section_fixture, "cluster section: bytes cut off anywhere are unreadable")
+{
+    auto const answer = encode(*answer_query({}, known, clock.now()));
+    REQUIRE(decode_told_sections(answer));
+    for (std::size_t size = 0; size < answer.size(); ++size)
+    {
+        INFO(size);
+        CHECK_FALSE(decode_told_sections(answer.substr(0, size)));
+    }
+    CHECK_FALSE(decode_section_query("not a query"));
+    CHECK_FALSE(decode_engine_list(known[2].bytes + "x"));
+    CHECK_FALSE(decode_member_list(encode(row())));
+}
--- /dev/null
+++ b/test/cluster_view-test.cpp
@@ -0,0 +1,349 @@
+/// \file
+/// Views of many nodes on one store, in one process: who reads it, and what
+/// the others believe when the reader fails.
+
+#include "entry/platform_view.hpp"
+
+#include "fake_store.hpp"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct cluster_view_fixture
+{
+    struct node
+    {
+        std::string name;
+        std::unique_ptr<line_log> log;
+        std::set<std::string> engines;
+        std::size_t members = 0;
+        std::size_t store_readings = 0;
+        std::size_t answers = 0;
+        std::unique_ptr<platform_view> view;
+    };
+
+    boost::asio::io_context io;
+    fake_store rows;
+    std::map<std::string, std::unique_ptr<node>> nodes;
+    /// Addresses that don't answer, or with something else.
+    std::set<std::string> silent;
+    std::map<std::string, std::string> forged;
+    std::set<std::string> without_store;
+    milliseconds interval{60};
+
+    static time_point now()
+    {
+        return std::chrono::time_point_cast<duration>(
+            std::chrono::steady_clock::now());
+    }
+
+    void put(std::string const& table, std::string const& key, json const& body)
+    {
+        row_transaction one;
+        one.writes.push_back({{table, "", key}, body.dump()});
+        rows.calls().commit(
+            std::move(one), seconds(1), [](transaction_result const&) {});
+    }
+
+    void put_engine(std::string const& id, std::string const& state = "ready")
+    {
+        put("servers", id,
+            {{"service", "llm"},
+             {"addr", "10.0.0.9:80"},
+             {"zone", "z1"},
+             {"slots", 6},
+             {"state", state},
+             {"born", 1'700'000'000'000}});
+    }
+
+    node&
+    add(std::string const& name, double strength,
+        std::string const& domain = "z1")
+    {
+        auto& one = *(nodes[name] = std::make_unique<node>());
+        one.name = name;
+        one.log = std::make_unique<line_log>(
+            name, now, [](std::string_view bytes) { return bytes.size(); },
+            line_budget());
+        one.view = std::make_unique<platform_view>(
+            io, store_of(one), now, seeded_random(nodes.size()), *one.log,
+            entry_member{name, name, domain, name + ".1", strength}, interval,
+            hooks_of(one));
+        return one;
+    }
+
+    versioned_store store_of(node& one)
+    {
+        auto to = rows.calls();
+        to.read = [this, &one, read = to.read](
+                      row_range const& range, milliseconds patience,
+                      std::function<void(range_result)> const& done)
+        {
+            if (without_store.count(one.name) > 0)
+            {
+                boost::asio::post(io, [done] { done({}); });
+                return;
+            }
+            ++one.store_readings;
+            read(range, patience, done);
+        };
+        return to;
+    }
+
+    platform_view::hooks hooks_of(node& one)
+    {
+        platform_view::hooks to;
+        to.on_configuration = [](std::shared_ptr<routing_table const> const&) {
+        };
+        to.on_engines = [&one](std::vector<engine_entry> const& engines)
+        {
+            one.engines.clear();
+            for (auto const& engine : engines)
+            {
+                if (engine.state == engine_state::ready)
+                    one.engines.insert(engine.id.str());
+            }
+        };
+        to.on_members = [&one](std::vector<entry_member> const& members)
+        { one.members = members.size(); };
+        to.ask = [this, &one](
+                     std::string const& address, std::string const& query,
+                     platform_view::told_fn const& done)
+        {
+            boost::asio::post(
+                io,
+                [this, &one, address, query, done]
+                {
+                    ++one.answers;
+                    done(answer_of(address, query));
+                });
+        };
+        return to;
+    }
+
+    std::optional<std::string>
+    answer_of(std::string const& address, std::string const& query)
+    {
+        auto const found = nodes.find(address);
+        if (silent.count(address) > 0 || found == nodes.end())
+            return std::nullopt;
+        auto const instead = forged.find(address);
+        return instead != forged.end() ? instead->second
+                                       : found->second->view->serve(query);
+    }
+
+    void start_all()
+    {
+        for (auto& [name, one] : nodes)
+            one->view->start();
+    }
+
+    void run_for(milliseconds time)
+    {
+        auto const end = now() + time;
+        while (now() < end)
+        {
+            rows.run();
+            io.run_for(milliseconds(1));
+            io.restart();
+        }
+    }
+
+    template<class Condition>
+    bool comes_true(Condition const& condition)
+    {
+        auto const end = now() + seconds(30);
+        while (!condition() && now() < end)
+            run_for(milliseconds(5));
+        return condition();
+    }
+
+    bool all_know(std::set<std::string> const& engines)
+    {
+        for (auto const& [name, one] : nodes)
+        {
+            if (silent.count(name) == 0 && one->engines != engines)
+                return false;
+        }
+        return true;
+    }
+
+    /// Until all members know each other, and those that follow do.
+    void settle()
+    {
+        start_all();
+        REQUIRE(comes_true(
+            [this]
+            {
+                for (auto const& [name, one] : nodes)
+                {
+                    if (one->members + 1 != nodes.size())
+                        return false;
+                }
+                return true;
+            }));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    cluster_view_fixture, "cluster view: followers learn what the reader reads")
+{
+    put_engine("e1");
+    add("strong", 0.5);
+    for (int i = 0; i < 4; ++i)
+        add("weak" + std::to_string(i), 0.01);
+    settle();
+    // From here on only one node can know.
+    for (auto const& [name, one] : nodes)
+    {
+        if (name != "strong")
+            without_store.insert(name);
+    }
+    put_engine("e2");
+    put_engine("e1", "draining");
+    CHECK(comes_true([this] { return all_know({"e2"}); }));
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: a reader that falls silent is done without")
+{
+    put_engine("e1");
+    add("strong", 0.5);
+    add("weak", 0.01);
+    settle();
+    REQUIRE(comes_true([this] { return all_know({"e1"}); }));
+    silent.insert("strong");
+    put_engine("e2");
+    CHECK(comes_true(
+        [this] {
+            return nodes.at("weak")->engines ==
+                   std::set<std::string>{"e1", "e2"};
+        }));
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: a reader cut off from the store is done without")
+{
+    put_engine("e1");
+    add("strong", 0.5);
+    add("weak", 0.01);
+    settle();
+    without_store.insert("strong");
+    put_engine("e2");
+    CHECK(comes_true(
+        [this] {
+            return nodes.at("weak")->engines ==
+                   std::set<std::string>{"e1", "e2"};
+        }));
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture, "cluster view: unreadable answers are done without")
+{
+    put_engine("e1");
+    add("strong", 0.5);
+    add("weak", 0.01);
+    settle();
+    forged["strong"] = "not what was asked for";
+    put_engine("e2");
+    CHECK(comes_true(
+        [this] {
+            return nodes.at("weak")->engines ==
+                   std::set<std::string>{"e1", "e2"};
+        }));
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: an older reading never replaces a newer one")
+{
+    put_engine("e1");
+    add("strong", 0.5);
+    add("weak", 0.01);
+    settle();
+    REQUIRE(comes_true([this] { return all_know({"e1"}); }));
+    auto const old = nodes.at("strong")->view->serve(encode(section_query()));
+    REQUIRE(old);
+    put_engine("e2");
+    REQUIRE(comes_true([this] { return all_know({"e1", "e2"}); }));
+    forged["strong"] = *old;
+    auto& weak = *nodes.at("weak");
+    auto const before = weak.answers;
+    while (weak.answers < before + 5)
+    {
+        run_for(milliseconds(5));
+        CHECK(weak.engines.count("e2") == 1);
+    }
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: a follower of a frozen reader sees new engines by itself")
+{
+    put_engine("e1");
+    add("strong", 0.5);
+    add("weak", 0.01);
+    settle();
+    auto const frozen =
+        nodes.at("strong")->view->serve(encode(section_query()));
+    REQUIRE(frozen);
+    // Its clock stood still, so that its readings look as if they were new.
+    forged["strong"] = *frozen;
+    put_engine("e2");
+    CHECK(comes_true([this]
+                     { return nodes.at("weak")->engines.count("e2") == 1; }));
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: 295 nodes read the store as often as their domains")
+{
+    // 54 strong and 241 weak nodes in six failure domains.
+    interval = milliseconds(1'000);
+    put_engine("e1");
+    constexpr int domains = 6;
+    for (int i = 0; i < 295; ++i)
+    {
+        auto const strong = i < 54;
+        add((strong ? "s" : "w") + std::to_string(i), strong ? 0.5 : 0.12,
+            "z" + std::to_string(i % domains));
+    }
+    settle();
+    run_for(milliseconds(1'500));
+    std::size_t answers = 0;
+    std::size_t readings = 0;
+    for (auto& [name, one] : nodes)
+    {
+        answers -= one->answers;
+        readings -= one->store_readings;
+    }
+    run_for(milliseconds(3'000));
+    for (auto& [name, one] : nodes)
+    {
+        answers += one->answers;
+        readings += one->store_readings;
+    }
+    // Each table read by each node would be more readings than answers.
+    CHECK(answers > 295);
+    CHECK(readings * 5 < answers);
+    CHECK(all_know({"e1"}));
+}
--- a/test/fake_store.hpp
+++ b/test/fake_store.hpp
@@ -189,6 +189,7 @@
         if (next_fault() != store_fault::none)
             return to;
         to.outcome = store_outcome::done;
+        to.version = version_;
         for (auto const& [key, row] : rows_)
         {
             auto const& at = row.at;
