engine links: keep connections as long as engines state; prefer kept ones

Change: the idle time of an engine's Keep-Alive less half a second, at most 30 s, 3.5 s where none is stated; a new connection counts 4 ms in the cost of an engine.

--- a/include/walnutmill/call.hpp
+++ b/include/walnutmill/call.hpp
@@ -85,6 +85,8 @@
     std::optional<engine_load> load;
     /// Bears an engine's signature.
     bool signed_by_engine = false;
+    /// Idle time after which the engine ends the connection; empty: not said.
+    std::optional<std::chrono::seconds> idle_timeout;
     /// Headers that go to the caller unchanged.
     header_fields passed;
 };
--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -15,7 +15,7 @@
 /// The candidate with the least expected cost wins, in milliseconds: reading
 /// what is not cached, generating at the pace of its load, what that slows
 /// down the calls beside it, waiting for a slot, and penalties for another
-/// failure domain and for recent failures.
+/// failure domain, a new connection and recent failures.
 ///
 /// A prompt's first part, shared by many programs, has its own engines in each
 /// failure domain: those first in an order by hash that all nodes compute
@@ -58,6 +58,9 @@
     /// some 400 ms is less than the noise of the estimate, so a tie is broken
     /// towards the own domain and little more.
     double other_domain_ms = 6.0;
+    /// A new connection: a round trip and the engine's handshake, which holds a
+    /// slot, and the work of both ends.
+    double connect_ms = 4.0;
     /// Expected loss when a call fails: it starts again after 100 to 400 ms
     /// and runs once more.
     double failure_ms = 700.0;
@@ -197,6 +200,10 @@
     std::vector<target_name>
     set_engines(std::vector<engine_entry> const& engines);
 
+    /// \return true where a kept connection to the engine is free; null: all
+    /// engines count as connected.
+    std::function<bool(target_name const&)> is_connected;
+
     std::optional<placement> choose(placement_need const& need);
 
     // What is told of a former incarnation is passed over.
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -137,6 +137,8 @@
     one->answer = platform::decode_answer(head);
     if (one->answer.load)
         node_.board.told_load(one->at.ref(), *one->answer.load);
+    if (one->answer.idle_timeout)
+        one->link->idle_timeout = *one->answer.idle_timeout;
     one->runs = !one->answer.not_run;
 }
 
--- a/src/entry/engine_board.cpp
+++ b/src/entry/engine_board.cpp
@@ -214,6 +214,8 @@
     }
     if (one.entry.zone != own_domain_)
         cost += options_.other_domain_ms;
+    if (is_connected && !is_connected(one.entry.id))
+        cost += options_.connect_ms;
     return cost + failures_of(one, now) * options_.failure_ms +
            random_() * spread_ms;
 }
--- a/src/entry/engine_links.cpp
+++ b/src/entry/engine_links.cpp
@@ -14,10 +14,21 @@
 /// one: the way is at most 3 ms long, the handshake 1 ms, and a third of the
 /// shortest target latency (150 ms) is all that a call can spare.
 constexpr std::chrono::milliseconds connect_patience{250};
-/// Engines end idle connections after a time that they state in whole
-/// seconds; one of theirs that ends just as a call is sent would leave the
-/// call's fate open.
-constexpr std::chrono::milliseconds idle_at_most{3'500};
+/// Idle time of a connection whose engine does not say when it ends it.
+constexpr std::chrono::milliseconds idle_unsaid{3'500};
+/// Before the time that an engine states: a connection that ends just as a
+/// call is sent leaves the call's fate open.
+constexpr std::chrono::milliseconds idle_margin{500};
+constexpr std::chrono::milliseconds idle_longest{30'000};
+
+bool may_carry(http_link const& link, clock_type::time_point now)
+{
+    auto const idle_at_most =
+        link.idle_timeout
+            ? std::min(*link.idle_timeout - idle_margin, idle_longest)
+            : idle_unsaid;
+    return link.reusable() && now - link.idle_since < idle_at_most;
+}
 
 } // namespace
 
@@ -54,7 +65,7 @@
         // The one used last is the least likely to be ended by the engine.
         auto link = std::move(conns.idle.back());
         conns.idle.pop_back();
-        if (link->reusable() && now - link->idle_since < idle_at_most)
+        if (may_carry(*link, now))
         {
             conns.in_use.push_back(link);
             return link;
@@ -81,6 +92,13 @@
         link->close();
 }
 
+bool engine_links::has_idle(target_name const& engine) const
+{
+    auto const found = engines_.find(engine);
+    return found != engines_.end() && !found->second.idle.empty() &&
+           may_carry(*found->second.idle.back(), clock_type::now());
+}
+
 void engine_links::drop_idle(target_name const& engine)
 {
     auto const found = engines_.find(engine);
@@ -116,8 +134,7 @@
         std::vector<link_ptr> kept;
         for (auto& link : conns.idle)
         {
-            if (registered && link->reusable() &&
-                now - link->idle_since < idle_at_most)
+            if (registered && may_carry(*link, now))
                 kept.push_back(std::move(link));
             else
                 link->close();
--- a/src/entry/engine_links.hpp
+++ b/src/entry/engine_links.hpp
@@ -44,6 +44,9 @@
     /// The exchange is over: keeps the connection if it can be used again.
     void give_back(engine_ref const& engine, link_ptr const& link);
 
+    /// \return true where a kept connection to the engine is free.
+    bool has_idle(target_name const& engine) const;
+
     /// Ends the idle connections to an engine: they may be as silent as one
     /// that just turned out to be.
     void drop_idle(target_name const& engine);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -158,6 +158,8 @@
       signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
       stop_timer_(io_), sweep_timer_(io_)
 {
+    board_.is_connected = [this](target_name const& engine)
+    { return links_.has_idle(engine); };
     loads_.on_rest =
         [this](target_name const& engine, recent_outcomes const& seen)
     {
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -86,6 +86,8 @@
     std::function<void()> on_idle_end;
 
     std::chrono::steady_clock::time_point idle_since{};
+    /// Idle time after which the peer said that it ends the connection.
+    std::optional<std::chrono::milliseconds> idle_timeout;
 
 private:
     using parser_type =
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -396,3 +397,16 @@
     clock.advance(seconds(3));
     CHECK(told().size() == 1);
 }
+
+TEST_CASE_METHOD(
+    board_fixture, "board: a kept connection breaks a tie, not a queue")
+{
+    start(12, 1);
+    board.is_connected = [](target_name const& engine)
+    { return engine.str() == "e3"; };
+    auto const idle = choose_often(plain(), 600);
+    CHECK(idle.at("e3") > 2 * 600 / 12);
+    board.set_peer_loads([](target_name const& engine)
+                         { return engine.str() == "e3" ? 20U : 2U; });
+    CHECK(choose_often(plain(), 600).count("e3") == 0);
+}
