load exchange: ask for the loads before each choice and report it at once

Each node worked out the demand for a shared prompt from its own few calls, and after a start took its first prompt for all of it.

Change: a node asks the summing node before a choice of a model engine unless its sum is 10 ms old at most, waits 10 ms at most, and reports calls that begin or end at once, by a datagram that needs no answer. Nodes tell recent calls by shared prompt and service, and take shares from the sum.

--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -105,12 +105,18 @@
     /// close to the best and don't herd (Mitzenmacher 2000).
     std::size_t near_candidates = 3;
     std::size_t far_candidates = 1;
-    /// Engines for a shared part beyond its share of the calls, so that a
-    /// node whose share of it is above the others' finds room.
+    /// Engines for a shared part, in times of its share of the calls, at least.
     double share_margin = 1.5;
+    /// Part of an engine's cache that shared parts may take: more engines hold
+    /// each where the cache is large.
+    double shared_cache_part = 0.15;
     /// Weight of the newest call in the moving share of a shared part: some
     /// 200 calls, a quarter of a minute of a node's turns.
     double share_weight = 0.005;
+    /// Time after which a call counts half in the demand for its prompt.
+    duration demand_halves = std::chrono::seconds(2);
+    /// How long the demand that all nodes told is used.
+    duration demand_lasts = std::chrono::seconds(2);
     /// How long an order of engines for a part is used before it is made
     /// anew.
     duration order_lasts = std::chrono::seconds(1);
@@ -126,6 +132,8 @@
     std::uint32_t prompt_tokens = 0;
     std::uint32_t output_tokens = 0;
     std::vector<prompt_part> const* prompt = nullptr;
+    /// Tokens that an engine of the service can keep; zero: not known.
+    std::uint64_t cache_tokens = 0;
     /// Where the same object or line was handled before counts.
     std::string sticky_key;
     /// Not to be chosen.
@@ -186,6 +194,9 @@
     double answered = 0;
 };
 
+/// Recent calls of all nodes, by the key of a shared prompt or of a service.
+using prompt_demand = std::unordered_map<std::uint32_t, double>;
+
 class engine_board
 {
 public:
@@ -229,6 +240,13 @@
     std::vector<std::pair<target_name, recent_outcomes>> set_all_outcomes(
         std::function<recent_outcomes(target_name const&)> const& at);
 
+    /// Takes in the demand of all nodes for shared prompts: a node's own calls
+    /// are too few to tell the share of each.
+    void set_all_demand(prompt_demand demand);
+    /// \return recent calls of this node, by the key of their shared prompt
+    /// and of their service.
+    std::vector<std::pair<std::uint32_t, double>> own_demand() const;
+
     /// \return true while the engine is registered, in that incarnation if
     /// one is named.
     bool known(engine_ref const& engine) const;
@@ -296,6 +314,12 @@
     struct shared_part
     {
         double share = 0;
+        std::uint32_t service_key = 0;
+        std::uint32_t key = 0;
+        /// Calls of this node, as of recent_at, each half as much after
+        /// \c demand_halves.
+        double recent = 0;
+        time_point recent_at{};
         time_point ordered_at{};
         std::uint64_t engines_version = 0;
         engine_group engines;
@@ -312,9 +336,12 @@
         std::vector<target_name>& to) const;
     bool belongs(std::string const& part, target_name const& engine) const;
     void count_shared(placement_need const& need);
+    double recent_calls(shared_part const& one, time_point now) const;
+    double share_of(shared_part const& one, time_point now) const;
     void order_engines(
         shared_part& one, std::string const& part,
-        service_name const& service) const;
+        placement_need const& need) const;
+    double margin_of(placement_need const& need) const;
     engine_record* find(engine_ref const& engine);
     void forget_parts(target_name const& engine);
     bool has_shared_part(
@@ -369,6 +396,8 @@
     /// Grows when engines come or go.
     std::uint64_t engines_version_ = 1;
     std::unordered_map<std::string, shared_part> shared_;
+    prompt_demand demand_;
+    time_point demand_at_{};
     std::unordered_map<std::string, part_place> parts_;
     /// Least recently used first.
     std::list<std::string> part_uses_;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -73,6 +73,24 @@
         time_is_up();
         return;
     }
+    if (!service_->model || !node_.before_choice)
+    {
+        choose_engine();
+        return;
+    }
+    node_.before_choice([self = shared_from_this()] { self->choose_engine(); });
+}
+
+void call_flow::tell_calls() const
+{
+    if (service_->model && node_.on_calls_changed)
+        node_.on_calls_changed();
+}
+
+void call_flow::choose_engine()
+{
+    if (done_)
+        return;
     auto const at = node_.board.choose(need_);
     if (!at || sends_ >= most_sends)
     {
@@ -106,6 +124,7 @@
     one->patience = stall_patience(
         at->first_bytes, service_->model.has_value(), stalls_, node_.stalls);
     node_.board.sent(at->ref(), need_);
+    tell_calls();
     exchange(one);
     watch_for_stall(one);
 }
@@ -241,6 +260,7 @@
     }
     node_.board.ended(
         one->at.ref(), need_, outcome, node_.clock() - one->sent_at);
+    tell_calls();
     node_.links.give_back(one->at.ref(), one->link);
 }
 
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -137,6 +137,7 @@
     need_.prompt_tokens = std::max(call_.prompt_tokens, 1U);
     need_.output_tokens = expected_output(call_);
     need_.prompt = &call_.prompt;
+    need_.cache_tokens = service_->model->cache_tokens;
     tokens_per_event_ = service_->model->tokens_per_event;
 }
 
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -63,6 +63,11 @@
     /// The longest time that callers of a route came with, by its name, since
     /// the configuration changed.
     std::unordered_map<std::string, duration> whole_times;
+    /// Calls back once the load of the engines is as new as it can be had;
+    /// null: at once.
+    std::function<void(std::function<void()>)> before_choice{};
+    /// A call at a model engine began or ended; null: nobody is told.
+    std::function<void()> on_calls_changed{};
 };
 
 class call_flow : public std::enable_shared_from_this<call_flow>
@@ -105,6 +110,8 @@
     void refuse_for_budget(admission_answer answer);
     void load_history();
     void try_engine();
+    void choose_engine();
+    void tell_calls() const;
     void exchange(attempt_ptr const& one);
     std::uint32_t connection_limit() const;
     std::optional<std::uint32_t> rank() const;
--- a/src/entry/engine_board_parts.cpp
+++ b/src/entry/engine_board_parts.cpp
@@ -23,6 +23,16 @@
 /// seconds is not worth a place of its own.
 constexpr std::chrono::seconds shared_read_again{2};
 /// A part's engines are kept for each service: a route may lead to two.
+std::uint32_t demand_key(std::string const& text)
+{
+    return static_cast<std::uint32_t>(stable_hash(text));
+}
+
+/// Recent calls of a service below which shares are not taken from them.
+constexpr double least_demand = 20;
+/// Recent calls for a prompt that are not worth telling.
+constexpr double least_told_demand = 0.05;
+
 std::string shared_key(placement_need const& need)
 {
     return need.service.str() + "/" + need.prompt->front().id;
@@ -130,26 +140,77 @@
     }
     auto& one = shared_[part];
     one.share += options_.share_weight;
+    if (one.key == 0)
+    {
+        one.key = demand_key(part);
+        one.service_key = demand_key(need.service.str());
+    }
+    one.recent = recent_calls(one, now) + 1;
+    one.recent_at = now;
     if (one.engines_version == engines_version_ &&
         now - one.ordered_at < options_.order_lasts)
         return;
-    order_engines(one, part, need.service);
+    order_engines(one, part, need);
     one.ordered_at = now;
     one.engines_version = engines_version_;
 }
 
+double engine_board::recent_calls(shared_part const& one, time_point now) const
+{
+    auto const halvings =
+        std::chrono::duration<double>(now - one.recent_at).count() /
+        std::chrono::duration<double>(options_.demand_halves).count();
+    return one.recent * std::exp2(-halvings);
+}
+
+/// \return its share of its service's calls, of all nodes if they told.
+double engine_board::share_of(shared_part const& one, time_point now) const
+{
+    auto const of_part = demand_.find(one.key);
+    auto const of_service = demand_.find(one.service_key);
+    auto const told = now - demand_at_ < options_.demand_lasts &&
+                      of_part != demand_.end() && of_service != demand_.end() &&
+                      of_service->second >= least_demand;
+    if (told)
+        return std::min(1.0, of_part->second / of_service->second);
+    double all_shares = 0;
+    for (auto const& [key, other] : shared_)
+        all_shares += other.share;
+    return one.share / std::max(all_shares, one.share);
+}
+
+void engine_board::set_all_demand(prompt_demand demand)
+{
+    demand_ = std::move(demand);
+    demand_at_ = clock_();
+}
+
+std::vector<std::pair<std::uint32_t, double>> engine_board::own_demand() const
+{
+    auto const now = clock_();
+    std::unordered_map<std::uint32_t, double> services;
+    std::vector<std::pair<std::uint32_t, double>> to;
+    for (auto const& [part, one] : shared_)
+    {
+        auto const calls = recent_calls(one, now);
+        if (calls < least_told_demand)
+            continue;
+        to.emplace_back(one.key, calls);
+        services[one.service_key] += calls;
+    }
+    to.insert(to.end(), services.begin(), services.end());
+    return to;
+}
+
 void engine_board::order_engines(
-    shared_part& one, std::string const& part,
-    service_name const& service) const
+    shared_part& one, std::string const& part, placement_need const& need) const
 {
-    auto const found = by_service_.find(service);
+    auto const found = by_service_.find(need.service);
     one.engines = {};
     if (found == by_service_.end())
         return;
-    double all_shares = 0;
-    for (auto const& [key, other] : shared_)
-        all_shares += other.share;
-    auto const share = one.share / std::max(all_shares, one.share);
+    auto const share = share_of(one, clock_());
+    auto const margin = margin_of(need);
     std::unordered_map<
         zone_name, std::vector<std::pair<std::uint64_t, target_name>>>
         by_domain;
@@ -164,14 +225,23 @@
     for (auto& [domain, order] : by_domain)
     {
         std::sort(order.rbegin(), order.rend());
-        auto const wanted = static_cast<std::size_t>(std::ceil(
-            share * options_.share_margin * static_cast<double>(order.size())));
+        auto const wanted = static_cast<std::size_t>(
+            std::ceil(share * margin * static_cast<double>(order.size())));
         auto& to = domain == own_domain_ ? one.engines.near : one.engines.far;
         for (std::size_t i = 0; i < std::min(wanted, order.size()); ++i)
             to.push_back(order[i].second);
     }
 }
 
+double engine_board::margin_of(placement_need const& need) const
+{
+    auto const tokens =
+        static_cast<double>(std::max(need.prompt->front().tokens, 1U));
+    auto const cache = static_cast<double>(need.cache_tokens);
+    return std::max(
+        options_.share_margin, options_.shared_cache_part * cache / tokens);
+}
+
 /// \return the engines to compare: those that have the call's line, and some
 /// drawn at random from those that have its shared part and from all.
 std::vector<target_name> engine_board::draw(
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -123,7 +123,7 @@
           settings_.strength),
       history_(history_calls(store_), options_of_history()),
       turns_of_peers_(io_, history_, clock_, settings_.node, settings_.domain),
-      loads_(io_, board_, clock_, settings_.node),
+      loads_(io_, board_, clock_, settings_.node, settings_.strength),
       sweeper_(
           store_.calls(store_client::when_lost::fail_at_once), system_utc(),
           swept_tables()),
@@ -158,6 +158,9 @@
       signals_(io_, SIGTERM, SIGHUP, SIGINT), tick_timer_(io_),
       stop_timer_(io_), sweep_timer_(io_)
 {
+    services_.before_choice = [this](std::function<void()> choose)
+    { loads_.before_choice(std::move(choose)); };
+    services_.on_calls_changed = [this] { loads_.calls_changed(); };
     board_.is_connected = [this](target_name const& engine)
     { return links_.has_idle(engine); };
     loads_.on_rest =
--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -3,6 +3,7 @@
 #include "entry/http_link.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -16,12 +17,23 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
-/// Half of what a call lasts, so that the sum is not older than the calls it
-/// counts; 80 nodes make the summing one take 400 datagrams a second, 1 % of
-/// a core.
-constexpr std::chrono::milliseconds ask_every{200};
-/// Unanswered questions after which another node is asked.
-constexpr int most_unanswered = 2;
+/// Interval between reports of a node that places no calls.
+constexpr std::chrono::milliseconds shortest_interval{200};
+/// Such reports a second that the summing node takes of all nodes.
+constexpr int reports_per_s = 1'500;
+/// Age up to which a sum serves a choice.
+constexpr std::chrono::milliseconds new_enough{10};
+/// Longest wait of a choice for a sum.
+constexpr std::chrono::milliseconds choice_patience{10};
+/// A report that is under way for less than this brings the sum for later
+/// choices, too.
+constexpr std::chrono::milliseconds just_asked{2};
+/// Time without an answer after which another node sums up.
+constexpr std::chrono::milliseconds longest_silence{400};
+/// Reports kept until their answers come.
+constexpr std::size_t most_unanswered = 64;
+/// Numbers a report that needs no answer.
+constexpr std::uint64_t unasked = 0;
 constexpr double hundred = 100;
 
 std::uint32_t hundredths(double count)
@@ -32,15 +44,30 @@
 /// The key whose home sums up.
 constexpr char const* summing_key = "load-summary";
 
+home_options summing_options(double own_strength)
+{
+    home_options to;
+    to.own_strength = own_strength;
+    to.strength_power = single_duty_power;
+    return to;
+}
+
 } // namespace
 
 load_exchange::load_exchange(
-    asio::io_context& io, engine_board& board, clock_fn clock, std::string self)
+    asio::io_context& io, engine_board& board, clock_fn clock, std::string self,
+    double own_strength)
     : board_(board), clock_(std::move(clock)), self_(self),
-      homes_(std::move(self)), socket_(io), timer_(io)
+      homes_(std::move(self), summing_options(own_strength)), io_(io),
+      socket_(io), timer_(io), choice_timer_(io), interval_(shortest_interval)
 {
 }
 
+load_exchange::~load_exchange()
+{
+    *alive_ = false;
+}
+
 bool load_exchange::listen(std::string const& address)
 {
     auto const at = endpoint_of(address);
@@ -55,12 +82,17 @@
     if (error)
         return false;
     receive();
-    ask();
+    report_again();
     return true;
 }
 
 void load_exchange::set_nodes(std::vector<home_candidate> others)
 {
+    constexpr int ms_per_s = 1'000;
+    auto const nodes = static_cast<int>(others.size()) + 1;
+    interval_ = std::max(
+        shortest_interval,
+        std::chrono::milliseconds(nodes * ms_per_s / reports_per_s));
     homes_.set_nodes(std::move(others));
 }
 
@@ -69,6 +101,7 @@
     boost::system::error_code ignored; // nothing is lost with it
     socket_.close(ignored);
     timer_.cancel();
+    choose_waiting();
 }
 
 load_report load_exchange::own_report() const
@@ -82,44 +115,142 @@
             {short_key(engine), hundredths(one.failed),
              hundredths(one.answered)});
     }
+    for (auto const& [key, calls] : board_.own_demand())
+        to.demand.push_back({key, hundredths(calls)});
     return to;
 }
 
-void load_exchange::ask()
+void load_exchange::report_again()
 {
     if (!socket_.is_open())
         return;
-    auto const now = clock_();
-    if (unanswered_ >= most_unanswered)
+    report();
+    timer_.expires_after(interval_);
+    timer_.async_wait(
+        [this](boost::system::error_code const& error)
+        {
+            if (!error)
+                report_again();
+        });
+}
+
+/// \return null where this node sums up.
+home_candidate const* load_exchange::summing_node(time_point now)
+{
+    if (!unanswered_.empty() &&
+        now - unanswered_.front().sent_at > longest_silence)
     {
         homes_.did_not_answer(asked_node_, now);
-        unanswered_ = 0;
+        unanswered_.clear();
     }
-    auto const* home = homes_.home_of(summing_key, now);
+    auto const* node = homes_.home_of(summing_key, now);
+    if (node == nullptr || node->node != asked_node_)
+        unanswered_.clear();
+    asked_node_ = node == nullptr ? std::string() : node->node;
+    return node;
+}
+
+/// \return false where the report could not be sent.
+bool load_exchange::send(
+    home_candidate const& to, std::uint64_t number, load_report const& own)
+{
+    auto const at = endpoint_of(to.address);
+    if (!at)
+        return false;
+    boost::system::error_code error; // a lost report is followed by others
+    socket_.send_to(
+        asio::buffer(encode_message(true, self_, number, encode(own))),
+        udp::endpoint(at->address(), at->port()), 0, error);
+    return !error;
+}
+
+/// Reports and asks for the sum.
+void load_exchange::report()
+{
+    auto const now = clock_();
     auto own = own_report();
+    auto const* node = summing_node(now);
     summary_.set(self_, own, now);
-    if (home == nullptr)
+    changes_to_report_ = false;
+    if (node == nullptr)
+    {
         apply(summary_.sum(now), own.calls);
-    else if (auto const to = endpoint_of(home->address))
+        sum_asked_at_ = now;
+        return;
+    }
+    if (!send(*node, ++number_, own))
+        return;
+    if (unanswered_.size() >= most_unanswered)
+        unanswered_.pop_back();
+    unanswered_.push_back({number_, now, std::move(own.calls)});
+}
+
+void load_exchange::calls_changed()
+{
+    if (changes_to_report_ || !socket_.is_open())
+        return;
+    // Several changes of one step of the loop go together.
+    changes_to_report_ = true;
+    asio::post(
+        io_,
+        [this, alive = alive_]
+        {
+            if (*alive && changes_to_report_)
+                report_changes();
+        });
+}
+
+void load_exchange::report_changes()
+{
+    changes_to_report_ = false;
+    if (!socket_.is_open())
+        return;
+    auto const now = clock_();
+    auto const own = own_report();
+    summary_.set(self_, own, now);
+    if (auto const* node = summing_node(now))
+        send(*node, unasked, own);
+}
+
+void load_exchange::before_choice(std::function<void()> choose)
+{
+    auto const now = clock_();
+    if (!socket_.is_open() || now - sum_asked_at_ <= new_enough)
     {
-        auto const bytes = encode({true, self_, ++number_, own});
-        boost::system::error_code ignored; // a lost question is asked again
-        socket_.send_to(
-            asio::buffer(bytes), udp::endpoint(to->address(), to->port()), 0,
-            ignored);
-        asked_calls_ = std::move(own.calls);
-        asked_node_ = home->node;
-        ++unanswered_;
+        choose();
+        return;
     }
-    timer_.expires_after(ask_every);
-    timer_.async_wait(
-        [this](boost::system::error_code const& error)
+    auto const asked =
+        !unanswered_.empty() && now - unanswered_.back().sent_at <= just_asked;
+    if (!asked)
+        report();
+    // This node may sum up itself.
+    if (clock_() - sum_asked_at_ <= new_enough || unanswered_.empty())
+    {
+        choose();
+        return;
+    }
+    choices_.push_back(std::move(choose));
+    if (choices_.size() > 1)
+        return;
+    choice_timer_.expires_after(choice_patience);
+    choice_timer_.async_wait(
+        [this, alive = alive_](boost::system::error_code const& error)
         {
-            if (!error)
-                ask();
+            if (!error && *alive)
+                choose_waiting();
         });
 }
 
+void load_exchange::choose_waiting()
+{
+    choice_timer_.cancel();
+    auto const waiting = std::move(choices_);
+    choices_.clear();
+    for (auto const& choose : waiting)
+        choose();
+}
+
 void load_exchange::receive()
 {
     socket_.async_receive_from(
@@ -144,18 +275,29 @@
         answer(*message);
         return;
     }
-    if (message->number != number_)
+    auto const asked = std::find_if(
+        unanswered_.begin(), unanswered_.end(),
+        [&message](open_report const& one)
+        { return one.number == message->number; });
+    if (asked == unanswered_.end())
         return;
-    unanswered_ = 0;
+    auto const one = std::move(*asked);
+    // Sums of earlier reports that still come are older than this one.
+    unanswered_.erase(unanswered_.begin(), asked + 1);
     homes_.answered(message->node);
-    apply(message->report, asked_calls_);
+    sum_asked_at_ = one.sent_at;
+    apply(message->report, one.calls);
+    choose_waiting();
 }
 
 void load_exchange::answer(load_message const& asked)
 {
     auto const now = clock_();
     summary_.set(asked.node, asked.report, now);
-    auto const bytes = encode({false, self_, asked.number, summary_.sum(now)});
+    if (asked.number == unasked)
+        return;
+    auto const bytes =
+        encode_message(false, self_, asked.number, summary_.encoded_sum(now));
     boost::system::error_code ignored; // a lost answer is asked for again
     socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
 }
@@ -175,6 +317,10 @@
             auto const found = others.find(short_key(engine));
             return found == others.end() ? 0U : found->second;
         });
+    prompt_demand demand;
+    for (auto const& one : sum.demand)
+        demand[one.key] = one.calls / hundred;
+    board_.set_all_demand(std::move(demand));
     if (sum.outcomes.empty())
         return;
     std::unordered_map<std::uint32_t, recent_outcomes> outcomes;
--- a/src/entry/load_exchange.hpp
+++ b/src/entry/load_exchange.hpp
@@ -2,8 +2,14 @@
 #define WALNUTMILL_SRC_ENTRY_LOAD_EXCHANGE_HPP
 
 /// \file
-/// Tells one node, the same for all, the calls of this one and how its calls
-/// ended, and hears the sum over all nodes from it, by datagrams.
+/// Reports this node's calls in flight and how calls ended to the node that
+/// sums them up, and takes the sum over all nodes back, by datagrams.
+///
+/// Load pattern: hundreds of nodes each place a few calls a second on the same
+/// engines of few slots. With sums 200 ms old half the time of a call has
+/// passed, and calls queue at some engines beside free slots at others. So a
+/// node asks for the sum before each choice and reports the choice at once.
+/// Broadcasting each change instead takes nodes times calls datagrams.
 
 #include <walnutmill/engine_board.hpp>
 
@@ -15,9 +21,13 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <chrono>
+#include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace walnutmill
@@ -28,22 +38,45 @@
 public:
     load_exchange(
         boost::asio::io_context& io, engine_board& board, clock_fn clock,
-        std::string self);
+        std::string self, double own_strength = 1);
+    ~load_exchange();
+    load_exchange(load_exchange const&) = delete;
+    load_exchange& operator=(load_exchange const&) = delete;
 
     /// \return false where the address can't be bound.
     bool listen(std::string const& address);
     void set_nodes(std::vector<home_candidate> others);
     void stop();
 
+    /// Calls back once a sum is known that was made just now, or none comes in
+    /// time; at once where the known one is new enough.
+    void before_choice(std::function<void()> choose);
+    /// Reports this node's calls soon: one began or ended.
+    void calls_changed();
+
     /// An engine rests, as calls of all nodes failed there.
     std::function<void(target_name const&, recent_outcomes const&)> on_rest;
 
 private:
-    void ask();
+    /// A report whose answer has not come.
+    struct open_report
+    {
+        std::uint64_t number = 0;
+        time_point sent_at{};
+        engine_counts calls;
+    };
+
+    void report_again();
+    void report();
+    void report_changes();
     void receive();
     void take(std::string_view bytes);
     void answer(load_message const& asked);
     void apply(load_report const& sum, engine_counts const& own);
+    void choose_waiting();
+    home_candidate const* summing_node(time_point now);
+    bool send(
+        home_candidate const& to, std::uint64_t number, load_report const& own);
     load_report own_report() const;
 
     engine_board& board_;
@@ -51,15 +84,23 @@
     std::string self_;
     program_homes homes_;
     load_summary summary_;
+    boost::asio::io_context& io_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer choice_timer_;
     std::array<char, 65'536> buffer_{};
+    std::chrono::milliseconds interval_;
     std::uint64_t number_ = 0;
-    /// The question that is not answered yet, and to whom it went.
-    engine_counts asked_calls_;
+    /// Reports without an answer, oldest first, and to whom they went.
+    std::deque<open_report> unanswered_;
     std::string asked_node_;
-    int unanswered_ = 0;
+    /// When the known sum was asked for.
+    time_point sum_asked_at_{};
+    /// Choices that wait for a sum.
+    std::vector<std::function<void()>> choices_;
+    bool changes_to_report_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace walnutmill
--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -9,29 +9,67 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+/// CBOR's head of an array of six: a message's fields and its report's.
+constexpr char array_of_six = static_cast<char>(0x86);
+
+void append(json const& one, std::string& to)
+{
+    auto const bytes = json::to_cbor(one);
+    to.append(bytes.begin(), bytes.end());
+}
+
+} // namespace
+
 std::uint32_t short_key(target_name const& engine)
 {
     return static_cast<std::uint32_t>(stable_hash(engine.str()));
 }
 
-std::string encode(load_message const& message)
+std::string encode(load_report const& report)
 {
     json counts = json::array();
-    for (auto const& [key, calls] : message.report.calls)
+    for (auto const& [key, calls] : report.calls)
     {
         counts.push_back(key);
         counts.push_back(calls);
     }
     json outcomes = json::array();
-    for (auto const& one : message.report.outcomes)
+    for (auto const& one : report.outcomes)
     {
         outcomes.push_back(one.engine);
         outcomes.push_back(one.failed);
         outcomes.push_back(one.answered);
     }
-    auto const bytes = json::to_cbor(json::array(
-        {message.asks, message.node, message.number, counts, outcomes}));
-    return {bytes.begin(), bytes.end()};
+    json demand = json::array();
+    for (auto const& one : report.demand)
+    {
+        demand.push_back(one.key);
+        demand.push_back(one.calls);
+    }
+    std::string to;
+    for (auto const* part : {&counts, &outcomes, &demand})
+        append(*part, to);
+    return to;
+}
+
+std::string encode_message(
+    bool asks, std::string_view node, std::uint64_t number,
+    std::string_view report)
+{
+    std::string to(1, array_of_six);
+    append(asks, to);
+    append(node, to);
+    append(number, to);
+    return to.append(report);
+}
+
+std::string encode(load_message const& message)
+{
+    return encode_message(
+        message.asks, message.node, message.number, encode(message.report));
 }
 
 std::optional<load_message> decode_load_message(std::string_view bytes)
@@ -59,6 +97,13 @@
                  outcomes[i + 1].get<std::uint32_t>(),
                  outcomes[i + 2].get<std::uint32_t>()});
         }
+        auto const demand = body.size() > 5 ? body.at(5) : json::array();
+        for (std::size_t i = 0; i + 1 < demand.size(); i += 2)
+        {
+            to.report.demand.push_back(
+                {demand[i].get<std::uint32_t>(),
+                 demand[i + 1].get<std::uint32_t>()});
+        }
         return to;
     }
     catch (json::exception const&)
@@ -80,6 +125,7 @@
 {
     std::unordered_map<std::uint32_t, std::uint32_t> calls;
     std::unordered_map<std::uint32_t, outcome_count> outcomes;
+    std::unordered_map<std::uint32_t, std::uint32_t> demand;
     for (auto it = nodes_.begin(); it != nodes_.end();)
     {
         if (now - it->second.at > keeps_)
@@ -96,6 +142,8 @@
             all.failed += one.failed;
             all.answered += one.answered;
         }
+        for (auto const& one : it->second.report.demand)
+            demand[one.key] += one.calls;
         ++it;
     }
     load_report to;
@@ -105,7 +153,19 @@
         if (one.failed > 0)
             to.outcomes.push_back(one);
     }
+    for (auto const& [key, calls] : demand)
+        to.demand.push_back({key, calls});
     return to;
 }
 
+std::string const& load_summary::encoded_sum(time_point now)
+{
+    if (encoded_.empty() || now - encoded_at_ >= encoded_lasts)
+    {
+        encoded_ = encode(sum(now));
+        encoded_at_ = now;
+    }
+    return encoded_;
+}
+
 } // namespace walnutmill
--- a/test/engine_board-test.cpp
+++ b/test/engine_board-test.cpp
@@ -410,3 +410,48 @@
                          { return engine.str() == "e3" ? 20U : 2U; });
     CHECK(choose_often(plain(), 600).count("e3") == 0);
 }
+
+TEST_CASE_METHOD(
+    board_fixture,
+    "board: a node that sees few calls spreads a prompt by all nodes' demand")
+{
+    start(21, 1);
+    // This node's first calls are all for one of many prompts.
+    auto const need = turn();
+    auto const engines_of = [&]
+    {
+        std::set<std::string> used;
+        for (int i = 0; i < 100; ++i)
+            used.insert(board.choose(need)->engine.str());
+        return used.size();
+    };
+    CHECK(engines_of() > 10);
+    // To all nodes it is one call in sixteen.
+    auto const own = board.own_demand();
+    REQUIRE(own.size() == 2);
+    prompt_demand all;
+    for (auto const& [key, calls] : own)
+        all[key] = 1'600;
+    auto const of_part = own.front().first;
+    all[of_part] = 100;
+    board.set_all_demand(all);
+    clock.advance(seconds(1));
+    CHECK(engines_of() <= 4);
+    // The demand is no longer told.
+    clock.advance(seconds(5));
+    CHECK(engines_of() > 10);
+}
+
+TEST_CASE_METHOD(
+    board_fixture, "board: the demand told to others halves within seconds")
+{
+    start(4, 1);
+    for (int i = 0; i < 8; ++i)
+        board.choose(turn());
+    auto const calls = [&] { return board.own_demand().front().second; };
+    CHECK(calls() == Approx(8));
+    clock.advance(seconds(2));
+    CHECK(calls() == Approx(4));
+    clock.advance(seconds(60));
+    CHECK(board.own_demand().empty());
+}
--- /dev/null
+++ b/test/engine_fleet.cpp
@@ -0,0 +1,429 @@
+#include "engine_fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace walnutmill
+{
+namespace testing
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds tick_time{5};
+/// The modelled engines' figures.
+constexpr double step_ms = 1.14;
+constexpr double step_ms_per_call = 0.0323;
+constexpr double read_per_ms = 336;
+constexpr double first_ms = 10;
+/// Time from a caller over its node to an engine and back.
+constexpr milliseconds way{8};
+constexpr milliseconds come_back{600};
+
+double ms_of(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+std::string domain_of(int number)
+{
+    return "z" + std::to_string(number);
+}
+
+} // namespace
+
+engine_fleet::engine_fleet(fleet_options options)
+    : options_(std::move(options)), random_(seeded_random(options_.seed)),
+      ranks_(static_cast<std::size_t>(options_.nodes)),
+      engines_(static_cast<std::size_t>(options_.engines)),
+      results_(options_.kinds.size())
+{
+    clock_.advance(std::chrono::seconds(100));
+    std::vector<engine_entry> entries;
+    for (int i = 0; i < options_.engines; ++i)
+    {
+        engine_entry one;
+        one.id = target_name("e" + std::to_string(i));
+        one.service = service_name("llm");
+        one.address = "10.0.0.1:1";
+        one.zone = zone_name(domain_of(i % options_.domains));
+        one.slots = options_.slots;
+        entries.push_back(one);
+    }
+    for (int i = 0; i < options_.nodes; ++i)
+    {
+        boards_.push_back(std::make_unique<engine_board>(
+            zone_name(domain_of(i % options_.domains)), clock_.fn(),
+            seeded_random(options_.seed * 1'000 + static_cast<unsigned>(i)),
+            options_.board));
+        boards_.back()->set_engines(entries);
+        report_at_.push_back(
+            clock_.now() +
+            duration(static_cast<duration::rep>(
+                random_() * static_cast<double>(
+                                duration(options_.report_interval).count()))));
+    }
+}
+
+double engine_fleet::turn_ms(std::uint32_t unread) const
+{
+    return first_ms + unread / read_per_ms +
+           options_.output_tokens * (step_ms + step_ms_per_call);
+}
+
+void engine_fleet::run_for(milliseconds time)
+{
+    auto const end = clock_.now() + time;
+    while (clock_.now() < end)
+        tick();
+}
+
+void engine_fleet::finish()
+{
+    rate_ = 0;
+    auto const end = clock_.now() + std::chrono::seconds(60);
+    while (under_way_ > 0 && clock_.now() < end)
+        tick();
+}
+
+void engine_fleet::tick()
+{
+    clock_.advance(tick_time);
+    auto const now = clock_.now();
+    for (auto it = later_.begin(); it != later_.end();)
+    {
+        if (it->at > now)
+        {
+            ++it;
+            continue;
+        }
+        auto const what = std::move(it->what);
+        it = later_.erase(it);
+        what();
+    }
+    start_programs();
+    for (auto& one : engines_)
+        advance(one);
+    for (int node = 0; node < options_.nodes; ++node)
+    {
+        auto& at = report_at_[static_cast<std::size_t>(node)];
+        if (at <= now)
+        {
+            at += options_.report_interval;
+            report(node);
+        }
+    }
+}
+
+void engine_fleet::start_programs()
+{
+    for (std::size_t kind = 0; kind < options_.kinds.size(); ++kind)
+    {
+        auto const& one = options_.kinds[kind];
+        auto expected = one.per_s * rate_ * ms_of(tick_time) / 1'000;
+        for (; random_() < expected; expected -= 1)
+        {
+            auto const it = std::make_shared<program>();
+            it->kind = kind;
+            it->domain = static_cast<int>(random_() * options_.domains);
+            // Some prompts are asked for several times as often as others.
+            it->shared = static_cast<int>(
+                std::pow(random_(), 1.5) * options_.shared_prompts);
+            it->line = "l" + std::to_string(++last_program_);
+            it->own_tokens = one.new_tokens;
+            it->began = clock_.now();
+            it->ideal_ms = one.turns * (turn_ms(one.new_tokens) + ms_of(way)) +
+                           (one.turns - 1) * ms_of(one.pause);
+            ++results_[kind].begun;
+            ++under_way_;
+            begin(it);
+        }
+    }
+}
+
+void engine_fleet::begin(program_ptr const& one)
+{
+    auto const& kind = options_.kinds[one->kind];
+    auto const node = static_cast<std::size_t>(
+        static_cast<int>(random_() * options_.nodes / options_.domains) *
+            options_.domains +
+        one->domain);
+    auto const at = std::min(node, boards_.size() - 1);
+    auto& ranks = ranks_[at];
+    ranks.seen(kind.rank, clock_.now());
+    auto const refused =
+        options_.gate &&
+        random_() < refusal_chance(
+                        boards_[at]->pressure(service_name("llm")), kind.rank,
+                        ranks.has_less_urgent(kind.rank, clock_.now()),
+                        options_.gate_with);
+    if (!refused)
+    {
+        send_turn(one);
+        return;
+    }
+    if (one->refused)
+    {
+        ++results_[one->kind].refused;
+        --under_way_;
+        return;
+    }
+    one->refused = true;
+    auto const wait = milliseconds(
+        come_back.count() + static_cast<std::int64_t>(random_() * 250));
+    later_.push_back(
+        {clock_.now() + wait, [this, one]
+         {
+             one->began = clock_.now();
+             begin(one);
+         }});
+}
+
+void engine_fleet::send_turn(program_ptr const& one)
+{
+    auto const& kind = options_.kinds[one->kind];
+    auto const node = std::min(
+        static_cast<int>(random_() * options_.nodes / options_.domains) *
+                options_.domains +
+            one->domain,
+        options_.nodes - 1);
+    auto& board = *boards_[static_cast<std::size_t>(node)];
+    one->prompt = {
+        {"s" + std::to_string(one->kind) + "." + std::to_string(one->shared),
+         options_.shared_tokens},
+        {one->line, one->own_tokens}};
+    for (auto const& place : one->places)
+        board.learn(place);
+    auto const call = std::make_shared<running_call>();
+    call->of = one;
+    call->node = node;
+    call->need.service = service_name("llm");
+    call->need.prompt_tokens = options_.shared_tokens + one->own_tokens;
+    call->need.output_tokens = options_.output_tokens;
+    call->need.prompt = &one->prompt;
+    call->need.cache_tokens = options_.cache_tokens;
+    call->rank = kind.rank;
+    if (options_.reports_choices)
+        report(node);
+    auto const at = board.choose(call->need);
+    if (!at)
+        return;
+    call->engine = at->ref();
+    call->sent_at = clock_.now();
+    board.sent(at->ref(), call->need);
+    if (options_.reports_choices)
+        tell(node);
+    ++turns;
+    arrive(
+        static_cast<std::size_t>(std::stoi(at->engine.str().substr(1))), call);
+}
+
+void engine_fleet::arrive(std::size_t engine, call_ptr const& one)
+{
+    auto& to = engines_[engine];
+    sent_to_full += full(to) ? 1 : 0;
+    if (!full(to) || preempt(to, one->rank))
+    {
+        start(to, one);
+        return;
+    }
+    auto const behind = std::find_if(
+        to.queue.begin(), to.queue.end(),
+        [&one](call_ptr const& other) { return other->rank > one->rank; });
+    to.queue.insert(behind, one);
+}
+
+bool engine_fleet::preempt(engine_state_of& engine, std::uint32_t rank)
+{
+    auto victim = engine.running.end();
+    for (auto it = engine.running.begin(); it != engine.running.end(); ++it)
+    {
+        if ((*it)->rank > rank &&
+            (victim == engine.running.end() || (*it)->rank >= (*victim)->rank))
+            victim = it;
+    }
+    if (victim == engine.running.end())
+        return false;
+    auto const one = *victim;
+    engine.running.erase(victim);
+    engine.queue.push_front(one);
+    ++preempted;
+    return true;
+}
+
+std::uint32_t engine_fleet::read_prompt(
+    engine_state_of& engine, std::vector<prompt_part> const& parts)
+{
+    std::uint32_t unread = 0;
+    bool before_cached = true;
+    for (auto const& part : parts)
+    {
+        auto const found = std::find_if(
+            engine.cache.begin(), engine.cache.end(),
+            [&part](prompt_part const& one) { return one.id == part.id; });
+        auto const has = before_cached && found != engine.cache.end()
+                             ? std::min(found->tokens, part.tokens)
+                             : 0;
+        before_cached = has == part.tokens;
+        unread += part.tokens - has;
+        if (&part == &parts.front())
+            shared_tokens_read += part.tokens - has;
+        keep(engine, part);
+    }
+    tokens_read += unread;
+    return unread;
+}
+
+void engine_fleet::keep(engine_state_of& engine, prompt_part const& part)
+{
+    auto const found = std::find_if(
+        engine.cache.begin(), engine.cache.end(),
+        [&part](prompt_part const& one) { return one.id == part.id; });
+    if (found != engine.cache.end())
+    {
+        engine.cached -= found->tokens;
+        engine.cache.erase(found);
+    }
+    engine.cache.push_front(part);
+    engine.cached += part.tokens;
+    while (engine.cached > options_.cache_tokens)
+    {
+        engine.cached -= engine.cache.back().tokens;
+        engine.cache.pop_back();
+    }
+}
+
+void engine_fleet::start(engine_state_of& engine, call_ptr const& one)
+{
+    auto const unread = read_prompt(engine, one->of->prompt);
+    one->reading_ms = first_ms + unread / read_per_ms;
+    if (one->tokens_left <= 0)
+        one->tokens_left = options_.output_tokens;
+    // The others stand still while it is read.
+    for (auto const& other : engine.running)
+        other->reading_ms += unread / read_per_ms;
+    engine.running.push_back(one);
+}
+
+void engine_fleet::advance(engine_state_of& engine)
+{
+    auto const batch = static_cast<double>(engine.running.size());
+    auto const step = step_ms + step_ms_per_call * batch;
+    std::vector<call_ptr> ended;
+    for (auto const& one : engine.running)
+    {
+        auto const reading = std::min(one->reading_ms, ms_of(tick_time));
+        one->reading_ms -= reading;
+        one->tokens_left -= (ms_of(tick_time) - reading) / step;
+        if (one->tokens_left <= 0)
+            ended.push_back(one);
+    }
+    for (auto const& one : ended)
+    {
+        engine.running.erase(
+            std::find(engine.running.begin(), engine.running.end(), one));
+        keep(
+            engine,
+            {one->of->line, one->of->own_tokens + options_.output_tokens});
+        end(one);
+    }
+    while (!engine.queue.empty() && !full(engine))
+    {
+        auto const next = engine.queue.front();
+        engine.queue.pop_front();
+        start(engine, next);
+    }
+}
+
+void engine_fleet::end(call_ptr const& one)
+{
+    boards_[static_cast<std::size_t>(one->node)]->ended(
+        one->engine, one->need, engine_outcome::answered,
+        clock_.now() - one->sent_at);
+    if (options_.reports_choices)
+        tell(one->node);
+    auto const of = one->of;
+    auto const& kind = options_.kinds[of->kind];
+    of->places = {
+        {of->line, of->own_tokens + options_.output_tokens, one->engine}};
+    of->own_tokens += options_.output_tokens + kind.new_tokens;
+    if (++of->turn >= kind.turns)
+    {
+        end_program(of);
+        return;
+    }
+    later_.push_back(
+        {clock_.now() + kind.pause + way, [this, of] { send_turn(of); }});
+}
+
+void engine_fleet::end_program(program_ptr const& one)
+{
+    --under_way_;
+    auto const& kind = options_.kinds[one->kind];
+    auto& to = results_[one->kind];
+    auto const in_aim = ms_of(clock_.now() - one->began) <=
+                        one->ideal_ms * kind.aim_factor + ms_of(kind.grace);
+    if (!in_aim)
+        ++to.late;
+    else if (one->refused)
+        ++to.refused_then_in_aim;
+    else
+        ++to.in_aim;
+}
+
+/// A node's report to the summing node, and the sum's way back.
+void engine_fleet::report(int node)
+{
+    tell(node);
+    hear(node);
+}
+
+void engine_fleet::tell(int node)
+{
+    auto& board = *boards_[static_cast<std::size_t>(node)];
+    load_report own;
+    for (auto const& [engine, calls] : board.own_calls())
+        own.calls.emplace_back(short_key(engine), calls);
+    if (options_.tells_demand)
+    {
+        for (auto const& [key, calls] : board.own_demand())
+            own.demand.push_back(
+                {key, static_cast<std::uint32_t>(calls * 100)});
+    }
+    summary_.set(std::to_string(node), std::move(own), clock_.now());
+}
+
+void engine_fleet::hear(int node)
+{
+    auto& board = *boards_[static_cast<std::size_t>(node)];
+    if (clock_.now() - summed_at_ >= options_.sum_lasts)
+    {
+        sum_ = summary_.sum(clock_.now());
+        summed_at_ = clock_.now();
+    }
+    std::unordered_map<std::uint32_t, std::uint32_t> others(
+        sum_.calls.begin(), sum_.calls.end());
+    for (auto const& [engine, calls] : board.own_calls())
+    {
+        auto& all = others[short_key(engine)];
+        all -= std::min(all, calls);
+    }
+    board.set_peer_loads(
+        [&others](target_name const& engine)
+        {
+            auto const found = others.find(short_key(engine));
+            return found == others.end() ? 0U : found->second;
+        });
+    prompt_demand demand;
+    for (auto const& one : sum_.demand)
+        demand[one.key] = one.calls / 100.0;
+    if (options_.tells_demand)
+        board.set_all_demand(std::move(demand));
+}
+
+} // namespace testing
+} // namespace walnutmill
--- /dev/null
+++ b/test/load_exchange-test.cpp
@@ -0,0 +1,144 @@
+#include "entry_world.hpp"
+
+#include "entry/load_exchange.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Nodes that tell each other their loads over the loopback, on one loop.
+struct exchange_fixture
+{
+    struct node
+    {
+        reserved_address address;
+        engine_board board;
+        load_exchange loads;
+
+        node(
+            boost::asio::io_context& io, std::string const& name,
+            double strength)
+            : board(zone_name("z"), now, seeded_random(1)),
+              loads(io, board, now, name, strength)
+        {
+        }
+    };
+
+    boost::asio::io_context io;
+    placement_need need;
+    std::unique_ptr<node> strong;
+    std::unique_ptr<node> weak;
+
+    exchange_fixture()
+    {
+        need.service = service_name("llm");
+        engine_entry engine;
+        engine.id = target_name("e0");
+        engine.service = need.service;
+        engine.address = "10.0.0.1:1";
+        engine.zone = zone_name("z");
+        engine.slots = 6;
+        strong = std::make_unique<node>(io, "strong", 1.0);
+        weak = std::make_unique<node>(io, "weak", 0.01);
+        for (auto* one : {strong.get(), weak.get()})
+            one->board.set_engines({engine});
+        strong->loads.set_nodes({{"weak", weak->address.text(), 0.01}});
+        weak->loads.set_nodes({{"strong", strong->address.text(), 1.0}});
+    }
+
+    static time_point now()
+    {
+        return std::chrono::time_point_cast<duration>(
+            std::chrono::steady_clock::now());
+    }
+
+    void listen()
+    {
+        REQUIRE(strong->loads.listen(strong->address.text()));
+        REQUIRE(weak->loads.listen(weak->address.text()));
+    }
+
+    template<class Condition>
+    bool comes_true(Condition const& condition)
+    {
+        auto const end = now() + seconds(30);
+        while (!condition() && now() < end)
+        {
+            io.run_for(milliseconds(1));
+            io.restart();
+        }
+        return condition();
+    }
+
+    double load_at(node& one)
+    {
+        auto const at = one.board.choose(need);
+        REQUIRE(at);
+        return at->load;
+    }
+
+    /// \return the load that a choice of that node rests on
+    double load_of_choice(node& one)
+    {
+        double load = -1;
+        one.loads.before_choice([&] { load = load_at(one); });
+        REQUIRE(comes_true([&] { return load >= 0; }));
+        return load;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    exchange_fixture, "load exchange: a call just placed counts for others")
+{
+    listen();
+    engine_ref const engine(target_name("e0"), engine_incarnation());
+    for (double calls = 1; calls <= 3; ++calls)
+    {
+        strong->board.sent(engine, need);
+        strong->loads.calls_changed();
+        // A lost datagram only makes it later.
+        CHECK(comes_true([&] { return load_of_choice(*weak) == calls; }));
+        weak->board.sent(engine, need);
+        weak->loads.calls_changed();
+        CHECK(comes_true([&] { return load_of_choice(*strong) == calls + 1; }));
+        weak->board.ended(
+            engine, need, engine_outcome::answered, milliseconds(10));
+        weak->loads.calls_changed();
+        CHECK(comes_true([&] { return load_of_choice(*strong) == calls; }));
+    }
+}
+
+TEST_CASE_METHOD(
+    exchange_fixture,
+    "load exchange: a choice goes on without an answer of the summing node")
+{
+    REQUIRE(weak->loads.listen(weak->address.text()));
+    for (int i = 0; i < 5; ++i)
+        CHECK(load_of_choice(*weak) == 0);
+    // The silent one is passed over, and the node sums up itself.
+    engine_ref const engine(target_name("e0"), engine_incarnation());
+    weak->board.sent(engine, need);
+    CHECK(comes_true(
+        [&] { return weak->board.pressure(need.service).has_value(); }));
+}
+
+TEST_CASE_METHOD(
+    exchange_fixture, "load exchange: choices made after its end are not held")
+{
+    listen();
+    weak->loads.stop();
+    bool chosen = false;
+    weak->loads.before_choice([&] { chosen = true; });
+    CHECK(chosen);
+}
--- a/test/load_summary-test.cpp
+++ b/test/load_summary-test.cpp
@@ -102,3 +102,42 @@
     for (std::size_t cut = 0; cut < bytes.size(); ++cut)
         CHECK_FALSE(decode_load_message(bytes.substr(0, cut)));
 }
+
+TEST_CASE_METHOD(summary_fixture, "load summary: demand of all nodes adds up")
+{
+    summary.set("a", {{}, {}, {{1, 100}, {2, 50}}}, clock.now());
+    summary.set("b", {{}, {}, {{1, 20}}}, clock.now());
+    std::uint32_t calls = 0;
+    for (auto const& one : summary.sum(clock.now()).demand)
+        calls += one.key == 1 ? one.calls : 0;
+    CHECK(calls == 120);
+}
+
+TEST_CASE_METHOD(
+    summary_fixture, "load summary: one encoded sum serves many for a moment")
+{
+    summary.set("a", {{{1, 3}}, {}}, clock.now());
+    auto const first = summary.encoded_sum(clock.now());
+    summary.set("b", {{{1, 4}}, {}}, clock.now());
+    CHECK(summary.encoded_sum(clock.now()) == first);
+    clock.advance(encoded_lasts);
+    CHECK(summary.encoded_sum(clock.now()) != first);
+}
+
+TEST_CASE_METHOD(
+    summary_fixture, "load summary: an encoded sum is a message's report")
+{
+    summary.set("a", {{{1, 3}}, {{1, 100, 200}}, {{5, 70}}}, clock.now());
+    auto const got = decode_load_message(
+        encode_message(false, "n1", 9, summary.encoded_sum(clock.now())));
+    REQUIRE(got);
+    CHECK_FALSE(got->asks);
+    CHECK(got->node == "n1");
+    CHECK(got->number == 9);
+    CHECK(got->report.calls == engine_counts{{1, 3}});
+    REQUIRE(got->report.outcomes.size() == 1);
+    CHECK(got->report.outcomes[0].failed == 100);
+    REQUIRE(got->report.demand.size() == 1);
+    CHECK(got->report.demand[0].key == 5);
+    CHECK(got->report.demand[0].calls == 70);
+}
