--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -109,7 +109,7 @@
     double share_margin = 1.5;
     /// Part of an engine's cache that shared parts may take: more engines hold
     /// each where the cache is large.
-    double shared_cache_part = 0.15;
+    double shared_cache_part = 0.25;
     /// Weight of the newest call in the moving share of a shared part: some
     /// 200 calls, a quarter of a minute of a node's turns.
     double share_weight = 0.005;
