cluster view: renew members' rows in a partition of their own, by single tries

All nodes write at the same moment when they start; a partition takes 200 transactions a second, one after another, so the last waits 1.5 s; attempts waited 80 to 900 ms and were repeated while the former ones were still carried out. 295 nodes that try four times in 2.2 s ask for 536 a second and never let the queue run empty. Members lapse after 10 s, homes move, and accounts are read and written again by each new home.

Change: a partition of its own, one attempt a renewal that waits for 2 s, 1.5 s until the next after a failure, and writes spread by 6 ms a known member after a start or an outage. Readings of members take pages, as 500 rows are told at once at most.

Tests: store client (single try; calls by kind), entry (a node's row). The latter two tests' mechanism did not exist before; with attempts repeated the tests' bound of one try in 2 s is passed by each attempt's patience of 0.9 s (worked out, not run).

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -82,6 +82,14 @@
     return to;
 }
 
+/// All members renew rows of one partition.
+versioned_store view_calls(store_client& store)
+{
+    auto to = store.calls(store_client::when_lost::try_on);
+    to.commit = store.calls(store_client::when_lost::try_once).commit;
+    return to;
+}
+
 /// \return the time between readings, which may be half as long again.
 milliseconds read_interval(entry_settings const& settings)
 {
@@ -149,7 +157,7 @@
           [this] { return store_.lost_for(); },
           {}},
       view_(
-          io_, store_.calls(store_client::when_lost::try_on), clock_,
+          io_, view_calls(store_), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
           {settings_.node, settings_.listen_peers, settings_.domain,
            incarnation_, settings_.strength},
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -17,6 +17,11 @@
 using std::chrono::milliseconds;
 
 constexpr char const* members_table = "walnutmill-nodes";
+/// Apart from the partition that engines and the operator write: 295 members
+/// beside 167 engines renew more rows a second than one partition takes.
+constexpr char const* members_partition = "members";
+/// Time for each member over which all write their rows at once.
+constexpr double write_per_member_ms = 6;
 /// The duty of reading for a failure domain.
 constexpr char const* reader_key = "cluster-reader";
 /// Interval between renewals of a node's row.
@@ -31,6 +36,10 @@
 constexpr milliseconds first_readings_for{6'000};
 /// Longest wait for one reading: the next one starts it anew.
 constexpr milliseconds read_patience{900};
+/// Longest wait for the write of a node's row, and the pause after one that
+/// failed: a partition takes 200 transactions a second, one after another.
+constexpr milliseconds write_patience{2'000};
+constexpr milliseconds write_pause{1'500};
 /// A node that was asked within this time reads for others, twice as often.
 constexpr milliseconds asked_lately{3'000};
 /// Intervals between readings that a reading of another node may be old.
@@ -70,7 +79,6 @@
 {
     started_ = clock_();
     read_all();
-    write_self();
     if (hooks_.ask)
         again(question_interval(), ask_timer_, &platform_view::ask_peer);
 }
@@ -82,7 +90,7 @@
         ask_peer();
     else
         read_all();
-    write_self();
+    write_soon();
 }
 
 void platform_view::read_all()
@@ -264,49 +272,72 @@
         again(interval_, engines_timer_, &platform_view::read_engines);
         return;
     }
-    engine_rows_.clear();
-    engine_rows_as_of_ = 0;
-    read_engine_rows({});
+    read_table(
+        std::string(platform::names::engines_table), "",
+        [this](std::optional<table_rows> const& read)
+        {
+            if (read)
+                engines_read(*read);
+            again(
+                reading_interval(), engines_timer_,
+                &platform_view::read_engines);
+        });
 }
 
-void platform_view::read_engine_rows(std::string const& from)
+/// Reads a table whole, which takes a call for each 500 rows.
+void platform_view::read_table(
+    std::string const& table, std::string const& partition,
+    std::function<void(std::optional<table_rows>)> done)
+{
+    read_page(
+        {table, partition, "", ""}, std::make_shared<table_rows>(),
+        std::move(done));
+}
+
+void platform_view::read_page(
+    row_range range, std::shared_ptr<table_rows> const& read,
+    std::function<void(std::optional<table_rows>)> done)
 {
     store_.read(
-        {std::string(platform::names::engines_table), "", from, ""},
-        read_patience,
-        [this](range_result const& result) { engines_read(result); });
+        range, read_patience,
+        [this, range, read,
+         done = std::move(done)](range_result const& result) mutable
+        {
+            if (result.outcome != store_outcome::done)
+            {
+                done(std::nullopt);
+                return;
+            }
+            // Later pages may be newer than the first one.
+            if (read->rows.empty())
+                read->as_of = as_of(result);
+            read->rows.insert(
+                read->rows.end(), result.rows.begin(), result.rows.end());
+            if (!result.truncated || result.rows.empty())
+            {
+                done(std::move(*read));
+                return;
+            }
+            range.from = result.rows.back().at.key + '\0';
+            read_page(std::move(range), read, std::move(done));
+        });
 }
 
-void platform_view::engines_read(range_result const& result)
+void platform_view::engines_read(table_rows const& read)
 {
-    if (result.outcome != store_outcome::done)
-    {
-        again(reading_interval(), engines_timer_, &platform_view::read_engines);
-        return;
-    }
-    // Later pages may be newer than the first one.
-    if (engine_rows_.empty())
-        engine_rows_as_of_ = as_of(result);
-    engine_rows_.insert(
-        engine_rows_.end(), result.rows.begin(), result.rows.end());
-    if (result.truncated && !result.rows.empty())
-    {
-        read_engine_rows(result.rows.back().at.key + '\0');
-        return;
-    }
     confirmed_at_ = clock_();
     take_in(
         cluster_table::engines,
         make_section(
-            engine_rows_as_of_, confirmed_at_, encode(decode_engines())));
-    again(reading_interval(), engines_timer_, &platform_view::read_engines);
+            read.as_of, confirmed_at_, encode(decode_engines(read.rows))));
 }
 
-std::vector<engine_entry> platform_view::decode_engines()
+std::vector<engine_entry>
+platform_view::decode_engines(std::vector<stored_row> const& rows)
 {
     std::unordered_map<std::string, decoded_row> seen;
     std::vector<engine_entry> to;
-    for (auto const& row : engine_rows_)
+    for (auto const& row : rows)
     {
         auto const before = decoded_.find(row.at.key);
         auto one =
@@ -366,24 +397,54 @@
         again(interval, members_timer_, &platform_view::read_members);
         return;
     }
-    store_.read(
-        {members_table, "", "", ""}, read_patience,
-        [this, interval](range_result const& result)
+    read_table(
+        members_table, members_partition,
+        [this, interval](std::optional<table_rows> const& read)
         {
-            members_read(result);
+            if (read)
+                members_read(*read);
             again(interval, members_timer_, &platform_view::read_members);
+            write_first();
         });
 }
 
-void platform_view::members_read(range_result const& result)
+void platform_view::members_read(table_rows const& read)
 {
-    if (result.outcome != store_outcome::done)
-        return;
     auto const now = clock_();
     take_in(
         cluster_table::members,
-        make_section(
-            as_of(result), now, encode(members_.live(result.rows, now))));
+        make_section(read.as_of, now, encode(members_.live(read.rows, now))));
+}
+
+/// Writes this node's row for the first time.
+void platform_view::write_first()
+{
+    if (written_)
+        return;
+    written_ = true;
+    write_soon();
+}
+
+/// Writes this node's row after a while that is spread over the members: a
+/// partition takes its transactions one after another, and all nodes may have
+/// started, or found the store again, together.
+void platform_view::write_soon()
+{
+    auto const members = static_cast<double>(member_names_.size());
+    auto const wait = milliseconds(
+        static_cast<std::int64_t>(random_() * members * write_per_member_ms));
+    if (wait.count() == 0)
+    {
+        write_self();
+        return;
+    }
+    self_timer_.expires_after(wait);
+    self_timer_.async_wait(
+        [this](boost::system::error_code const& error)
+        {
+            if (!error)
+                write_self();
+        });
 }
 
 bool platform_view::take_in_members()
@@ -537,16 +598,17 @@
     if (leaving_)
         return;
     row_transaction one;
-    one.writes.push_back({{members_table, "", self_.node}, encode(self_)});
+    one.writes.push_back(
+        {{members_table, members_partition, self_.node}, encode(self_)});
     store_.commit(
-        std::move(one), read_patience,
+        std::move(one), write_patience,
         [this](transaction_result const& result)
         {
             if (leaving_)
                 return;
             auto const failed = result.outcome != store_outcome::done;
             again(
-                failed ? interval_ : renew_every, self_timer_,
+                failed ? write_pause : renew_every, self_timer_,
                 &platform_view::write_self);
         });
 }
@@ -556,7 +618,7 @@
     leaving_ = true;
     self_timer_.cancel();
     row_transaction one;
-    one.removals.push_back({members_table, "", self_.node});
+    one.removals.push_back({members_table, members_partition, self_.node});
     store_.commit(
         std::move(one), read_patience,
         [done = std::move(done)](transaction_result const&) { done(); });
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -90,6 +90,14 @@
         std::optional<engine_entry> entry;
     };
 
+    /// A table as it was read.
+    struct table_rows
+    {
+        std::vector<stored_row> rows;
+        /// The store's version at the first call.
+        std::uint64_t as_of = 0;
+    };
+
     cluster_section& section(cluster_table which);
     cluster_section const& section(cluster_table which) const;
     bool take_in(cluster_table which, cluster_section fresh);
@@ -108,12 +116,20 @@
     void read_configuration();
     void configuration_read(range_result const& result);
     void read_engines();
-    void read_engine_rows(std::string const& from);
-    void engines_read(range_result const& result);
-    std::vector<engine_entry> decode_engines();
+    void read_table(
+        std::string const& table, std::string const& partition,
+        std::function<void(std::optional<table_rows>)> done);
+    void read_page(
+        row_range range, std::shared_ptr<table_rows> const& read,
+        std::function<void(std::optional<table_rows>)> done);
+    void engines_read(table_rows const& read);
+    std::vector<engine_entry>
+    decode_engines(std::vector<stored_row> const& rows);
     std::optional<engine_entry> decode_engine(stored_row const& row);
     void read_members();
-    void members_read(range_result const& result);
+    void members_read(table_rows const& read);
+    void write_first();
+    void write_soon();
 
     /// What another node's answer was good for.
     enum class told_outcome
@@ -155,9 +171,6 @@
     engine_roster engines_;
     member_roster members_;
     std::unordered_map<std::string, decoded_row> decoded_;
-    /// Rows of the reading under way, which takes a call for each 500 rows.
-    std::vector<stored_row> engine_rows_;
-    std::uint64_t engine_rows_as_of_ = 0;
     /// The node of the own failure domain that reads for the others.
     program_homes reader_;
     /// Until then another node's readings stand in for own ones.
@@ -169,6 +182,8 @@
     /// When another node last asked.
     time_point asked_at_{};
     time_point started_{};
+    /// The own row was written, or is about to be.
+    bool written_ = false;
     bool leaving_ = false;
 };
 
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -62,6 +62,14 @@
                                   : one.conditions.front().at.partition;
 }
 
+/// \return the table of a transaction's first row.
+std::string table_of(row_transaction const& one)
+{
+    if (!one.writes.empty())
+        return one.writes.front().at.table;
+    return one.removals.empty() ? std::string() : one.removals.front().table;
+}
+
 time_point now()
 {
     return std::chrono::time_point_cast<duration>(
@@ -75,6 +83,9 @@
     platform::store_request request;
     /// Where its rows lie: all share a partition.
     std::string partition;
+    /// What is called, for the counters: "commit" or "read", and the table.
+    std::string_view verb;
+    std::string table;
     time_point give_up_at;
     int attempts = 0;
     when_lost then = when_lost::try_on;
@@ -120,6 +131,8 @@
         auto call = std::make_shared<pending>();
         call->request = platform::encode_transaction(one);
         call->partition = partition_of(one);
+        call->verb = "commit";
+        call->table = table_of(one);
         call->give_up_at = now() + patience;
         call->done =
             [done = std::move(done)](
@@ -142,6 +155,8 @@
         auto call = std::make_shared<pending>();
         call->request = platform::encode_range(range);
         call->partition = range.partition;
+        call->verb = "read";
+        call->table = range.table;
         call->give_up_at = now() + patience;
         call->done = [done = std::move(done)](
                          store_outcome outcome, store_reply const& reply, bool)
@@ -215,7 +230,9 @@
     auto const path = paths_.choose(at);
     auto const& address = path.direct() ? address_ : path.relay;
     auto const patience =
-        std::min(attempt_patience(*one), one->give_up_at - at);
+        one->then == when_lost::try_once
+            ? one->give_up_at - at
+            : std::min(attempt_patience(*one), one->give_up_at - at);
     ++one->attempts;
     send_attempt(
         address, one->request, patience,
@@ -269,7 +286,8 @@
 
 void store_client::retry_later(pending_ptr const& one)
 {
-    if (one->then == when_lost::fail_at_once && lost(one->partition))
+    if (one->then == when_lost::try_once ||
+        (one->then == when_lost::fail_at_once && lost(one->partition)))
     {
         give_up(one);
         return;
@@ -303,7 +321,11 @@
     pending_ptr const& one, store_reply const& reply) const
 {
     if (hooks_.counters != nullptr)
-        hooks_.counters->count("walnutmill_store_calls_total");
+    {
+        hooks_.counters->count(
+            "walnutmill_store_calls_total{call=\"" + std::string(one->verb) +
+            "\",table=\"" + one->table + "\"}");
+    }
     auto const kind = platform::kind_of(reply);
     auto const outcome =
         kind == platform::reply_kind::done       ? store_outcome::done
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -57,7 +57,11 @@
         /// Goes on trying until its patience ends.
         try_on,
         /// Ends at once, so that its caller can be told to come back.
-        fail_at_once
+        fail_at_once,
+        /// Makes a single attempt for as long as its patience, lost or not: for
+        /// calls of all nodes on one partition, whose attempts wait for each
+        /// other there and, repeated, keep it full.
+        try_once
     };
 
     /// \return the calls; they end when the client does.
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -160,7 +160,14 @@
     silent_ = std::move(partitions);
 }
 
-bool standin_rows::is_silent(http_request const& request) const
+std::size_t standin_rows::transactions_of(std::string const& partition) const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    auto const found = transactions_of_.find(partition);
+    return found == transactions_of_.end() ? 0 : found->second;
+}
+
+bool standin_rows::is_silent(http_request const& request)
 {
     std::string const target(request.target());
     auto partition = query_value(target, "part");
@@ -174,6 +181,8 @@
         }
     }
     std::lock_guard<std::mutex> const lock(mutex_);
+    if (target == "/rows-tx")
+        ++transactions_of_[partition];
     return silent_.count(partition) > 0 ||
            (!silent_table_.empty() &&
             query_value(target, "table") == silent_table_);
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -96,6 +96,8 @@
     std::size_t count(std::string const& table) const;
     /// \return readings of a table until now
     std::size_t readings(std::string const& table) const;
+    /// \return transactions that came for a partition, answered or not
+    std::size_t transactions_of(std::string const& partition) const;
     /// Calls to these partitions are not answered.
     void silence(std::set<std::string> partitions);
     /// Readings of this table are not answered; empty: all are.
@@ -112,12 +114,13 @@
     void answer(link_ptr const& link, http_request const& request);
     nlohmann::json transaction(nlohmann::json const& body, int& status);
     nlohmann::json range(std::string const& target);
-    bool is_silent(http_request const& request) const;
+    bool is_silent(http_request const& request);
     nlohmann::json row_json(place const& at) const;
 
     mutable std::mutex mutex_;
     std::map<place, stored> rows_;
     std::map<std::string, std::size_t> readings_;
+    std::map<std::string, std::size_t> transactions_of_;
     std::set<std::string> silent_;
     std::string silent_table_;
     std::uint64_t version_ = 0;
--- a/test/store_return-test.cpp
+++ b/test/store_return-test.cpp
@@ -72,6 +72,30 @@
     CHECK(read_once() == store_outcome::done);
 }
 
+TEST_CASE_METHOD(
+    store_return_fixture, "store client: calls are counted by kind and table")
+{
+    metrics counters;
+    store_client counted(
+        io, store.address(), seeded_random(4), {{}, {}, &counters});
+    int ended = 0;
+    auto const calls = counted.calls(store_client::when_lost::try_on);
+    calls.read(
+        {"some", "", "", ""}, seconds(20),
+        [&](range_result const&) { ++ended; });
+    row_transaction one;
+    one.writes.push_back({{"other", "p1", "k"}, "v"});
+    calls.commit(one, seconds(20), [&](transaction_result const&) { ++ended; });
+    REQUIRE(comes_true([&] { return ended == 2; }));
+    auto const text = counters.prometheus_text();
+    CHECK(
+        text.find("walnutmill_store_calls_total{call=\"read\",table=\"some\"} "
+                  "1") != std::string::npos);
+    CHECK(
+        text.find("walnutmill_store_calls_total{call=\"commit\",table="
+                  "\"other\"} 1") != std::string::npos);
+}
+
 TEST_CASE("platform view: a refresh reads all at once")
 {
     boost::asio::io_context io;
@@ -148,3 +172,45 @@
     test_caller caller(node.settings.listen_callers);
     CHECK(caller.call(post("/orders/x", "r2")).status == 200);
 }
+
+TEST_CASE_METHOD(
+    store_return_fixture, "store client: a single try is not repeated")
+{
+    store.silence({"p1"});
+    row_transaction one;
+    one.writes.push_back({{"some", "p1", "k"}, "v"});
+    int ended = 0;
+    client.calls(store_client::when_lost::try_once)
+        .commit(
+            one, milliseconds(700),
+            [&](transaction_result const& result)
+            {
+                CHECK(result.outcome == store_outcome::unavailable);
+                CHECK(result.in_doubt);
+                ++ended;
+            });
+    REQUIRE(comes_true([&] { return ended == 1; }));
+    CHECK(store.transactions_of("p1") == 1);
+    client.calls(store_client::when_lost::try_on)
+        .commit(
+            one, milliseconds(700),
+            [&](transaction_result const&) { ++ended; });
+    REQUIRE(comes_true([&] { return ended == 2; }));
+    CHECK(store.transactions_of("p1") > 2);
+}
+
+TEST_CASE_METHOD(
+    entry_world, "entry: a node's row that waits for its partition is not "
+                 "written again meanwhile")
+{
+    // Waiting attempts are carried out all the same: repeated by 295 nodes they
+    // keep a partition of 200 transactions a second full for good.
+    store.silence({"members"});
+    auto const began = std::chrono::steady_clock::now();
+    start_node();
+    std::this_thread::sleep_for(seconds(5));
+    auto const took = std::chrono::steady_clock::now() - began;
+    auto const tries = store.transactions_of("members");
+    CHECK(tries >= 1);
+    CHECK(tries <= 1 + static_cast<std::size_t>(took / seconds(2)));
+}
