store client: a single try goes another way where the straight one is turned away

A third of the nodes turned away by the store would not have renewed their rows: each renewal asks the straight way first.

--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -286,7 +286,9 @@
 
 void store_client::retry_later(pending_ptr const& one)
 {
-    if (one->then == when_lost::try_once ||
+    // The first attempt over another way need not wait.
+    auto const at_once = one->attempts == 1 && !paths_.direct_works(now());
+    if ((one->then == when_lost::try_once && !at_once) ||
         (one->then == when_lost::fail_at_once && lost(one->partition)))
     {
         give_up(one);
@@ -298,8 +300,6 @@
         longest_pause);
     auto const wait = duration(static_cast<duration::rep>(
         static_cast<double>(pause.count()) * spread));
-    // The first attempt over another way need not wait.
-    auto const at_once = one->attempts == 1 && !paths_.direct_works(now());
     one->pause = std::make_shared<boost::asio::steady_timer>(
         io_, at_once ? duration(0) : wait);
     one->pause->async_wait(
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -58,9 +58,10 @@
         try_on,
         /// Ends at once, so that its caller can be told to come back.
         fail_at_once,
-        /// Makes a single attempt for as long as its patience, lost or not: for
-        /// calls of all nodes on one partition, whose attempts wait for each
-        /// other there and, repeated, keep it full.
+        /// Makes a single attempt for as long as its patience, lost or not, and
+        /// one over another way if the straight one turned it away: for calls
+        /// of all nodes on one partition, whose attempts wait for each other
+        /// there and, repeated, keep it full.
         try_once
     };
 
