Follow the linter in the tests of the large fleet; one way to draw a node

Findings of the whole lint on (seven: copies, constness, a reserve, a cast). No change of what is done; the tests named homes, engine, load and cluster passed.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -324,9 +324,9 @@
     to.on_members = [this](std::vector<entry_member> const& members)
     { set_members(members); };
     to.ask = [this](
-                 std::string const& address, std::string query,
+                 std::string const& address, std::string const& query,
                  platform_view::told_fn const& done)
-    { ask_for_sections(address, std::move(query), done); };
+    { ask_for_sections(address, query, done); };
     return to;
 }
 
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -64,7 +64,7 @@
     void answer_peer(link_ptr const& link, request_type const& request);
     platform_view::hooks view_hooks();
     void ask_for_sections(
-        std::string const& address, std::string query,
+        std::string const& address, std::string const& query,
         platform_view::told_fn const& done);
     void answer_sections(link_ptr const& link, request_type const& request);
     void carry_store_call(link_ptr const& link, request_type const& request);
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -132,7 +132,7 @@
 }
 
 void entry_node::ask_for_sections(
-    std::string const& address, std::string query,
+    std::string const& address, std::string const& query,
     platform_view::told_fn const& done)
 {
     view_caller_.call(
--- a/test/engine_fleet.cpp
+++ b/test/engine_fleet.cpp
@@ -145,14 +145,19 @@
     }
 }
 
+/// \return a node in the program's failure domain.
+int engine_fleet::node_of(program const& one)
+{
+    auto const in_domain =
+        static_cast<int>(random_() * options_.nodes / options_.domains);
+    return std::min(
+        in_domain * options_.domains + one.domain, options_.nodes - 1);
+}
+
 void engine_fleet::begin(program_ptr const& one)
 {
     auto const& kind = options_.kinds[one->kind];
-    auto const node = static_cast<std::size_t>(
-        static_cast<int>(random_() * options_.nodes / options_.domains) *
-            options_.domains +
-        one->domain);
-    auto const at = std::min(node, boards_.size() - 1);
+    auto const at = static_cast<std::size_t>(node_of(*one));
     auto& ranks = ranks_[at];
     ranks.seen(kind.rank, clock_.now());
     auto const refused =
@@ -186,11 +191,7 @@
 void engine_fleet::send_turn(program_ptr const& one)
 {
     auto const& kind = options_.kinds[one->kind];
-    auto const node = std::min(
-        static_cast<int>(random_() * options_.nodes / options_.domains) *
-                options_.domains +
-            one->domain,
-        options_.nodes - 1);
+    auto const node = node_of(*one);
     auto& board = *boards_[static_cast<std::size_t>(node)];
     one->prompt = {
         {"s" + std::to_string(one->kind) + "." + std::to_string(one->shared),
@@ -278,7 +279,7 @@
     return unread;
 }
 
-void engine_fleet::keep(engine_state_of& engine, prompt_part const& part)
+void engine_fleet::keep(engine_state_of& engine, prompt_part const& part) const
 {
     auto const found = std::find_if(
         engine.cache.begin(), engine.cache.end(),
--- a/test/engine_fleet.hpp
+++ b/test/engine_fleet.hpp
@@ -144,6 +144,7 @@
 
     void tick();
     void start_programs();
+    int node_of(program const& one);
     void begin(program_ptr const& one);
     void send_turn(program_ptr const& one);
     void arrive(std::size_t engine, call_ptr const& one);
@@ -157,7 +158,7 @@
     void hear(int node);
     std::uint32_t
     read_prompt(engine_state_of& engine, std::vector<prompt_part> const& parts);
-    void keep(engine_state_of& engine, prompt_part const& part);
+    void keep(engine_state_of& engine, prompt_part const& part) const;
     double turn_ms(std::uint32_t unread) const;
     bool full(engine_state_of const& engine) const
     {
--- a/test/engine_links-test.cpp
+++ b/test/engine_links-test.cpp
@@ -27,7 +27,7 @@
     /// One exchange; its answer states that idle time.
     engine_links::link_ptr exchange(std::optional<milliseconds> stated)
     {
-        auto const link = links.take(ref, engine.address(), 4);
+        auto link = links.take(ref, engine.address(), 4);
         REQUIRE(link);
         bool ended = false;
         http_link::handlers to;
--- a/test/load_exchange-test.cpp
+++ b/test/load_exchange-test.cpp
@@ -61,7 +61,7 @@
             std::chrono::steady_clock::now());
     }
 
-    void listen()
+    void listen() const
     {
         REQUIRE(strong->loads.listen(strong->address.text()));
         REQUIRE(weak->loads.listen(weak->address.text()));
@@ -79,7 +79,7 @@
         return condition();
     }
 
-    double load_at(node& one)
+    double load_at(node& one) const
     {
         auto const at = one.board.choose(need);
         REQUIRE(at);
--- a/test/program_home-test.cpp
+++ b/test/program_home-test.cpp
@@ -93,6 +93,7 @@
         options.strength_power = power;
         program_homes to("w0", options);
         std::vector<home_candidate> others;
+        others.reserve(294);
         for (int i = 0; i < 54; ++i)
             others.push_back({"s" + std::to_string(i), "10.0.0.1:1", 0.5});
         for (int i = 1; i < 241; ++i)
