load exchange: the interval of reports is a parameter, so that tests leave it out

With choices that don't ask for the loads the tests of the load exchange passed all the same, as the next report by interval brought them: seen by a mutation. No change of what nodes do.

--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -17,9 +17,7 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
-/// Interval between reports of a node that places no calls.
-constexpr std::chrono::milliseconds shortest_interval{200};
-/// Such reports a second that the summing node takes of all nodes.
+/// Reports a second, beside those of choices, that the summing node takes.
 constexpr int reports_per_s = 1'500;
 /// Age up to which a sum serves a choice.
 constexpr std::chrono::milliseconds new_enough{10};
@@ -56,10 +54,11 @@
 
 load_exchange::load_exchange(
     asio::io_context& io, engine_board& board, clock_fn clock, std::string self,
-    double own_strength)
+    double own_strength, std::chrono::milliseconds interval)
     : board_(board), clock_(std::move(clock)), self_(self),
       homes_(std::move(self), summing_options(own_strength)), io_(io),
-      socket_(io), timer_(io), choice_timer_(io), interval_(shortest_interval)
+      socket_(io), timer_(io), choice_timer_(io), shortest_interval_(interval),
+      interval_(interval)
 {
 }
 
@@ -91,7 +90,7 @@
     constexpr int ms_per_s = 1'000;
     auto const nodes = static_cast<int>(others.size()) + 1;
     interval_ = std::max(
-        shortest_interval,
+        shortest_interval_,
         std::chrono::milliseconds(nodes * ms_per_s / reports_per_s));
     homes_.set_nodes(std::move(others));
 }
--- a/src/entry/load_exchange.hpp
+++ b/src/entry/load_exchange.hpp
@@ -33,12 +33,16 @@
 namespace walnutmill
 {
 
+/// Interval between reports of a node that places no calls.
+constexpr std::chrono::milliseconds usual_report_interval{200};
+
 class load_exchange
 {
 public:
     load_exchange(
         boost::asio::io_context& io, engine_board& board, clock_fn clock,
-        std::string self, double own_strength = 1);
+        std::string self, double own_strength = 1,
+        std::chrono::milliseconds interval = usual_report_interval);
     ~load_exchange();
     load_exchange(load_exchange const&) = delete;
     load_exchange& operator=(load_exchange const&) = delete;
@@ -90,6 +94,7 @@
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer choice_timer_;
     std::array<char, 65'536> buffer_{};
+    std::chrono::milliseconds shortest_interval_;
     std::chrono::milliseconds interval_;
     std::uint64_t number_ = 0;
     /// Reports without an answer, oldest first, and to whom they went.
--- a/test/load_exchange-test.cpp
+++ b/test/load_exchange-test.cpp
@@ -15,6 +15,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Only choices and their calls bring reports.
+constexpr std::chrono::minutes no_interval{10};
+
 /// Nodes that tell each other their loads over the loopback, on one loop.
 struct exchange_fixture
 {
@@ -28,7 +31,7 @@
             boost::asio::io_context& io, std::string const& name,
             double strength)
             : board(zone_name("z"), now, seeded_random(1)),
-              loads(io, board, now, name, strength)
+              loads(io, board, now, name, strength, no_interval)
         {
         }
     };
@@ -130,7 +133,11 @@
     engine_ref const engine(target_name("e0"), engine_incarnation());
     weak->board.sent(engine, need);
     CHECK(comes_true(
-        [&] { return weak->board.pressure(need.service).has_value(); }));
+        [&]
+        {
+            load_of_choice(*weak);
+            return weak->board.pressure(need.service).has_value();
+        }));
 }
 
 TEST_CASE_METHOD(
