--- a/include/walnutmill/engine_board.hpp
+++ b/include/walnutmill/engine_board.hpp
@@ -82,14 +82,10 @@
     /// first, and at most: a restart takes one to four seconds.
     duration first_rest = std::chrono::milliseconds(300);
     duration longest_rest = std::chrono::milliseconds(3'000);
-    /// How calls ended counts half after this: long enough to hold a few calls
-    /// of each engine over all nodes (8 to 30 a second), short enough that an
-    /// engine that went down is seen within two exchanges (400 ms).
+    /// Half-life of the counts of how calls ended.
     duration outcomes_halve = std::chrono::milliseconds(250);
     /// Calls of all nodes that must have failed lately for an engine to rest,
-    /// and their least number for each answered one. One lost answer in twenty,
-    /// the usual spell, gives half a failure to ten answers; at one in three a
-    /// turn that is sent three times is lost once in 27.
+    /// and their least number for each answered one.
     double failed_calls_to_rest = 3;
     double failed_part_to_rest = 0.5;
     /// How long it rests at first: restarts take one to four seconds, and each
--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -91,10 +91,8 @@
     /// reserved, and given back as soon as it has ended.
     guest,
     /// Which node is the home is not known: what a turn needs is reserved, and
-    /// kept for the next one for \c idle_return. Nodes that came up while a
-    /// part of the store was away made two writes a turn where they gave it
-    /// back at once, and 1,600 a second when they learned of each other, twice
-    /// what the store takes: turns waited 1.4 s.
+    /// kept for the next one for \c idle_return: given back at once it costs
+    /// two writes a turn.
     unknown
 };
 
--- a/include/walnutmill/start_lease.hpp
+++ b/include/walnutmill/start_lease.hpp
@@ -85,10 +85,7 @@
     duration confirm_every = std::chrono::seconds(5);
     /// Leases are taken this long after the members were first read: by then
     /// nodes that started together have written their rows (3 s) and read each
-    /// other's. Until a node knows the others it is home to all partitions: 21
-    /// nodes that came up in an outage made 2,867 calls for 64 leases on the
-    /// store's return (256 with this), and a store of 2,000 reads and 800
-    /// writes a second turned calls away for 2.3 s.
+    /// other's. Until a node knows the others it is home to all partitions.
     duration members_settle = std::chrono::seconds(4);
     /// Between two looks at a lease that this node should hold.
     duration look_every = std::chrono::seconds(1);
