entry: check callers' keys, bound the age of the configuration, hold limits over all nodes

Cause: the product knew no workspaces. On the shifted site the client's key went to engines, revoked and unknown keys ran, and limits were passed.

A call is identified before it is admitted; ids of programs and turns are scoped by workspace. A configuration's age counts from the start of the reading that found it whole, through the domain's reader, by the clock that counts suspension; beyond 0.95 of the bound keyed calls get 503. An unknown key waits for the next reading before it is denied. Limits: one coordinator a workspace, chosen by weighted rendezvous hashing, asked by a datagram for each request.

Ruled out: a fixed share a node (small workspaces make 5 requests a second over 85 nodes); a lease row (3 s until members know); an extra reading of the store for each unknown key (bytes of the configuration times nodes).

Seen on the way, in the model of 85 nodes: a coordinator cut off and its stand-in granted the whole rate each (304 requests in 5 s where 218 are allowed): each grants its part of the nodes now.

--- a/include/walnutmill/call.hpp
+++ b/include/walnutmill/call.hpp
@@ -6,6 +6,7 @@
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
+#include <walnutmill/workspace_directory.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -61,6 +62,12 @@
     /// Object that the call concerns; engines may be warm for it.
     std::string subject;
     program_fields program;
+    /// The caller's key; empty where none came.
+    std::optional<key_digest> key;
+    /// Whose call it is, as told to the engine; empty: nobody's.
+    workspace_name owner;
+    /// The owner's rank, which goes before the route's.
+    std::optional<std::uint32_t> owner_rank;
     /// Headers that go to the engine unchanged.
     header_fields passed;
 };
--- a/include/walnutmill/routing_table.hpp
+++ b/include/walnutmill/routing_table.hpp
@@ -6,6 +6,7 @@
 /// of one version, and the engines that serve them.
 
 #include <walnutmill/ids.hpp>
+#include <walnutmill/workspace_directory.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -54,6 +55,8 @@
     std::uint32_t max_engines = 1;
     /// 0 is the most urgent.
     std::uint32_t rank = 0;
+    /// Serves callers without a key, too.
+    bool open = false;
     std::vector<route_share> shares;
 };
 
@@ -92,6 +95,9 @@
     std::vector<route> routes;
     std::vector<service> services;
     caller_limits limits;
+    /// Empty: callers need no key. Without a single workspace nobody is served
+    /// but on open routes.
+    std::optional<workspace_directory> workspaces;
 
     /// Sorts the routes for match(); call once after filling them.
     void seal();
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -394,7 +394,7 @@
     // The turn counts for the caller once its end has come, so it has to be
     // durable before that.
     kept_turn turn;
-    turn.id = call_.id;
+    turn.id = kept_id_;
     turn.chain = chain_.ids;
     turn.input = request_.body();
     turn.output = std::move(output_);
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -70,6 +70,7 @@
         return;
     }
     call_ = std::move(*decoded);
+    kept_id_ = call_.id;
     story_["request"] = call_.id.str();
     if (!call_.program.program.empty())
         story_["program"] = call_.program.program.str();
@@ -91,7 +92,7 @@
         return;
     link_->on_gone = [self = shared_from_this()] { self->caller_left(); };
     arm_deadline();
-    admit();
+    check_identity();
 }
 
 bool call_flow::route_call()
@@ -187,14 +188,14 @@
         return;
     }
     auto const now = node_.clock();
-    node_.ranks.seen(route_->rank, now);
+    node_.ranks.seen(route_rank(), now);
     auto const goes_before_others =
-        node_.ranks.has_less_urgent(route_->rank, now);
+        node_.ranks.has_less_urgent(route_rank(), now);
     if (goes_before_others)
         story_["goes_before_others"] = true;
     auto const only_begun =
         node_.random() <
-        refusal_chance(pressure, route_->rank, goes_before_others);
+        refusal_chance(pressure, route_rank(), goes_before_others);
     node_.budgets.admit(
         {program.program, *program.token_budget, most_tokens_, only_begun,
          route_->keeps_turns && !may_run_in_vain(pressure)},
@@ -266,12 +267,27 @@
         try_engine();
         return;
     }
+    auto const may_be_unscoped =
+        !unscoped_previous_.empty() && !is_scoped(unscoped_previous_.str());
+    load_turn(call_.program.previous_turn, may_be_unscoped);
+}
+
+/// \param may_be_unscoped the turn may have been kept before callers needed
+/// keys, under its bare id
+void call_flow::load_turn(request_id const& last, bool may_be_unscoped)
+{
     node_.history.load(
-        call_.program.previous_turn,
-        [self = shared_from_this()](history_answer answer, turn_chain chain)
+        last,
+        [self = shared_from_this(),
+         may_be_unscoped](history_answer answer, turn_chain chain)
         {
             if (self->done_)
                 return;
+            if (answer == history_answer::unknown_turn && may_be_unscoped)
+            {
+                self->load_turn(self->unscoped_previous_, false);
+                return;
+            }
             self->story_["history"] =
                 answer == history_answer::found
                     ? std::to_string(chain.ids.size()) + " turns"
@@ -346,9 +362,19 @@
 
 void call_flow::refuse(std::string_view why, milliseconds come_back)
 {
-    auto const spread = static_cast<std::int64_t>(
-        node_.random() * static_cast<double>(come_back_spread.count()));
-    answer_own(status_unavailable, why, come_back + milliseconds(spread));
+    return_quota();
+    answer_own(status_unavailable, why, come_back + come_back_jitter());
+}
+
+milliseconds call_flow::come_back_jitter() const
+{
+    return milliseconds(static_cast<std::int64_t>(
+        node_.random() * static_cast<double>(come_back_spread.count())));
+}
+
+std::uint32_t call_flow::route_rank() const
+{
+    return call_.owner_rank.value_or(route_->rank);
 }
 
 void call_flow::answer_own(
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -6,6 +6,7 @@
 /// its history and an engine to the caller's answer.
 
 #include <walnutmill/call.hpp>
+#include <walnutmill/denied_keys.hpp>
 #include <walnutmill/engine_board.hpp>
 #include <walnutmill/metrics.hpp>
 #include <walnutmill/routing_table.hpp>
@@ -18,7 +19,9 @@
 #include "entry/event_stream.hpp"
 #include "entry/line_log.hpp"
 #include "entry/outage_policy.hpp"
+#include "entry/quota_exchange.hpp"
 #include "entry/start_gate.hpp"
+#include "entry/workspace_counters.hpp"
 #include "platform/call_codec.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -68,6 +71,17 @@
     std::function<void(std::function<void()>)> before_choice{};
     /// A call at a model engine began or ended; null: nobody is told.
     std::function<void()> on_calls_changed{};
+    /// Within which no node serves a key that was taken away; zero: no bound.
+    duration revoke_within{0};
+    /// Since the configuration is known to be whole; null: always is.
+    std::function<duration()> configuration_age{};
+    /// Calls back once the configuration is known to be whole as of a later
+    /// time. \return false where too many calls wait for that already
+    std::function<bool(std::function<void()>)> after_confirmation{};
+    /// Null: workspaces have no limits.
+    quota_exchange* quotas = nullptr;
+    workspace_counters requests_by_workspace{counters};
+    denied_keys denied{};
 };
 
 class call_flow : public std::enable_shared_from_this<call_flow>
@@ -102,6 +116,19 @@
 
     bool route_call();
     void choose_service();
+    void check_identity();
+    void adopt(workspace const& owner);
+    void scope_ids();
+    void look_for_key(duration configuration_age);
+    void identify_again();
+    void deny(std::string_view why);
+    void take_quota();
+    void quota_answered(quota_answer const& answer);
+    void refuse_over_limit(
+        std::string_view why, std::chrono::milliseconds come_back);
+    void return_quota();
+    std::uint32_t route_rank() const;
+    std::chrono::milliseconds come_back_jitter() const;
     void arm_deadline();
     void admit();
     void granted(budget_desk::grant const& one);
@@ -109,6 +136,7 @@
     std::optional<prompt_place> prompt_left() const;
     void refuse_for_budget(admission_answer answer);
     void load_history();
+    void load_turn(request_id const& last, bool may_be_unscoped);
     void try_engine();
     void choose_engine();
     void tell_calls() const;
@@ -169,6 +197,12 @@
     std::uint64_t tokens_per_event_ = 1;
     std::uint64_t handed_out_ = 0;
     std::optional<budget_desk::grant> grant_;
+    /// A token of the workspace's limit was granted.
+    bool quota_taken_ = false;
+    /// Id under which the turn is kept.
+    request_id kept_id_;
+    /// The turn before, as the caller named it.
+    request_id unscoped_previous_;
     bool head_written_ = false;
     bool done_ = false;
     bool left_ = false;
--- a/src/entry/call_rank.cpp
+++ b/src/entry/call_rank.cpp
@@ -21,7 +21,8 @@
 
 std::uint32_t rank_of(call const& one, route const& to, duration waited)
 {
-    auto const by_route = std::min(to.rank, route_ranks);
+    auto const by_route =
+        std::min(one.owner_rank.value_or(to.rank), route_ranks);
     if (one.program.finish_in && *one.program.finish_in <= waited)
         return rank_late + std::min(by_route, 1U);
     return rank_in_time + by_route;
--- a/src/entry/cluster_section.cpp
+++ b/src/entry/cluster_section.cpp
@@ -14,6 +14,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+/// Place of the time since the newest reading in a told section.
+constexpr std::size_t whole_age_at = 4;
+
 std::string to_bytes(json const& body)
 {
     auto const bytes = json::to_cbor(body);
@@ -177,7 +180,8 @@
     {
         body.push_back(json::array(
             {one.as_of, one.age.count(), one.digest,
-             one.bytes ? binary_of(*one.bytes) : json()}));
+             one.bytes ? binary_of(*one.bytes) : json(),
+             one.whole_age ? json(one.whole_age->count()) : json()}));
     }
     return to_bytes(body);
 }
@@ -197,13 +201,20 @@
                 to[i].digest = one.at(2).get<std::uint64_t>();
                 if (!one.at(3).is_null())
                     to[i].bytes = text_of(one.at(3));
+                // Nodes of an earlier version leave it out.
+                if (one.size() > whole_age_at && !one[whole_age_at].is_null())
+                {
+                    to[i].whole_age =
+                        milliseconds(one[whole_age_at].get<std::int64_t>());
+                }
             }
             return to;
         });
 }
 
 std::optional<told_sections> answer_query(
-    section_query const& query, cluster_sections const& known, time_point now)
+    section_query const& query, cluster_sections const& known, time_point now,
+    time_point boot_now)
 {
     told_sections to;
     for (std::size_t i = 0; i < cluster_tables; ++i)
@@ -216,6 +227,12 @@
         to[i].digest = one.digest;
         if (one.digest != query.digests[i])
             to[i].bytes = one.bytes;
+        // Rounded up: a reading must not look newer than it is.
+        if (one.whole_at != time_point{} && boot_now >= one.whole_at)
+        {
+            to[i].whole_age =
+                std::chrono::ceil<milliseconds>(boot_now - one.whole_at);
+        }
     }
     return to;
 }
--- a/src/entry/cluster_section.hpp
+++ b/src/entry/cluster_section.hpp
@@ -73,6 +73,9 @@
     std::string bytes;
     /// Hash of the bytes.
     std::uint64_t digest = 0;
+    /// When the newest reading that holds began, by a clock that counts the
+    /// time in which the machine was suspended; the epoch: not known.
+    time_point whole_at{};
 
     bool known() const { return read_at != time_point{}; }
 };
@@ -97,6 +100,8 @@
     std::uint64_t digest = 0;
     /// Empty: as the query's digest says.
     std::optional<std::string> bytes;
+    /// Time since the newest reading began; empty: not known.
+    std::optional<std::chrono::milliseconds> whole_age{};
 };
 
 using told_sections = std::array<told_section, cluster_tables>;
@@ -108,8 +113,10 @@
 
 /// \return what a node with these sections answers; empty while it has not
 /// read all tables.
+/// \param boot_now by the clock of cluster_section::whole_at
 std::optional<told_sections> answer_query(
-    section_query const& query, cluster_sections const& known, time_point now);
+    section_query const& query, cluster_sections const& known, time_point now,
+    time_point boot_now = {});
 
 } // namespace walnutmill
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 #include <map>
 #include <random>
 #include <unistd.h>
@@ -42,6 +43,16 @@
 constexpr std::uint64_t cache_part = 8;
 constexpr std::size_t bytes_in_mb = 1'048'576;
 
+/// Goes on while the machine is suspended, as the steady clock does not.
+time_point boot_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(now.tv_sec) +
+        std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 time_point steady_now()
 {
     return std::chrono::time_point_cast<duration>(
@@ -90,16 +101,26 @@
     return to;
 }
 
-/// \return the time between readings, which may be half as long again.
-milliseconds read_interval(entry_settings const& settings)
+} // namespace
+
+milliseconds entry_node::read_interval(entry_settings const& settings)
 {
-    return std::max(
-        shortest_interval,
-        std::min(settings.apply_within, settings.drain_within) /
-            readings_in_bound);
+    auto bound = std::min(settings.apply_within, settings.drain_within);
+    if (settings.revoke_within.count() > 0)
+        bound = std::min(bound, settings.revoke_within);
+    return std::max(shortest_interval, bound / readings_in_bound);
 }
 
-} // namespace
+void entry_node::call_later(duration after, std::function<void()> what)
+{
+    auto const timer = std::make_shared<asio::steady_timer>(io_, after);
+    timer->async_wait(
+        [timer, what = std::move(what)](boost::system::error_code const& error)
+        {
+            if (!error)
+                what();
+        });
+}
 
 entry_node::entry_node(entry_settings settings, reread_fn reread)
     : settings_(std::move(settings)), reread_(std::move(reread)),
@@ -132,6 +153,9 @@
       history_(history_calls(store_), options_of_history()),
       turns_of_peers_(io_, history_, clock_, settings_.node, settings_.domain),
       loads_(io_, board_, clock_, settings_.node, settings_.strength),
+      quotas_(
+          clock_, settings_.node, settings_.strength, settings_.quota,
+          quota_hooks()),
       sweeper_(
           store_.calls(store_client::when_lost::fail_at_once), system_utc(),
           swept_tables()),
@@ -169,6 +193,7 @@
     services_.before_choice = [this](std::function<void()> choose)
     { loads_.before_choice(std::move(choose)); };
     services_.on_calls_changed = [this] { loads_.calls_changed(); };
+    connect_workspaces();
     board_.is_connected = [this](target_name const& engine)
     { return links_.has_idle(engine); };
     loads_.on_rest =
@@ -241,16 +266,7 @@
     to.cache_bytes = std::min<std::size_t>(
         to.cache_bytes, settings_.memory_mb * bytes_in_mb / cache_part);
     to.later = [this](milliseconds after, std::function<void()> what)
-    {
-        auto const timer = std::make_shared<asio::steady_timer>(io_, after);
-        timer->async_wait(
-            [timer,
-             what = std::move(what)](boost::system::error_code const& error)
-            {
-                if (!error)
-                    what();
-            });
-    };
+    { call_later(after, std::move(what)); };
     return to;
 }
 
@@ -308,6 +324,7 @@
     }
     turns_of_peers_.set_nodes(std::move(by_domain));
     loads_.set_nodes(homes);
+    quotas_.set_nodes(homes);
     budgets_.set_nodes(std::move(homes));
     leases_.members_known();
     services_.nodes = static_cast<std::uint32_t>(members.size() + 1);
@@ -327,6 +344,8 @@
                  std::string const& address, std::string const& query,
                  platform_view::told_fn const& done)
     { ask_for_sections(address, query, done); };
+    to.boot_clock = boot_now;
+    to.on_confirmed = [this] { configuration_confirmed(); };
     return to;
 }
 
@@ -360,6 +379,7 @@
                           { answer_metrics(link); }));
     }
     wait_for_signal();
+    started_ = clock_();
     view_.start();
     tick();
     sweep_rows();
@@ -376,6 +396,7 @@
 {
     ledger_.tick();
     budgets_.tick();
+    quotas_.tick();
     if (!services_.stopping)
         leases_.tick();
     log_.flush();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -13,6 +13,7 @@
 #include "entry/line_log.hpp"
 #include "entry/load_exchange.hpp"
 #include "entry/platform_view.hpp"
+#include "entry/quota_exchange.hpp"
 #include "entry/row_sweeper.hpp"
 #include "entry/store_client.hpp"
 
@@ -27,6 +28,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace walnutmill
 {
@@ -79,6 +81,14 @@
     void stop_step();
     void tick();
     start_leases::hooks lease_hooks();
+    quota_exchange::hooks quota_hooks();
+    /// \return the time between readings, which may be half as long again.
+    static std::chrono::milliseconds
+    read_interval(entry_settings const& settings);
+    void call_later(duration after, std::function<void()> what);
+    void connect_workspaces();
+    bool await_confirmation(std::function<void()> then);
+    void configuration_confirmed();
     ledger_options options_of_ledger();
     history_options options_of_history();
     void sweep_rows();
@@ -100,6 +110,7 @@
     turn_history history_;
     history_exchange turns_of_peers_;
     load_exchange loads_;
+    quota_exchange quotas_;
     row_sweeper sweeper_;
     http_caller view_caller_;
     entry_services services_;
@@ -112,8 +123,11 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     std::unordered_set<caller_link*> caller_links_;
+    /// Calls that wait for a newer configuration.
+    std::vector<std::function<void()>> confirmation_waiters_;
     /// Incarnations of the other nodes.
     std::unordered_set<std::string> living_;
+    time_point started_{};
     time_point stop_began_{};
     bool left_ = false;
     bool leaving_ = false;
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -63,6 +63,9 @@
     // Addresses that the node listens on hold until its next start.
     settings_.store = fresh.store;
     settings_.stop_grace = fresh.stop_grace;
+    settings_.revoke_within = fresh.revoke_within;
+    services_.revoke_within = fresh.revoke_within;
+    quotas_.set_bounds(fresh.quota);
     store_.set_address(fresh.store);
     log_.write(
         line_weight::important, "settings.reloaded",
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -31,6 +31,8 @@
     double cores = 1;
     std::uint32_t apply_ms = 2'000;
     std::uint32_t drain_ms = 2'000;
+    std::uint32_t revoke_within_ms = 0;
+    double quota_window_seconds = 0;
     std::uint32_t stall_least_ms =
         static_cast<std::uint32_t>(stall_options().least.count());
 };
@@ -62,6 +64,15 @@
         "within which a configuration is in force");
     add("drain-within-ms", po::value(&raw.drain_ms),
         "within which a leaving engine gets no new work");
+    add("revoke-within-ms", po::value(&raw.revoke_within_ms),
+        "within which a key that was taken away is served nowhere (0: no "
+        "bound)");
+    add("quota-window-s", po::value(&raw.quota_window_seconds),
+        "window over which workspaces' limits are judged (0: not judged)");
+    add("quota-over", po::value(&to.quota.over),
+        "part of a limit by which all nodes together may exceed it");
+    add("quota-slack", po::value(&to.quota.slack),
+        "requests by which they may exceed it besides");
     add("stall-least-ms", po::value(&raw.stall_least_ms),
         "silence of an engine that a call always bears");
     add("settings-file", po::value(&to.file),
@@ -140,6 +151,12 @@
         problems.add("stop-grace-s", "must be above 1");
     if (raw.stall_least_ms < shortest_stall_ms)
         problems.add("stall-least-ms", "must be 200 at least");
+    if (!(raw.quota_window_seconds >= 0))
+        problems.add("quota-window-s", "must not be below 0");
+    if (!(to.quota.over >= 0))
+        problems.add("quota-over", "must not be below 0");
+    if (!(to.quota.slack >= 0))
+        problems.add("quota-slack", "must not be below 0");
     constexpr std::uint64_t least_memory_mb = 40;
     if (to.memory_mb < least_memory_mb)
         problems.add("memory-mb", "must be 40 at least");
@@ -205,6 +222,9 @@
     raw.to.stop_grace = std::chrono::milliseconds(
         static_cast<std::int64_t>(raw.stop_grace_s * ms_per_s));
     raw.to.apply_within = std::chrono::milliseconds(raw.apply_ms);
+    raw.to.revoke_within = std::chrono::milliseconds(raw.revoke_within_ms);
+    raw.to.quota.window = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(raw.quota_window_seconds));
     raw.to.stall_least = std::chrono::milliseconds(raw.stall_least_ms);
     raw.to.drain_within = std::chrono::milliseconds(raw.drain_ms);
     return raw.to;
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -6,6 +6,7 @@
 /// names that may change while the node runs.
 
 #include <walnutmill/finding.hpp>
+#include <walnutmill/quota.hpp>
 #include <walnutmill/stall_policy.hpp>
 
 #include <chrono>
@@ -40,6 +41,10 @@
     std::chrono::milliseconds apply_within{2'000};
     /// Within which an engine that leaves has to be left alone.
     std::chrono::milliseconds drain_within{2'000};
+    /// Within which no node serves a key that was taken away; zero: no bound.
+    std::chrono::milliseconds revoke_within{0};
+    /// By how much nodes may exceed a workspace's limit together.
+    quota_bounds quota;
     /// Silence that an engine may always keep during a call.
     std::chrono::milliseconds stall_least = stall_options().least;
     std::string file;
--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -26,6 +26,9 @@
 /// A report that is under way for less than this brings the sum for later
 /// choices, too.
 constexpr std::chrono::milliseconds just_asked{2};
+/// Age up to which a sum tells which nodes are in touch: longer than the pause
+/// until another node sums up.
+constexpr std::chrono::milliseconds sum_tells_reach{600};
 /// Time without an answer after which another node sums up.
 constexpr std::chrono::milliseconds longest_silence{400};
 /// Reports kept until their answers come.
@@ -89,12 +92,22 @@
 {
     constexpr int ms_per_s = 1'000;
     auto const nodes = static_cast<int>(others.size()) + 1;
+    nodes_known_ = others.size() + 1;
     interval_ = std::max(
         shortest_interval_,
         std::chrono::milliseconds(nodes * ms_per_s / reports_per_s));
     homes_.set_nodes(std::move(others));
 }
 
+double load_exchange::reach() const
+{
+    auto const known = static_cast<double>(nodes_known_);
+    auto const heard = clock_() - sum_asked_at_ <= sum_tells_reach
+                           ? static_cast<double>(std::max(nodes_heard_, 1U))
+                           : 1.0;
+    return std::min(heard / known, 1.0);
+}
+
 void load_exchange::stop()
 {
     boost::system::error_code ignored; // nothing is lost with it
@@ -268,7 +281,11 @@
 {
     auto const message = decode_load_message(bytes);
     if (!message)
+    {
+        if (on_other)
+            take_other(bytes);
         return;
+    }
     if (message->asks)
     {
         answer(*message);
@@ -289,6 +306,32 @@
     choose_waiting();
 }
 
+void load_exchange::take_other(std::string_view bytes)
+{
+    on_other(
+        bytes,
+        [this, alive = alive_, to = sender_](std::string const& reply)
+        {
+            boost::system::error_code ignored; // its sender asks again
+            if (*alive && socket_.is_open())
+                socket_.send_to(asio::buffer(reply), to, 0, ignored);
+        });
+}
+
+void load_exchange::send_other(
+    std::string const& address, std::string const& bytes)
+{
+    auto const at = endpoint_of(address);
+    boost::system::error_code
+        ignored; // whoever waits for its answer asks again
+    if (at && socket_.is_open())
+    {
+        socket_.send_to(
+            asio::buffer(bytes), udp::endpoint(at->address(), at->port()), 0,
+            ignored);
+    }
+}
+
 void load_exchange::answer(load_message const& asked)
 {
     auto const now = clock_();
@@ -303,6 +346,9 @@
 
 void load_exchange::apply(load_report const& sum, engine_counts const& own)
 {
+    // Nodes of an earlier version don't tell.
+    nodes_heard_ =
+        sum.nodes > 0 ? sum.nodes : static_cast<std::uint32_t>(nodes_known_);
     std::unordered_map<std::uint32_t, std::uint32_t> others(
         sum.calls.begin(), sum.calls.end());
     for (auto const& [key, calls] : own)
--- a/src/entry/load_exchange.hpp
+++ b/src/entry/load_exchange.hpp
@@ -55,12 +55,23 @@
     /// Calls back once a sum is known that was made just now, or none comes in
     /// time; at once where the known one is new enough.
     void before_choice(std::function<void()> choose);
+    /// \return the part of all nodes, 0 to 1, that the summing node hears and
+    /// this node hears of.
+    double reach() const;
     /// Reports this node's calls soon: one began or ended.
     void calls_changed();
 
     /// An engine rests, as calls of all nodes failed there.
     std::function<void(target_name const&, recent_outcomes const&)> on_rest;
 
+    /// Takes datagrams of other protocols that share the address; null: they
+    /// are dropped.
+    std::function<void(
+        std::string_view bytes, std::function<void(std::string)> const& reply)>
+        on_other;
+    /// Sends a datagram of another protocol to IP:PORT.
+    void send_other(std::string const& address, std::string const& bytes);
+
 private:
     /// A report whose answer has not come.
     struct open_report
@@ -75,6 +86,7 @@
     void report_changes();
     void receive();
     void take(std::string_view bytes);
+    void take_other(std::string_view bytes);
     void answer(load_message const& asked);
     void apply(load_report const& sum, engine_counts const& own);
     void choose_waiting();
@@ -102,6 +114,9 @@
     std::string asked_node_;
     /// When the known sum was asked for.
     time_point sum_asked_at_{};
+    /// Nodes that the known sum is of, and all that are known.
+    std::uint32_t nodes_heard_ = 0;
+    std::size_t nodes_known_ = 1;
     /// Choices that wait for a sum.
     std::vector<std::function<void()>> choices_;
     bool changes_to_report_ = false;
--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -12,8 +12,11 @@
 namespace
 {
 
-/// CBOR's head of an array of six: a message's fields and its report's.
-constexpr char array_of_six = static_cast<char>(0x86);
+/// CBOR's head of an array of seven: a message's fields and its report's.
+constexpr char array_of_seven = static_cast<char>(0x87);
+/// Age up to which a node's report tells that the node is in touch: two
+/// intervals between reports, and what a slow node takes.
+constexpr std::chrono::milliseconds heard_lately{500};
 
 void append(json const& one, std::string& to)
 {
@@ -52,6 +55,7 @@
     std::string to;
     for (auto const* part : {&counts, &outcomes, &demand})
         append(*part, to);
+    append(report.nodes, to);
     return to;
 }
 
@@ -59,7 +63,7 @@
     bool asks, std::string_view node, std::uint64_t number,
     std::string_view report)
 {
-    std::string to(1, array_of_six);
+    std::string to(1, array_of_seven);
     append(asks, to);
     append(node, to);
     append(number, to);
@@ -104,6 +108,8 @@
                 {demand[i].get<std::uint32_t>(),
                  demand[i + 1].get<std::uint32_t>()});
         }
+        if (body.size() > 6)
+            to.report.nodes = body.at(6).get<std::uint32_t>();
         return to;
     }
     catch (json::exception const&)
@@ -126,6 +132,7 @@
     std::unordered_map<std::uint32_t, std::uint32_t> calls;
     std::unordered_map<std::uint32_t, outcome_count> outcomes;
     std::unordered_map<std::uint32_t, std::uint32_t> demand;
+    load_report to;
     for (auto it = nodes_.begin(); it != nodes_.end();)
     {
         if (now - it->second.at > keeps_)
@@ -133,6 +140,8 @@
             it = nodes_.erase(it);
             continue;
         }
+        if (now - it->second.at <= heard_lately)
+            ++to.nodes;
         for (auto const& [key, count] : it->second.report.calls)
             calls[key] += count;
         for (auto const& one : it->second.report.outcomes)
@@ -146,7 +155,6 @@
             demand[one.key] += one.calls;
         ++it;
     }
-    load_report to;
     to.calls.assign(calls.begin(), calls.end());
     for (auto const& [key, one] : outcomes)
     {
--- a/src/entry/load_summary.hpp
+++ b/src/entry/load_summary.hpp
@@ -49,6 +49,8 @@
     engine_counts calls;
     std::vector<outcome_count> outcomes;
     std::vector<demand_count> demand{};
+    /// In a sum: nodes that reported a short time ago.
+    std::uint32_t nodes = 0;
 };
 
 /// \return a key short enough for datagrams. Two engines of a few thousand
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -42,6 +42,9 @@
 constexpr milliseconds write_pause{1'500};
 /// A node that was asked within this time reads for others, twice as often.
 constexpr milliseconds asked_lately{3'000};
+/// Intervals between readings after which a node reads the configuration
+/// itself, whoever tells it of others.
+constexpr int lapsing_after = 2;
 /// Intervals between readings that a reading of another node may be old.
 constexpr double oldest_reading = 1.5;
 
@@ -73,6 +76,8 @@
       engines_timer_(io), members_timer_(io), ask_timer_(io), self_timer_(io),
       engines_(log), members_(log), reader_(self_.node, reader_options(self_))
 {
+    if (!hooks_.boot_clock)
+        hooks_.boot_clock = clock_;
 }
 
 void platform_view::start()
@@ -117,6 +122,13 @@
         section(cluster_table::engines).read_at);
 }
 
+duration platform_view::configuration_age() const
+{
+    auto const whole_at = section(cluster_table::configuration).whole_at;
+    return whole_at == time_point{} ? duration::max()
+                                    : hooks_.boot_clock() - whole_at;
+}
+
 bool platform_view::knows_engines() const
 {
     return section(cluster_table::engines).known();
@@ -171,6 +183,7 @@
     auto const changed = !known.known() || fresh.digest != known.digest;
     auto const before = known;
     fresh.read_at = std::max(fresh.read_at, known.read_at);
+    fresh.whole_at = known.whole_at;
     if (changed)
         known = std::move(fresh);
     else
@@ -202,7 +215,10 @@
 
 void platform_view::read_configuration()
 {
-    if (follows())
+    // A reader that does not say how old its reading is, or that reads late
+    // itself, must not let this node's keys lapse.
+    auto const lapses = configuration_age() > interval_ * lapsing_after;
+    if (follows() && !lapses)
     {
         again(
             interval_, configuration_timer_,
@@ -213,16 +229,17 @@
     store_.read(
         {std::string(platform::names::operator_table), "", key, key + '\0'},
         read_patience,
-        [this](range_result const& result)
+        [this, began = hooks_.boot_clock()](range_result const& result)
         {
-            configuration_read(result);
+            configuration_read(result, began);
             again(
                 reading_interval(), configuration_timer_,
                 &platform_view::read_configuration);
         });
 }
 
-void platform_view::configuration_read(range_result const& result)
+void platform_view::configuration_read(
+    range_result const& result, time_point began)
 {
     if (result.outcome != store_outcome::done)
         return;
@@ -232,6 +249,18 @@
     take_in(
         cluster_table::configuration,
         make_section(as_of(result), clock_(), encode(row)));
+    confirm_configuration(began);
+}
+
+/// What was acknowledged before that time is known.
+void platform_view::confirm_configuration(time_point whole_at)
+{
+    auto& known = section(cluster_table::configuration);
+    if (whole_at <= known.whole_at)
+        return;
+    known.whole_at = whole_at;
+    if (hooks_.on_confirmed)
+        hooks_.on_confirmed();
 }
 
 bool platform_view::take_in_configuration()
@@ -503,16 +532,18 @@
         query.digests[i] = sections_[i].digest;
     hooks_.ask(
         reader->address, encode(query),
-        [this, peer = *reader](std::optional<std::string> const& answer)
-        { told(peer, answer); });
+        [this, peer = *reader, asked_at = hooks_.boot_clock()](
+            std::optional<std::string> const& answer)
+        { told(peer, answer, asked_at); });
 }
 
 void platform_view::told(
-    home_candidate const& peer, std::optional<std::string> const& answer)
+    home_candidate const& peer, std::optional<std::string> const& answer,
+    time_point asked_at)
 {
     auto const now = clock_();
     auto const outcome =
-        answer ? take_in_told(*answer) : told_outcome::unusable;
+        answer ? take_in_told(*answer, asked_at) : told_outcome::unusable;
     if (outcome == told_outcome::behind)
         return;
     auto const had_followed = follows();
@@ -539,7 +570,8 @@
     read_all();
 }
 
-platform_view::told_outcome platform_view::take_in_told(std::string_view bytes)
+platform_view::told_outcome
+platform_view::take_in_told(std::string_view bytes, time_point asked_at)
 {
     auto const told = decode_told_sections(bytes);
     if (!told)
@@ -577,6 +609,9 @@
         fresh.read_at = now - one.age;
         if (!take_in(which, std::move(fresh)))
             return told_outcome::unusable;
+        // From the question on, as the answer may have been under way long.
+        if (which == cluster_table::configuration && one.whole_age)
+            confirm_configuration(asked_at - *one.whole_age);
     }
     return outcome;
 }
@@ -587,7 +622,8 @@
     auto const asked = decode_section_query(query);
     if (!asked)
         return std::nullopt;
-    auto const answer = answer_query(*asked, sections_, clock_());
+    auto const answer =
+        answer_query(*asked, sections_, clock_(), hooks_.boot_clock());
     if (!answer)
         return std::nullopt;
     return encode(*answer);
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -54,6 +54,10 @@
         std::function<void(
             std::string const& address, std::string query, told_fn)>
             ask{};
+        /// Clock that goes on while the machine is suspended; null: the view's.
+        clock_fn boot_clock{};
+        /// The configuration is known to be whole as of a later time.
+        std::function<void()> on_confirmed{};
     };
 
     platform_view(
@@ -75,6 +79,9 @@
     /// When a configuration or the engines were last read, by this node or the
     /// one that told it.
     time_point last_read() const;
+    /// \return the time since the configuration is known to hold all that was
+    /// acknowledged before; the longest duration where it never was read.
+    duration configuration_age() const;
     /// \return true once the registered engines were read.
     bool knows_engines() const;
 
@@ -114,7 +121,8 @@
     bool follows() const { return clock_() < follows_until_; }
     void read_all();
     void read_configuration();
-    void configuration_read(range_result const& result);
+    void configuration_read(range_result const& result, time_point began);
+    void confirm_configuration(time_point whole_at);
     void read_engines();
     void read_table(
         std::string const& table, std::string const& partition,
@@ -143,9 +151,10 @@
     };
 
     void ask_peer();
-    void
-    told(home_candidate const& peer, std::optional<std::string> const& answer);
-    told_outcome take_in_told(std::string_view bytes);
+    void told(
+        home_candidate const& peer, std::optional<std::string> const& answer,
+        time_point asked_at);
+    told_outcome take_in_told(std::string_view bytes, time_point asked_at);
     void log_members(std::vector<entry_member> const& members);
 
     void write_self();
--- a/src/entry/program_home.cpp
+++ b/src/entry/program_home.cpp
@@ -92,8 +92,8 @@
     return nullptr;
 }
 
-home_candidate const*
-program_homes::home_of(std::string_view key, time_point now) const
+program_homes::ranking const&
+program_homes::ranking_of(std::string_view key) const
 {
     auto found = rankings_.find(std::string(key));
     if (found == rankings_.end())
@@ -103,12 +103,24 @@
         found =
             rankings_.emplace(std::string(key), rank(key, ranked_nodes)).first;
     }
-    auto const* first = first_present(found->second, now);
-    if (first != nullptr || !found->second.more)
+    return found->second;
+}
+
+home_candidate const*
+program_homes::home_of(std::string_view key, time_point now) const
+{
+    auto const& order = ranking_of(key);
+    auto const* first = first_present(order, now);
+    if (first != nullptr || !order.more)
         return first;
     return first_present(rank(key, others_.size()), now);
 }
 
+bool program_homes::is_first(std::string_view key) const
+{
+    return ranking_of(key).first.empty();
+}
+
 void program_homes::did_not_answer(std::string const& node, time_point now)
 {
     passed_over_until_[node] = now + options_.passed_over_for;
--- a/src/entry/program_home.hpp
+++ b/src/entry/program_home.hpp
@@ -68,6 +68,10 @@
     /// \return the node that is its home; null: this one.
     home_candidate const* home_of(std::string_view key, time_point now) const;
 
+    /// \return true where no other node goes before this one, whether or not
+    /// it answers.
+    bool is_first(std::string_view key) const;
+
     void did_not_answer(std::string const& node, time_point now);
     void answered(std::string const& node);
 
@@ -84,6 +88,7 @@
     ranking rank(std::string_view key, std::size_t most) const;
     home_candidate const*
     first_present(ranking const& order, time_point now) const;
+    ranking const& ranking_of(std::string_view key) const;
 
     std::string self_;
     home_options options_;
--- a/test/cluster_view-test.cpp
+++ b/test/cluster_view-test.cpp
@@ -47,6 +47,7 @@
     milliseconds interval{60};
     /// The views' clock.
     clock_fn clock = now;
+    duration suspended_for{0};
 
     static time_point now()
     {
@@ -123,6 +124,7 @@
         };
         to.on_members = [&one](std::vector<entry_member> const& members)
         { one.members = members.size(); };
+        to.boot_clock = [this] { return now() + suspended_for; };
         to.ask = [this, &one](
                      std::string const& address, std::string const& query,
                      platform_view::told_fn const& done)
@@ -356,3 +358,42 @@
         all(&node::answers) - answers);
     CHECK(all_know({"e1"}));
 }
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: time in which a machine was suspended makes a configuration "
+    "old")
+{
+    put_engine("e1");
+    auto& reader = add("strong", 0.5);
+    auto& follower = add("weak", 0.01);
+    settle();
+    auto const both_are = [&](bool recent)
+    {
+        return (reader.view->configuration_age() < seconds(1)) == recent &&
+               (follower.view->configuration_age() < seconds(1)) == recent;
+    };
+    REQUIRE(comes_true([&] { return both_are(true); }));
+    suspended_for = seconds(30);
+    CHECK(both_are(false));
+    CHECK(comes_true([&] { return both_are(true); }));
+}
+
+TEST_CASE_METHOD(
+    cluster_view_fixture,
+    "cluster view: a reading that was passed on is as old as it is")
+{
+    put_engine("e1");
+    auto& reader = add("strong", 0.5);
+    auto& follower = add("weak", 0.01);
+    settle();
+    REQUIRE(comes_true(
+        [&] { return follower.view->configuration_age() < seconds(1); }));
+    without_store = {"strong", "weak"};
+    // Asked again and again, the reader has nothing newer to tell.
+    auto const began = now();
+    run_for(interval * 10);
+    auto const passed = now() - began;
+    for (auto* one : {&reader, &follower})
+        CHECK(one->view->configuration_age() >= passed - interval * 3);
+}
--- a/test/decoder_fuzz-test.cpp
+++ b/test/decoder_fuzz-test.cpp
@@ -5,6 +5,7 @@
 #include "platform/store_codec.hpp"
 
 #include "entry/event_stream.hpp"
+#include "entry/quota_message.hpp"
 
 #include <walnutmill/program_ledger.hpp>
 #include <walnutmill/start_lease.hpp>
@@ -96,12 +97,15 @@
     R"("kind":"stream","retain":true,"retain_s":60,"timeout_ms":3000,)"
     R"("split":[{"service":"s","weight":2}],"service":"s"}],)"
     R"("services":[{"name":"s","max_conns":4,"engine":{"slots":8,)"
-    R"("stride":4}}],"limits":{"max_header_bytes":100}})";
+    R"("stride":4}}],"limits":{"max_header_bytes":100},)"
+    R"("tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,)"
+    R"("rate_per_s":3,"burst":9}]})";
 
 std::string const request_bytes =
     "POST /a/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: t1\r\nDeadline-Ms: 3000\r\n"
     "Token-Usage: 10,20\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"
     "Token-Budget: 400\r\nFinish-Ms: 900.5\r\nLast-Event-Id: 4\r\n"
+    "X-Api-Key: k1\r\nTenant: t\r\n"
     "Connection: close, X-Own\r\nX-Own: a\r\nContent-Length: 0\r\n\r\n";
 
 std::string const answer_bytes =
@@ -180,6 +184,20 @@
         });
 }
 
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: messages on limits")
+{
+    quota_message ask;
+    ask.node = "n1";
+    ask.request = {workspace_name("archive"), {3, 9}};
+    quota_message answer;
+    answer.verb = quota_verb::answer;
+    answer.answer = {
+        quota_decision::over_limit, std::chrono::milliseconds(120)};
+    play(
+        {encode(ask), encode(answer)},
+        [](std::string const& bytes) { decode_quota_message(bytes); });
+}
+
 TEST_CASE_METHOD(fuzz_fixture, "fuzz: events of a stream")
 {
     play(
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -441,6 +441,7 @@
     settings.store = store.address();
     settings.stop_grace = seconds(8);
     settings.stall_least = stall_least;
+    settings.revoke_within = revoke;
     one->process = std::make_unique<entry_node>(
         settings, [settings](findings&) { return settings; });
     one->thread =
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -261,6 +261,9 @@
     /// Of nodes started from then on. Beyond all deadlines, as engines of most
     /// tests keep silent for other reasons.
     std::chrono::milliseconds stall_least{20'000};
+    /// Of nodes started from then on: within which no key that was taken away
+    /// is served; zero: no bound.
+    std::chrono::milliseconds revoke{0};
 };
 
 } // namespace testing
