--- a/src/entry/quota.cpp
+++ b/src/entry/quota.cpp
@@ -80,7 +80,7 @@
         fresh.tokens = first_tokens(one.limit, bounds_) * share;
         fresh.filled_at = now;
         fresh.use = uses_.insert(uses_.end(), one.owner);
-        found = buckets_.emplace(one.owner, std::move(fresh)).first;
+        found = buckets_.emplace(one.owner, fresh).first;
     }
     auto& to = found->second;
     uses_.splice(uses_.end(), uses_, to.use);
--- a/test/caller_identity-test.cpp
+++ b/test/caller_identity-test.cpp
@@ -26,7 +26,8 @@
         open.open = true;
     }
 
-    identity_answer answer(route const& to, duration age = milliseconds(0))
+    identity_answer
+    answer(route const& to, duration age = milliseconds(0)) const
     {
         return identify(table, to, one, age, revoke_within).answer;
     }
--- a/test/quota-test.cpp
+++ b/test/quota-test.cpp
@@ -107,6 +107,7 @@
     fill_up();
     granted_of(10);
     std::vector<milliseconds> waits;
+    waits.reserve(5);
     for (int i = 0; i < 5; ++i)
         waits.push_back(take().retry_after);
     CHECK(waits.front() > milliseconds(0));
