--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -363,10 +363,10 @@
 void call_flow::refuse(std::string_view why, milliseconds come_back)
 {
     return_quota();
-    answer_own(status_unavailable, why, come_back + come_back_jitter());
+    answer_own(status_unavailable, why, come_back + retry_after_jitter());
 }
 
-milliseconds call_flow::come_back_jitter() const
+milliseconds call_flow::retry_after_jitter() const
 {
     return milliseconds(static_cast<std::int64_t>(
         node_.random() * static_cast<double>(come_back_spread.count())));
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -125,10 +125,10 @@
     void take_quota();
     void quota_answered(quota_answer const& answer);
     void refuse_over_limit(
-        std::string_view why, std::chrono::milliseconds come_back);
+        std::string_view why, std::chrono::milliseconds retry_after);
     void return_quota();
     std::uint32_t route_rank() const;
-    std::chrono::milliseconds come_back_jitter() const;
+    std::chrono::milliseconds retry_after_jitter() const;
     void arm_deadline();
     void admit();
     void granted(budget_desk::grant const& one);
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -162,14 +162,15 @@
     }
 }
 
-void call_flow::refuse_over_limit(std::string_view why, milliseconds come_back)
+void call_flow::refuse_over_limit(
+    std::string_view why, milliseconds retry_after)
 {
     if (auto const* owner = table_->workspaces->find(call_.owner))
     {
         story_["limit_per_s"] = owner->limit.per_second;
         story_["limit_burst"] = owner->limit.burst;
     }
-    answer_own(status_too_many, why, come_back + come_back_jitter());
+    answer_own(status_too_many, why, retry_after + retry_after_jitter());
 }
 
 /// The call reached no engine.
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -32,7 +32,7 @@
     std::uint32_t apply_ms = 2'000;
     std::uint32_t drain_ms = 2'000;
     std::uint32_t revoke_within_ms = 0;
-    double quota_window_seconds = 0;
+    double quota_seconds = 0;
     std::uint32_t stall_least_ms =
         static_cast<std::uint32_t>(stall_options().least.count());
 };
@@ -67,7 +67,7 @@
     add("revoke-within-ms", po::value(&raw.revoke_within_ms),
         "within which a key that was taken away is served nowhere (0: no "
         "bound)");
-    add("quota-window-s", po::value(&raw.quota_window_seconds),
+    add("quota-window-s", po::value(&raw.quota_seconds),
         "window over which workspaces' limits are judged (0: not judged)");
     add("quota-over", po::value(&to.quota.over),
         "part of a limit by which all nodes together may exceed it");
@@ -151,7 +151,7 @@
         problems.add("stop-grace-s", "must be above 1");
     if (raw.stall_least_ms < shortest_stall_ms)
         problems.add("stall-least-ms", "must be 200 at least");
-    if (!(raw.quota_window_seconds >= 0))
+    if (!(raw.quota_seconds >= 0))
         problems.add("quota-window-s", "must not be below 0");
     if (!(to.quota.over >= 0))
         problems.add("quota-over", "must not be below 0");
@@ -224,7 +224,7 @@
     raw.to.apply_within = std::chrono::milliseconds(raw.apply_ms);
     raw.to.revoke_within = std::chrono::milliseconds(raw.revoke_within_ms);
     raw.to.quota.window = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(raw.quota_window_seconds));
+        std::chrono::duration<double>(raw.quota_seconds));
     raw.to.stall_least = std::chrono::milliseconds(raw.stall_least_ms);
     raw.to.drain_within = std::chrono::milliseconds(raw.drain_ms);
     return raw.to;
--- a/src/entry/quota_exchange.cpp
+++ b/src/entry/quota_exchange.cpp
@@ -102,8 +102,8 @@
         done(decide_here(message), {});
         return;
     }
-    auto const passes_on = message.hops > most_hops;
-    if (passes_on || candidates_left == 0 ||
+    auto const passed_on_enough = message.hops > most_hops;
+    if (passed_on_enough || candidates_left == 0 ||
         pending_.size() >= options_.most_pending)
     {
         done(undecided(), {});
