load reports: tell messages of other protocols by their head

Each ask for a workspace's limit was parsed as a load report first and thrown away by an exception. The first element tells them apart now. Not measured on its own.

--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -18,6 +18,16 @@
 /// intervals between reports, and what a slow node takes.
 constexpr std::chrono::milliseconds heard_lately{500};
 
+/// \return true for an array whose first element is a boolean, in CBOR:
+/// messages of other protocols come to the same address.
+bool starts_with_flag(std::string_view bytes)
+{
+    constexpr char cbor_false = static_cast<char>(0xf4);
+    constexpr char cbor_true = static_cast<char>(0xf5);
+    return bytes.size() > 1 &&
+           (bytes[1] == cbor_false || bytes[1] == cbor_true);
+}
+
 void append(json const& one, std::string& to)
 {
     auto const bytes = json::to_cbor(one);
@@ -78,6 +88,8 @@
 
 std::optional<load_message> decode_load_message(std::string_view bytes)
 {
+    if (!starts_with_flag(bytes))
+        return std::nullopt;
     try
     {
         auto const body = json::from_cbor(bytes.begin(), bytes.end());
--- a/test/quota_exchange-test.cpp
+++ b/test/quota_exchange-test.cpp
@@ -1,5 +1,7 @@
 #include "quota_world.hpp"
 
+#include "entry/load_summary.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <string>
@@ -241,3 +243,19 @@
     one.verb = static_cast<quota_verb>(9);
     CHECK_FALSE(decode_quota_message(encode(one)));
 }
+
+TEST_CASE("quota message: one on limits is none on loads, nor the other way")
+{
+    quota_message one;
+    one.node = "n1";
+    one.request = {small, {3.5, 9}};
+    CHECK_FALSE(decode_load_message(encode(one)));
+    load_message report;
+    report.asks = true;
+    report.node = "n1";
+    report.report.nodes = 7;
+    auto const bytes = encode(report);
+    CHECK_FALSE(decode_quota_message(bytes));
+    REQUIRE(decode_load_message(bytes));
+    CHECK(decode_load_message(bytes)->report.nodes == 7);
+}
