entry: report how old a configuration is where a call is denied by it

Cause: callers were denied by a configuration that was older than the time within which a change has to be in force.

Change: lines only, no decision. call.ended of a denied call has the age and the source of the configuration; configuration.applied has changed_within_ms, an upper bound of the time since the change; configuration.overdue reports each confirmation after more than the bound, with the reads that failed and the time since a reader answered.

--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -77,6 +77,8 @@
     /// Time since the configuration was last confirmed to be complete. Null:
     /// it always counts as complete.
     std::function<duration()> configuration_age{};
+    /// Node that read the configuration from the store. Null: not known.
+    std::function<std::string()> configuration_source{};
     /// Calls back once the configuration is confirmed to be complete as of a
     /// later time. \return false if too many calls already wait for that
     std::function<bool(std::function<void()>)> after_confirmation{};
@@ -123,6 +125,7 @@
     bool route_call();
     void choose_service();
     void check_identity();
+    void log_configuration_origin();
     void set_owner(workspace const& owner);
     void scope_ids();
     void recheck_or_reject_key(duration configuration_age);
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -56,6 +56,7 @@
         recheck_or_reject_key(age);
         break;
     case identity_answer::stale:
+        log_configuration_origin();
         refuse(
             "the configuration is too old to check the key",
             min_retry_after_refusal);
@@ -63,6 +64,18 @@
     }
 }
 
+/// Logs how old the configuration is that a call is refused by, and which node
+/// read it.
+void call_flow::log_configuration_origin()
+{
+    auto const age =
+        node_.configuration_age ? node_.configuration_age() : duration::max();
+    if (age != duration::max())
+        log_fields_["configuration_age_ms"] = ms_count(age);
+    if (node_.configuration_source)
+        log_fields_["configuration_source"] = node_.configuration_source();
+}
+
 void call_flow::set_owner(workspace const& owner)
 {
     call_.owner = owner.name;
@@ -120,6 +133,7 @@
 void call_flow::reject_key(std::string_view why)
 {
     node_.counters.count("walnutmill_keys_denied_total");
+    log_configuration_origin();
     respond_locally(status_unauthorized, why);
 }
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -357,7 +357,9 @@
                  platform_view::peer_answer_fn const& done)
     { ask_for_sections(address, query, done); };
     to.boot_clock = boot_now;
-    to.on_configuration_confirmed = [this] { configuration_confirmed(); };
+    to.on_configuration_confirmed =
+        [this](platform_view::configuration_confirmation const& one)
+    { configuration_confirmed(one); };
     return to;
 }
 
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -89,7 +89,10 @@
     void call_later(duration after, std::function<void()> what);
     void connect_workspaces();
     bool await_confirmation(std::function<void()> then);
-    void configuration_confirmed();
+    void configuration_confirmed(
+        platform_view::configuration_confirmation const& confirmation);
+    void observe_configuration_age(
+        platform_view::configuration_confirmation const& confirmation);
     ledger_options options_of_ledger();
     history_options options_of_history();
     void sweep_rows();
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -110,6 +110,12 @@
         static_cast<double>(history_.cached_bytes()));
     counters_.gauge(
         "walnutmill_log_lines_dropped", static_cast<double>(log_.dropped()));
+    if (auto const age = view_.configuration_age(); age != duration::max())
+    {
+        counters_.gauge(
+            "walnutmill_configuration_current_age_seconds",
+            std::chrono::duration<double>(age).count());
+    }
     link->write(text_answer(status_ok, counters_.prometheus_text()));
     link->finish_answer(false);
 }
--- a/src/entry/entry_node_workspaces.cpp
+++ b/src/entry/entry_node_workspaces.cpp
@@ -4,6 +4,10 @@
 
 #include "entry/entry_node.hpp"
 
+#include "entry/call_limits.hpp"
+
+#include <nlohmann/json.hpp>
+
 #include <utility>
 
 namespace walnutmill
@@ -24,6 +28,8 @@
 {
     services_.revoke_within = settings_.revoke_within;
     services_.configuration_age = [this] { return view_.configuration_age(); };
+    services_.configuration_source = [this]
+    { return view_.configuration_source(); };
     services_.after_confirmation = [this](std::function<void()> then)
     { return await_confirmation(std::move(then)); };
     services_.quotas = &quotas_;
@@ -45,14 +51,43 @@
     return true;
 }
 
-void entry_node::configuration_confirmed()
+void entry_node::configuration_confirmed(
+    platform_view::configuration_confirmation const& confirmation)
 {
+    observe_configuration_age(confirmation);
     // Calls that must keep waiting register themselves again, hence the
     // exchange.
     for (auto const& then : std::exchange(confirmation_waiters_, {}))
         then();
 }
 
+/// Reports a configuration that was older than the time within which a change
+/// must be in force.
+void entry_node::observe_configuration_age(
+    platform_view::configuration_confirmation const& confirmation)
+{
+    if (confirmation.former_age == duration::max())
+        return;
+    counters_.observe(
+        "walnutmill_configuration_age_seconds",
+        std::chrono::duration<double>(confirmation.former_age).count());
+    if (confirmation.former_age <= settings_.apply_within)
+        return;
+    counters_.count("walnutmill_configuration_overdue_total");
+    nlohmann::json fields{
+        {"age_ms", ms_count(confirmation.former_age)},
+        {"former_source", confirmation.former_source},
+        {"source", confirmation.source},
+        {"read_ms_ago", ms_count(confirmation.read_age)},
+        {"failed_reads", confirmation.failed_reads}};
+    if (confirmation.since_reader_answered != duration::max())
+    {
+        fields["reader_answered_ms_ago"] =
+            ms_count(confirmation.since_reader_answered);
+    }
+    log_.write(log_priority::important, "configuration.overdue", fields);
+}
+
 quota_exchange::hooks entry_node::quota_hooks()
 {
     quota_exchange::hooks to;
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -1,5 +1,6 @@
 #include "entry/platform_view.hpp"
 
+#include "entry/call_limits.hpp"
 #include "platform/documents.hpp"
 #include "platform/names.hpp"
 
@@ -249,26 +250,39 @@
     range_result const& result, time_point began)
 {
     if (result.outcome != store_outcome::done)
+    {
+        ++failed_configuration_reads_;
         return;
+    }
     configuration_row row;
     if (!result.rows.empty())
         row = {result.rows[0].version, result.rows[0].value};
     apply_section(
         cluster_table::configuration,
         make_section(as_of(result), clock_(), encode(row)));
-    confirm_configuration(began);
+    confirm_configuration(self_.node, began);
 }
 
 /// Records that the configuration includes every write acknowledged before
 /// that time.
-void platform_view::confirm_configuration(time_point read_started_at)
+void platform_view::confirm_configuration(
+    std::string const& source, time_point read_started_at)
 {
     auto& known = section(cluster_table::configuration);
     if (read_started_at <= known.read_started_at)
         return;
+    configuration_confirmation confirmation;
+    confirmation.source = source;
+    confirmation.read_age = hooks_.boot_clock() - read_started_at;
+    confirmation.former_age = configuration_age();
+    confirmation.former_source = std::exchange(configuration_source_, source);
+    confirmation.since_reader_answered = reader_answered_at_ == time_point{}
+                                             ? duration::max()
+                                             : clock_() - reader_answered_at_;
+    confirmation.failed_reads = std::exchange(failed_configuration_reads_, 0);
     known.read_started_at = read_started_at;
     if (hooks_.on_configuration_confirmed)
-        hooks_.on_configuration_confirmed();
+        hooks_.on_configuration_confirmed(confirmation);
 }
 
 bool platform_view::apply_configuration()
@@ -291,12 +305,15 @@
     if (decoded->version < configuration_version_)
         return true;
     configuration_version_ = decoded->version;
-    log_.write(
-        log_priority::important, "configuration.applied",
-        {{"configuration", decoded->version},
-         {"row_version", configuration_row_version_},
-         {"routes", decoded->routes.size()},
-         {"services", decoded->services.size()}});
+    nlohmann::json fields{
+        {"configuration", decoded->version},
+        {"row_version", configuration_row_version_},
+        {"routes", decoded->routes.size()},
+        {"services", decoded->services.size()}};
+    // The change is at most as old as the read that did not show it.
+    if (auto const age = configuration_age(); age != duration::max())
+        fields["changed_within_ms"] = ms_count(age);
+    log_.write(log_priority::important, "configuration.applied", fields);
     hooks_.on_configuration(
         std::make_shared<routing_table const>(std::move(*decoded)));
     return true;
@@ -551,14 +568,16 @@
     time_point asked_at)
 {
     auto const now = clock_();
-    auto const outcome = answer ? apply_peer_answer(*answer, asked_at)
-                                : peer_answer_outcome::unusable;
+    auto const outcome = answer
+                             ? apply_peer_answer(peer.node, *answer, asked_at)
+                             : peer_answer_outcome::unusable;
     if (outcome == peer_answer_outcome::behind)
         return;
     auto const was_following = is_following();
     if (outcome == peer_answer_outcome::applied)
     {
         reader_.answered(peer.node);
+        reader_answered_at_ = now;
         following_until_ = now + interval_;
         if (!was_following)
         {
@@ -579,8 +598,8 @@
     read_all();
 }
 
-platform_view::peer_answer_outcome
-platform_view::apply_peer_answer(std::string_view bytes, time_point asked_at)
+platform_view::peer_answer_outcome platform_view::apply_peer_answer(
+    std::string const& reader, std::string_view bytes, time_point asked_at)
 {
     auto const reported = decode_peer_sections(bytes);
     if (!reported)
@@ -622,7 +641,7 @@
         // Counted from when the query was sent, as the answer may have been
         // delayed in transit.
         if (which == cluster_table::configuration && one.read_start_age)
-            confirm_configuration(asked_at - *one.read_start_age);
+            confirm_configuration(reader, asked_at - *one.read_start_age);
     }
     return outcome;
 }
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -45,6 +45,24 @@
     using peer_answer_fn =
         std::function<void(std::optional<std::string> answer)>;
 
+    /// How the configuration was found to be current, and what preceded it.
+    struct configuration_confirmation
+    {
+        /// Node that read it from the store.
+        std::string source;
+        /// Time since the read began.
+        duration read_age{0};
+        /// Staleness until then. The maximum duration: first confirmation.
+        duration former_age{0};
+        /// Node whose read was the latest until then.
+        std::string former_source;
+        /// Time since a reader's answer was last used. The maximum duration:
+        /// never.
+        duration since_reader_answered{0};
+        /// Reads of this node that failed since the former confirmation.
+        std::uint32_t failed_reads = 0;
+    };
+
     struct hooks
     {
         std::function<void(std::shared_ptr<routing_table const>)>
@@ -60,7 +78,8 @@
         clock_fn boot_clock{};
         /// Called when the configuration is confirmed to be current as of a
         /// later time than before.
-        std::function<void()> on_configuration_confirmed{};
+        std::function<void(configuration_confirmation const&)>
+            on_configuration_confirmed{};
     };
 
     platform_view(
@@ -86,6 +105,12 @@
     /// to which it is known to include every acknowledged write. The maximum
     /// duration if it was never read.
     duration configuration_age() const;
+    /// \return the node whose read of the configuration is the latest known;
+    /// empty if it was never read.
+    std::string const& configuration_source() const
+    {
+        return configuration_source_;
+    }
     /// \return true once the engines' table was read.
     bool has_read_engines() const;
 
@@ -127,7 +152,8 @@
     void read_all();
     void read_configuration();
     void configuration_read(range_result const& result, time_point began);
-    void confirm_configuration(time_point read_started_at);
+    void confirm_configuration(
+        std::string const& source, time_point read_started_at);
     void read_engines();
     void read_table(
         std::string const& table, std::string const& partition,
@@ -160,8 +186,8 @@
     void on_peer_answer(
         coordinator_candidate const& peer,
         std::optional<std::string> const& answer, time_point asked_at);
-    peer_answer_outcome
-    apply_peer_answer(std::string_view bytes, time_point asked_at);
+    peer_answer_outcome apply_peer_answer(
+        std::string const& reader, std::string_view bytes, time_point asked_at);
     void log_members(std::vector<entry_member> const& members);
 
     void write_self();
@@ -184,6 +210,8 @@
     cluster_sections sections_;
     std::uint64_t configuration_row_version_ = 0;
     std::uint64_t configuration_version_ = 0;
+    std::string configuration_source_;
+    std::uint32_t failed_configuration_reads_ = 0;
     engine_roster engines_;
     member_roster members_;
     std::unordered_map<std::string, decoded_row> decoded_engines_;
@@ -191,6 +219,8 @@
     program_coordinators reader_;
     /// Until then the reader's answers replace own reads.
     time_point following_until_{};
+    /// When a reader's answer was last used.
+    time_point reader_answered_at_{};
     std::set<std::string> member_names_;
     /// Latest read of the engines, on this node's own clock. The clock of a
     /// reader that was suspended makes its reads look newer than they are.
