platform view: schedule through a hook, and model its cluster in tests

Cause: the view's timers were those of the event loop, so that a test could not bring about the order of reads, questions and faults that makes a table old, nor look at hours of it.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -191,7 +191,7 @@
           [this] { return store_.lost_for(); },
           {}},
       view_(
-          io_, view_store(store_), clock_,
+          view_store(store_), clock_,
           seeded_random(seed_of(incarnation_ + "view")), log_,
           {settings_.node, settings_.listen_peers, settings_.domain,
            incarnation_, settings_.capacity_weight},
@@ -356,6 +356,8 @@
                  std::string const& address, std::string const& query,
                  platform_view::peer_answer_fn const& done)
     { ask_for_sections(address, query, done); };
+    to.schedule_after = [this](duration after, std::function<void()> what)
+    { call_later(after, std::move(what)); };
     to.boot_clock = boot_now;
     to.on_configuration_confirmed =
         [this](platform_view::configuration_confirmation const& one)
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -69,20 +69,22 @@
 } // namespace
 
 platform_view::platform_view(
-    boost::asio::io_context& io, versioned_store store, clock_fn clock,
-    random_fn random, line_log& log, entry_member self, milliseconds interval,
-    hooks callbacks)
+    versioned_store store, clock_fn clock, random_fn random, line_log& log,
+    entry_member self, milliseconds interval, hooks callbacks)
     : store_(std::move(store)), clock_(std::move(clock)),
       random_(std::move(random)), log_(log), self_(std::move(self)),
-      interval_(interval), hooks_(std::move(callbacks)),
-      configuration_timer_(io), engines_timer_(io), members_timer_(io),
-      ask_timer_(io), self_timer_(io), engines_(log), members_(log),
-      reader_(self_.node, reader_options(self_))
+      interval_(interval), hooks_(std::move(callbacks)), engines_(log),
+      members_(log), reader_(self_.node, reader_options(self_))
 {
     if (!hooks_.boot_clock)
         hooks_.boot_clock = clock_;
 }
 
+platform_view::~platform_view()
+{
+    *alive_ = false;
+}
+
 void platform_view::start()
 {
     started_ = clock_();
@@ -141,17 +143,25 @@
 }
 
 void platform_view::schedule(
-    milliseconds after, boost::asio::steady_timer& timer,
-    void (platform_view::*step)())
+    milliseconds after, periodic_step& timer, void (platform_view::*step)())
 {
     // Jitter keeps nodes that started together from reading in lockstep.
     auto const spread = 0.75 + random_() / 2;
-    timer.expires_after(milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(after.count()) * spread)));
-    timer.async_wait(
-        [this, step](boost::system::error_code const& error)
+    run_after(
+        milliseconds(static_cast<std::int64_t>(
+            static_cast<double>(after.count()) * spread)),
+        timer, step);
+}
+
+/// Schedules a step instead of the run of it that was scheduled before.
+void platform_view::run_after(
+    duration after, periodic_step& timer, void (platform_view::*step)())
+{
+    hooks_.schedule_after(
+        after,
+        [this, alive = alive_, &timer, step, run = ++timer.run]
         {
-            if (!error)
+            if (*alive && timer.run == run)
                 (this->*step)();
         });
 }
@@ -493,13 +503,7 @@
         write_self();
         return;
     }
-    self_timer_.expires_after(wait);
-    self_timer_.async_wait(
-        [this](boost::system::error_code const& error)
-        {
-            if (!error)
-                write_self();
-        });
+    run_after(wait, self_timer_, &platform_view::write_self);
 }
 
 bool platform_view::apply_members()
@@ -682,7 +686,6 @@
 void platform_view::leave(std::function<void()> done)
 {
     leaving_ = true;
-    self_timer_.cancel();
     row_transaction transaction;
     transaction.removals.push_back(
         {members_table, members_partition, self_.node});
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -23,8 +23,6 @@
 #include "entry/member_roster.hpp"
 #include "entry/program_coordinators.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -69,6 +67,9 @@
             on_configuration;
         std::function<void(std::vector<engine_entry> const&)> on_engines;
         std::function<void(std::vector<entry_member> const&)> on_members;
+        /// Calls a function after a delay, on the event loop of the store's
+        /// calls.
+        std::function<void(duration, std::function<void()>)> schedule_after;
         /// Queries another node, whose serve() answers. Null: this node reads
         /// all tables from the store.
         std::function<void(
@@ -83,9 +84,11 @@
     };
 
     platform_view(
-        boost::asio::io_context& io, versioned_store store, clock_fn clock,
-        random_fn random, line_log& log, entry_member self,
-        std::chrono::milliseconds interval, hooks callbacks);
+        versioned_store store, clock_fn clock, random_fn random, line_log& log,
+        entry_member self, std::chrono::milliseconds interval, hooks callbacks);
+    ~platform_view();
+    platform_view(platform_view const&) = delete;
+    platform_view& operator=(platform_view const&) = delete;
 
     void start();
 
@@ -191,9 +194,18 @@
     void log_members(std::vector<entry_member> const& members);
 
     void write_self();
+    /// A periodic step, of which at most one run is scheduled.
+    struct periodic_step
+    {
+        /// Number of the run that is scheduled last; earlier ones are void.
+        std::uint64_t run = 0;
+    };
+
     void schedule(
-        std::chrono::milliseconds after, boost::asio::steady_timer& timer,
+        std::chrono::milliseconds after, periodic_step& timer,
         void (platform_view::*step)());
+    void run_after(
+        duration after, periodic_step& timer, void (platform_view::*step)());
 
     versioned_store store_;
     clock_fn clock_;
@@ -202,11 +214,11 @@
     entry_member self_;
     std::chrono::milliseconds interval_;
     hooks hooks_;
-    boost::asio::steady_timer configuration_timer_;
-    boost::asio::steady_timer engines_timer_;
-    boost::asio::steady_timer members_timer_;
-    boost::asio::steady_timer ask_timer_;
-    boost::asio::steady_timer self_timer_;
+    periodic_step configuration_timer_;
+    periodic_step engines_timer_;
+    periodic_step members_timer_;
+    periodic_step ask_timer_;
+    periodic_step self_timer_;
     cluster_sections sections_;
     std::uint64_t configuration_row_version_ = 0;
     std::uint64_t configuration_version_ = 0;
@@ -231,6 +243,7 @@
     /// The first write of the own row was scheduled.
     bool first_write_scheduled_ = false;
     bool leaving_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace walnutmill
--- a/test/cluster_view-test.cpp
+++ b/test/cluster_view-test.cpp
@@ -7,6 +7,7 @@
 #include "fake_store.hpp"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -83,7 +84,7 @@
             name, now, [](std::string_view bytes) { return bytes.size(); },
             log_limits());
         one.view = std::make_unique<platform_view>(
-            io, store_of(one), clock, seeded_random(nodes.size()), *one.log,
+            store_of(one), clock, seeded_random(nodes.size()), *one.log,
             entry_member{name, name, domain, name + ".1", strength}, interval,
             hooks_of(one));
         return one;
@@ -123,6 +124,18 @@
         };
         to.on_members = [&one](std::vector<entry_member> const& members)
         { one.members = members.size(); };
+        to.schedule_after = [this](duration after, std::function<void()> what)
+        {
+            auto const timer =
+                std::make_shared<boost::asio::steady_timer>(io, after);
+            timer->async_wait(
+                [timer,
+                 what = std::move(what)](boost::system::error_code const& error)
+                {
+                    if (!error)
+                        what();
+                });
+        };
         to.boot_clock = [this] { return now() + suspended_for; };
         to.ask = [this, &one](
                      std::string const& address, std::string const& query,
--- a/test/store_return-test.cpp
+++ b/test/store_return-test.cpp
@@ -99,18 +99,18 @@
 
 TEST_CASE("platform view: a refresh starts all reads at once")
 {
-    boost::asio::io_context io;
     fake_store rows;
     manual_clock clock;
     line_log log(
         "n", clock.fn(), [](std::string_view bytes) { return bytes.size(); },
         log_limits());
     platform_view view(
-        io, rows.calls(), clock.fn(), seeded_random(1), log,
+        rows.calls(), clock.fn(), seeded_random(1), log,
         {"n", "127.0.0.1:1", "z", "n.1"}, milliseconds(450),
         {[](std::shared_ptr<routing_table const> const&) {},
          [](std::vector<engine_entry> const&) {},
-         [](std::vector<entry_member> const&) {}});
+         [](std::vector<entry_member> const&) {},
+         [](duration, std::function<void()> const&) {}});
     view.start();
     rows.run();
     auto const before = rows.steps();
