--- a/test/view_cluster.cpp
+++ b/test/view_cluster.cpp
@@ -21,8 +21,10 @@
 constexpr milliseconds check_interval{20};
 constexpr milliseconds ask_timeout{150};
 constexpr milliseconds read_timeout{900};
-/// Time until the store's client repeats a read that was not answered.
-constexpr milliseconds retry_after{110};
+/// Time until the store's client repeats a read once or twice that was not
+/// answered.
+constexpr milliseconds first_retry_after{110};
+constexpr milliseconds second_retry_after{375};
 /// Time for which a node still answers once its row is removed.
 constexpr seconds drain_time{4};
 constexpr milliseconds start_time{300};
@@ -99,10 +101,8 @@
     one.log = std::make_unique<line_log>(
         one.name, steady, [](std::string_view bytes) { return bytes.size(); },
         log_limits());
-    auto const seed = options_.seed * 1'000 + index * 100 + one.incarnation;
     one.view = std::make_unique<platform_view>(
-        store_of(index), steady,
-        seeded_random(static_cast<std::uint32_t>(seed)), *one.log,
+        store_of(index), steady, random_of(index), *one.log,
         entry_member{
             one.name, one.name, "z1",
             one.name + "." + std::to_string(one.incarnation), one.strength},
@@ -110,6 +110,15 @@
     one.view->start();
 }
 
+random_fn view_cluster::random_of(std::size_t index) const
+{
+    auto const seed =
+        options_.seed * 1'000 + index * 100 + nodes_[index].incarnation;
+    auto const random = seeded_random(static_cast<std::uint32_t>(seed));
+    // Only the extreme values of the nodes' random delays.
+    return [random] { return random() < 0.5 ? 0.0 : 0.999; };
+}
+
 platform_view::hooks view_cluster::hooks_of(std::size_t index)
 {
     auto& one = nodes_[index];
@@ -165,7 +174,10 @@
             index, read_timeout, [done] { done({}); }, true);
         return;
     }
-    auto const is_lost = random_() < options_.lost_answers;
+    auto const lost = [this] { return random_() < options_.lost_answers; };
+    auto const retried_after = !lost()   ? milliseconds(0)
+                               : !lost() ? first_retry_after
+                                         : second_retry_after;
     auto const incarnation = nodes_[index].incarnation;
     auto const at_store = [this, index, incarnation, range, done]
     {
@@ -178,9 +190,7 @@
             });
         rows_.run();
     };
-    add_event(
-        nodes_.size(), one_way + (is_lost ? retry_after : milliseconds(0)),
-        at_store);
+    add_event(nodes_.size(), one_way + retried_after, at_store);
 }
 
 void view_cluster::ask(
--- a/test/view_cluster.hpp
+++ b/test/view_cluster.hpp
@@ -40,8 +40,8 @@
     std::chrono::milliseconds settling_time{4'000};
     /// Interval between reads; a third of the bound as on an entry node.
     std::chrono::milliseconds interval{1'000};
-    /// Fraction of reads whose first answer is lost.
-    double lost_answers = 0.05;
+    /// Fraction of the store's answers that are lost.
+    double lost_answers = 0.6;
 };
 
 class view_cluster
@@ -119,6 +119,7 @@
     };
 
     void start(std::size_t index);
+    random_fn random_of(std::size_t index) const;
     platform_view::hooks hooks_of(std::size_t index);
     versioned_store store_of(std::size_t index);
     void read(
