platform view: read a table by its age, not by timers of a former state

Cause: a follower looked at its tables only when timers fired that had been set while it followed, up to 1.25 read intervals apart, and passed over the read while an answer was less than one interval old. A follower that becomes the reader, because the reader leaves in order, asks nobody from then on and got no other cue. The age of the last answer, one interval and 1.25 intervals add up to more than the three intervals of the bound. Engines had no look at their age at all. Class: a bound on staleness that is the sum of timers which nobody adds up.

Change: the age of a table, counted from the start of the read that confirms it, says when this node reads itself: at two intervals at the latest, whatever happened to the reader. A node that becomes the reader reads at once. Answers are accepted up to the same age, counted from the start of the read too, so that a slow read does not look new. Engines have the same as the configuration.

--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -44,11 +44,14 @@
 /// A node that received a query within this time acts as a reader and polls
 /// twice as often.
 constexpr milliseconds recent_query_window{3'000};
-/// Staleness of the configuration, in read intervals, above which a node reads
-/// it from the store even while it follows a reader.
-constexpr int lapse_after_intervals = 2;
-/// Maximum age of another node's read, in read intervals.
-constexpr double max_read_age_intervals = 1.5;
+/// Staleness of a table, in read intervals, at which a node reads it from the
+/// store even while it follows a reader, and up to which it accepts another
+/// node's read. Of the three intervals in which a change must take effect, one
+/// remains for the read and a retry.
+constexpr int max_followed_age_intervals = 2;
+/// Own reads start earlier by a random part of that, up to this fraction, so
+/// that the followers of a lost reader do not read at the same moment.
+constexpr double own_read_spread = 0.125;
 
 coordinator_options reader_options(entry_member const& self)
 {
@@ -130,8 +133,12 @@
 
 duration platform_view::configuration_age() const
 {
-    auto const read_started_at =
-        section(cluster_table::configuration).read_started_at;
+    return age_of(cluster_table::configuration);
+}
+
+duration platform_view::age_of(cluster_table which) const
+{
+    auto const read_started_at = section(which).read_started_at;
     return read_started_at == time_point{}
                ? duration::max()
                : hooks_.boot_clock() - read_started_at;
@@ -173,6 +180,43 @@
     return reads_for_others() ? interval_ / 2 : interval_;
 }
 
+platform_view::table_reads platform_view::reads_of(cluster_table which)
+{
+    return which == cluster_table::configuration
+               ? table_reads{configuration_timer_, &platform_view::read_configuration}
+               : table_reads{engines_timer_, &platform_view::read_engines};
+}
+
+/// Schedules the read after one of this node.
+void platform_view::schedule_next_read(cluster_table which)
+{
+    if (is_following() && age_of(which) < max_followed_age())
+        schedule_read_when_due(which);
+    else
+    {
+        auto const reads = reads_of(which);
+        schedule(read_interval(), reads.timer, reads.step);
+    }
+}
+
+/// Schedules a read that takes place unless an answer of the reader confirms
+/// the table before.
+void platform_view::schedule_read_when_due(cluster_table which)
+{
+    auto const due_at_age = duration(static_cast<duration::rep>(
+        static_cast<double>(max_followed_age().count()) *
+        (1 - own_read_spread * random_())));
+    auto const reads = reads_of(which);
+    run_after(
+        std::max(due_at_age - age_of(which), duration(0)), reads.timer,
+        reads.step);
+}
+
+duration platform_view::max_followed_age() const
+{
+    return interval_ * max_followed_age_intervals;
+}
+
 bool platform_view::reads_for_others() const
 {
     return last_query_at_ != time_point{} &&
@@ -232,17 +276,6 @@
 
 void platform_view::read_configuration()
 {
-    // A reader that does not report the age of its read, or whose own reads
-    // are late, must not cause this node's keys to lapse.
-    auto const is_lapsing =
-        configuration_age() > interval_ * lapse_after_intervals;
-    if (is_following() && !is_lapsing)
-    {
-        schedule(
-            interval_, configuration_timer_,
-            &platform_view::read_configuration);
-        return;
-    }
     std::string const key(platform::names::configuration_key);
     store_.read(
         {std::string(platform::names::operator_table), "", key, key + '\0'},
@@ -250,9 +283,7 @@
         [this, began = hooks_.boot_clock()](range_result const& result)
         {
             configuration_read(result, began);
-            schedule(
-                read_interval(), configuration_timer_,
-                &platform_view::read_configuration);
+            schedule_next_read(cluster_table::configuration);
         });
 }
 
@@ -270,29 +301,37 @@
     apply_section(
         cluster_table::configuration,
         make_section(as_of(result), clock_(), encode(row)));
-    confirm_configuration(self_.node, began);
+    confirm_section(cluster_table::configuration, self_.node, began);
 }
 
-/// Records that the configuration includes every write acknowledged before
-/// that time.
-void platform_view::confirm_configuration(
-    std::string const& source, time_point read_started_at)
+/// Records that the table includes every write acknowledged before that time.
+/// \param source the node that read it
+void platform_view::confirm_section(
+    cluster_table which, std::string const& source, time_point read_started_at)
 {
-    auto& known = section(cluster_table::configuration);
+    auto& known = section(which);
     if (read_started_at <= known.read_started_at)
         return;
-    configuration_confirmation confirmation;
-    confirmation.source = source;
-    confirmation.read_age = hooks_.boot_clock() - read_started_at;
-    confirmation.former_age = configuration_age();
-    confirmation.former_source = std::exchange(configuration_source_, source);
-    confirmation.since_reader_answered = reader_answered_at_ == time_point{}
-                                             ? duration::max()
-                                             : clock_() - reader_answered_at_;
-    confirmation.failed_reads = std::exchange(failed_configuration_reads_, 0);
+    auto const former_age = age_of(which);
     known.read_started_at = read_started_at;
+    if (which == cluster_table::configuration)
+        report_confirmation(source, former_age);
+}
+
+void platform_view::report_confirmation(
+    std::string const& source, duration former_age)
+{
+    configuration_confirmation one;
+    one.source = source;
+    one.read_age = configuration_age();
+    one.former_age = former_age;
+    one.former_source = std::exchange(configuration_source_, source);
+    one.since_reader_answered = reader_answered_at_ == time_point{}
+                                    ? duration::max()
+                                    : clock_() - reader_answered_at_;
+    one.failed_reads = std::exchange(failed_configuration_reads_, 0);
     if (hooks_.on_configuration_confirmed)
-        hooks_.on_configuration_confirmed(confirmation);
+        hooks_.on_configuration_confirmed(one);
 }
 
 bool platform_view::apply_configuration()
@@ -331,19 +370,14 @@
 
 void platform_view::read_engines()
 {
-    if (is_following())
-    {
-        schedule(interval_, engines_timer_, &platform_view::read_engines);
-        return;
-    }
     read_table(
         std::string(platform::names::engines_table), "",
-        [this](std::optional<table_rows> const& read)
+        [this,
+         began = hooks_.boot_clock()](std::optional<table_rows> const& read)
         {
             if (read)
-                engines_read(*read);
-            schedule(
-                read_interval(), engines_timer_, &platform_view::read_engines);
+                engines_read(*read, began);
+            schedule_next_read(cluster_table::engines);
         });
 }
 
@@ -387,13 +421,14 @@
         });
 }
 
-void platform_view::engines_read(table_rows const& read)
+void platform_view::engines_read(table_rows const& read, time_point began)
 {
     engines_confirmed_at_ = clock_();
     apply_section(
         cluster_table::engines, make_section(
                                     read.as_of, engines_confirmed_at_,
                                     encode(decode_engines(read.rows))));
+    confirm_section(cluster_table::engines, self_.node, began);
 }
 
 std::vector<engine_entry>
@@ -555,6 +590,8 @@
 {
     schedule(query_interval(), ask_timer_, &platform_view::ask_peer);
     auto const* reader = reader_.coordinator_of(reader_key, clock_());
+    if (reader == nullptr)
+        stop_following("this node is the reader");
     if (reader == nullptr || !hooks_.ask)
         return;
     section_query query;
@@ -577,28 +614,38 @@
                              : peer_answer_outcome::unusable;
     if (outcome == peer_answer_outcome::behind)
         return;
-    auto const was_following = is_following();
     if (outcome == peer_answer_outcome::applied)
     {
         reader_.answered(peer.node);
-        reader_answered_at_ = now;
-        following_until_ = now + interval_;
-        if (!was_following)
-        {
-            log_.write(
-                log_priority::routine, "view.follows", {{"reader", peer.node}});
-        }
+        follow(peer.node);
         return;
     }
     reader_.mark_unresponsive(peer.node, now);
-    following_until_ = {};
+    stop_following(answer ? "old or unreadable" : "no answer");
+}
+
+/// Uses the reader's answers instead of own reads for an interval.
+void platform_view::follow(std::string const& reader)
+{
+    auto const now = clock_();
+    if (!is_following())
+        log_.write(log_priority::routine, "view.follows", {{"reader", reader}});
+    followed_reader_ = reader;
+    reader_answered_at_ = now;
+    following_until_ = now + interval_;
+    schedule_read_when_due(cluster_table::configuration);
+    schedule_read_when_due(cluster_table::engines);
+}
+
+void platform_view::stop_following(std::string_view why)
+{
     // Otherwise own reads are already scheduled.
-    if (!was_following)
+    if (!is_following())
         return;
+    following_until_ = {};
     log_.write(
         log_priority::routine, "view.reads_itself",
-        {{"reader", peer.node},
-         {"why", answer ? "old or unreadable" : "no answer"}});
+        {{"reader", followed_reader_}, {"why", why}});
     read_all();
 }
 
@@ -616,15 +663,19 @@
     if (engines.as_of > section(cluster_table::engines).as_of)
         engines_confirmed_at_ =
             std::max(engines_confirmed_at_, now - engines.age);
-    if (now - engines_confirmed_at_ > interval_ * max_read_age_intervals)
+    if (now - engines_confirmed_at_ > max_followed_age())
         return peer_answer_outcome::unusable;
     auto outcome = peer_answer_outcome::applied;
     for (std::size_t i = 0; i < cluster_table_count; ++i)
     {
         auto const& one = (*reported)[i];
         auto const which = static_cast<cluster_table>(i);
+        // Counted from when the query was sent, as the answer may have been
+        // delayed in transit.
+        auto const read_started_at =
+            asked_at - one.read_start_age.value_or(one.age);
         if (which != cluster_table::members &&
-            one.age > interval_ * max_read_age_intervals)
+            hooks_.boot_clock() - read_started_at > max_followed_age())
             return peer_answer_outcome::unusable;
         if (one.as_of < sections_[i].as_of)
         {
@@ -642,10 +693,10 @@
         fresh.read_at = now - one.age;
         if (!apply_section(which, std::move(fresh)))
             return peer_answer_outcome::unusable;
-        // Counted from when the query was sent, as the answer may have been
-        // delayed in transit.
-        if (which == cluster_table::configuration && one.read_start_age)
-            confirm_configuration(reader, asked_at - *one.read_start_age);
+        // A node of an earlier version does not say when its read began. Then
+        // this node's own reads confirm the table.
+        if (one.read_start_age)
+            confirm_section(which, reader, read_started_at);
     }
     return outcome;
 }
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -155,8 +155,16 @@
     void read_all();
     void read_configuration();
     void configuration_read(range_result const& result, time_point began);
-    void confirm_configuration(
-        std::string const& source, time_point read_started_at);
+    void confirm_section(
+        cluster_table which, std::string const& source,
+        time_point read_started_at);
+    void report_confirmation(std::string const& source, duration former_age);
+    /// \return time since the latest moment up to which the table is known to
+    /// include every acknowledged write.
+    duration age_of(cluster_table which) const;
+    duration max_followed_age() const;
+    void schedule_next_read(cluster_table which);
+    void schedule_read_when_due(cluster_table which);
     void read_engines();
     void read_table(
         std::string const& table, std::string const& partition,
@@ -164,7 +172,7 @@
     void read_page(
         row_range range, std::shared_ptr<table_rows> const& read,
         std::function<void(std::optional<table_rows>)> done);
-    void engines_read(table_rows const& read);
+    void engines_read(table_rows const& read, time_point began);
     std::vector<engine_entry>
     decode_engines(std::vector<stored_row> const& rows);
     std::optional<engine_entry> decode_engine(stored_row const& row);
@@ -186,6 +194,8 @@
     };
 
     void ask_peer();
+    void follow(std::string const& reader);
+    void stop_following(std::string_view why);
     void on_peer_answer(
         coordinator_candidate const& peer,
         std::optional<std::string> const& answer, time_point asked_at);
@@ -207,6 +217,14 @@
     void run_after(
         duration after, periodic_step& timer, void (platform_view::*step)());
 
+    /// The periodic reads of a table whose changes must take effect in time.
+    struct table_reads
+    {
+        periodic_step& timer;
+        void (platform_view::*step)();
+    };
+    table_reads reads_of(cluster_table which);
+
     versioned_store store_;
     clock_fn clock_;
     random_fn random_;
@@ -231,6 +249,7 @@
     program_coordinators reader_;
     /// Until then the reader's answers replace own reads.
     time_point following_until_{};
+    std::string followed_reader_;
     /// When a reader's answer was last used.
     time_point reader_answered_at_{};
     std::set<std::string> member_names_;
