calls: deny a call only by a configuration that is in force

Cause: a route or key that is not in the table was denied whatever the age of the table, although the node knows it. A denial is final for callers: they don't try another node after 401, 403 or 404. Class: a negative answer from data that may be stale.

Change: a call is denied only if the configuration includes every change that had to be in force when the call came, apply-within-ms before. Otherwise it is refused with 503 and Retry-After, so that the caller's retry reaches a node that knows more. This holds for routes, keys and missing keys.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -105,8 +105,7 @@
     route_ = table_->match(host_without_port(call_.host), path);
     if (route_ == nullptr)
     {
-        log_configuration_origin();
-        respond_locally(status_not_found, "no route for this host and path");
+        deny(status_not_found, "no route for this host and path");
         return false;
     }
     log_fields_["route"] = route_->name;
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -72,6 +72,9 @@
     std::function<void(std::function<void()>)> before_choice{};
     /// Called when a call at a model engine starts or ends; may be null.
     std::function<void()> on_calls_changed{};
+    /// Time within which a change of the configuration must be in force; zero:
+    /// no bound.
+    duration apply_within{0};
     /// Time after which no node accepts a revoked key; zero: no bound.
     duration revoke_within{0};
     /// Time since the configuration was last confirmed to be complete. Null:
@@ -125,12 +128,13 @@
     bool route_call();
     void choose_service();
     void check_identity();
-    void log_configuration_origin();
+    bool is_configuration_in_force() const;
+    bool deny(int status, std::string_view why);
     void set_owner(workspace const& owner);
     void scope_ids();
     void recheck_or_reject_key(duration configuration_age);
     void identify_again();
-    void reject_key(std::string_view why);
+    bool reject_key(std::string_view why);
     void acquire_quota();
     void quota_answered(quota_answer const& answer);
     void refuse_over_limit(
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -56,7 +56,8 @@
         recheck_or_reject_key(age);
         break;
     case identity_answer::stale:
-        log_configuration_origin();
+        if (node_.configuration_source)
+            log_fields_["configuration_source"] = node_.configuration_source();
         refuse(
             "the configuration is too old to check the key",
             min_retry_after_refusal);
@@ -64,9 +65,20 @@
     }
 }
 
-/// Logs how old the configuration is that a call is refused by, and which node
-/// read it.
-void call_flow::log_configuration_origin()
+/// \return true if the configuration includes every change that must be in
+/// force for this call.
+bool call_flow::is_configuration_in_force() const
+{
+    if (!node_.configuration_age || node_.apply_within.count() == 0)
+        return true;
+    auto const waited = node_.clock() - arrived_;
+    return node_.configuration_age() <= node_.apply_within + waited;
+}
+
+/// Denies the call, or asks the caller to retry if a newer configuration may
+/// allow it.
+/// \return true if the call was denied
+bool call_flow::deny(int status, std::string_view why)
 {
     auto const age =
         node_.configuration_age ? node_.configuration_age() : duration::max();
@@ -74,6 +86,15 @@
         log_fields_["configuration_age_ms"] = ms_count(age);
     if (node_.configuration_source)
         log_fields_["configuration_source"] = node_.configuration_source();
+    if (!is_configuration_in_force())
+    {
+        refuse(
+            "the configuration is too old to deny the call",
+            min_retry_after_refusal);
+        return false;
+    }
+    respond_locally(status, why);
+    return true;
 }
 
 void call_flow::set_owner(workspace const& owner)
@@ -116,8 +137,8 @@
         node_.after_confirmation([self = shared_from_this()]
                                  { self->identify_again(); }))
         return;
-    node_.denied.add(*call_.key, now);
-    reject_key("no workspace holds this key");
+    if (reject_key("no workspace holds this key"))
+        node_.denied.add(*call_.key, now);
 }
 
 void call_flow::identify_again()
@@ -130,11 +151,12 @@
         check_identity();
 }
 
-void call_flow::reject_key(std::string_view why)
+bool call_flow::reject_key(std::string_view why)
 {
-    node_.counters.count("walnutmill_keys_denied_total");
-    log_configuration_origin();
-    respond_locally(status_unauthorized, why);
+    auto const denied = deny(status_unauthorized, why);
+    if (denied)
+        node_.counters.count("walnutmill_keys_denied_total");
+    return denied;
 }
 
 void call_flow::acquire_quota()
--- a/src/entry/entry_node_workspaces.cpp
+++ b/src/entry/entry_node_workspaces.cpp
@@ -26,6 +26,7 @@
 
 void entry_node::connect_workspaces()
 {
+    services_.apply_within = settings_.apply_within;
     services_.revoke_within = settings_.revoke_within;
     services_.configuration_age = [this] { return view_.configuration_age(); };
     services_.configuration_source = [this]
