calls: end the wait of an unknown key after its bound

What callers saw: a call with an unknown key, at a node whose store is away, got its refusal only when its time was up.

Cause: the bound of 1.5 s was looked at only when a newer configuration came, and without the store none comes. Class: a bound that nothing but the awaited event checks.

Change: a timer ends the wait. The call is then denied, or refused while the configuration is overdue.

Evidence: without the timer, as before, the case fails (the answer says that time was up before an engine was free); with it the three cases of denied calls pass.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -45,7 +45,8 @@
     entry_services& node, std::shared_ptr<caller_link> link,
     caller_link::request_type&& request)
     : node_(node), link_(std::move(link)), request_(std::move(request)),
-      deadline_timer_(node.io), stall_timer_(node.io), arrived_(node.clock())
+      deadline_timer_(node.io), stall_timer_(node.io), identity_timer_(node.io),
+      arrived_(node.clock())
 {
     ++node_.calls_in_flight;
 }
@@ -437,6 +438,7 @@
     settle_budget();
     deadline_timer_.cancel();
     stall_timer_.cancel();
+    identity_timer_.cancel();
     if (outcome != "broken off" && !caller_disconnected_)
         link_->finish_answer(node_.stopping);
     link_->on_disconnect = {};
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -200,6 +200,8 @@
     balancer_request need_;
     boost::asio::steady_timer deadline_timer_;
     boost::asio::steady_timer stall_timer_;
+    /// Ends the wait for a newer configuration.
+    boost::asio::steady_timer identity_timer_;
     time_point arrived_;
     time_point deadline_at_;
     attempt_ptr current_;
@@ -221,6 +223,8 @@
     request_id unscoped_previous_;
     bool head_written_ = false;
     bool done_ = false;
+    /// Waits for a newer configuration.
+    bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
     std::optional<std::uint64_t> last_event_;
     turn_chain chain_;
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -136,15 +136,26 @@
     if (!confirmed && node_.after_confirmation &&
         node_.after_confirmation([self = shared_from_this()]
                                  { self->identify_again(); }))
+    {
+        awaits_confirmation_ = true;
+        identity_timer_.expires_after(max_confirmation_wait - waited);
+        identity_timer_.async_wait(
+            [self = shared_from_this()](boost::system::error_code const& error)
+            {
+                if (!error)
+                    self->identify_again();
+            });
         return;
+    }
     if (reject_key("no workspace holds this key"))
         node_.denied.add(*call_.key, now);
 }
 
 void call_flow::identify_again()
 {
-    if (done_)
+    if (done_ || !std::exchange(awaits_confirmation_, false))
         return;
+    identity_timer_.cancel();
     table_ = node_.table;
     log_fields_["configuration"] = table_->version;
     if (route_call())
--- a/test/denied_calls-test.cpp
+++ b/test/denied_calls-test.cpp
@@ -83,3 +83,24 @@
     CHECK(call_until(401, node, "/orders/x", added).status == 401);
     CHECK(call_until(401, node, "/orders/x").status == 401);
 }
+
+TEST_CASE_METHOD(
+    denied_calls_fixture,
+    "denied calls: an unknown key is not held until the deadline")
+{
+    document["tenants"] = {
+        {{"name", "archive"}, {"api_keys", {"key-of-archive"}}}};
+    document["version"] = document["version"].get<int>() + 2;
+    store.put("op", "config", document);
+    auto& node = start_node();
+    REQUIRE(call(node, "/orders/x").status == 401);
+    store.set_down(true);
+    // Once the configuration is overdue, its key is never confirmed in time.
+    REQUIRE(call_until(503, node, "/orders/x").status == 503);
+    auto const got =
+        call(node, "/orders/x", "X-Api-Key: key-that-was-added\r\n");
+    CHECK(got.status == 503);
+    CHECK(
+        got.body.find("the configuration is too old to deny the call") !=
+        std::string::npos);
+}
