soak: share failure domains, and change the configuration under faults

Cause: each node of the soak had a failure domain of its own, so that none ever followed another's reads, and the configuration never changed.

Change: two nodes share a domain. A thread changes the configuration 2 to 50 times a second beside the faults, each time with one route more than the first version's. Once the faults are over, each node has to serve the route that was added last.

--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -58,6 +58,12 @@
                   << " calls after the faults\n";
         if (served == 0)
             broken.push_back("node-" + std::to_string(i) + " serves nobody");
+        if (!world.has_last_route()[i])
+        {
+            broken.push_back(
+                "node-" + std::to_string(i) +
+                " does not serve the route that was added last");
+        }
     }
     for (auto const& one : broken)
         std::cout << "BROKEN " << one << '\n';
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -43,6 +43,13 @@
 constexpr int status_budget = 402;
 /// Calls to each node after the last fault, to see that it serves again.
 constexpr int calls_after = 20;
+/// Nodes of a domain read the store for each other.
+constexpr int nodes_per_domain = 2;
+/// Index of the idempotent route in the configuration.
+constexpr std::size_t safe_route = 2;
+/// Between two changes of the configuration.
+constexpr int least_change_pause_ms = 20;
+constexpr int most_change_pause_ms = 400;
 
 /// Part of the calls at which a target misbehaves, each way.
 constexpr double refuses = 0.05;
@@ -134,7 +141,7 @@
     one->process = std::make_unique<child_process>(
         std::vector<std::string>{
             options_.program, "entry", "--node", name, "--domain",
-            "z" + std::to_string(number + 1), "--listen-callers",
+            "z" + std::to_string(number / nodes_per_domain), "--listen-callers",
             one->callers.text(), "--listen-ready", one->ready.text(),
             "--listen-peers", one->peers.text(), "--store", store.address(),
             "--stall-least-ms", "200"},
@@ -178,6 +185,7 @@
     callers.reserve(static_cast<std::size_t>(options_.callers));
     for (int i = 0; i < options_.callers; ++i)
         callers.emplace_back([this, i] { call_for(i); });
+    std::thread changes([this] { change_configuration(); });
     auto const end =
         std::chrono::steady_clock::now() + seconds(options_.seconds);
     while (std::chrono::steady_clock::now() < end)
@@ -188,6 +196,7 @@
         draw_fault();
     }
     faults_ = false;
+    changes.join();
     for (auto const& one : processes_)
         await_ready(*one);
     std::this_thread::sleep_for(calm);
@@ -206,6 +215,34 @@
             served += got.whole && got.status == status_ok ? 1 : 0;
         }
         served_after_.push_back(served);
+        program_run reader;
+        reader.id = "after" + std::to_string(++last_id_);
+        auto const got =
+            attempt(reader, call_kind::lookup, node, added_path(changes_));
+        has_last_route_.push_back(got.status == status_ok);
+    }
+}
+
+std::string soak_world::added_path(int change)
+{
+    return "/added-" + std::to_string(change) + "/";
+}
+
+void soak_world::change_configuration()
+{
+    while (faults_)
+    {
+        auto document = configuration();
+        auto const first = document["version"].get<int>();
+        document["version"] = first + 2 * ++changes_;
+        auto added = document["routes"][safe_route];
+        added["name"] = "added";
+        added["prefix"] = added_path(changes_);
+        document["routes"].push_back(std::move(added));
+        store.put("op", "config", document);
+        count("configuration changed");
+        std::this_thread::sleep_for(milliseconds(
+            dice_.between(least_change_pause_ms, most_change_pause_ms)));
     }
 }
 
@@ -432,6 +469,12 @@
 
 recorded_attempt
 soak_world::attempt(program_run const& one, call_kind kind, int node)
+{
+    return attempt(one, kind, node, path_of(kind));
+}
+
+recorded_attempt soak_world::attempt(
+    program_run const& one, call_kind kind, int node, std::string const& path)
 {
     recorded_attempt to;
     to.id = "r" + std::to_string(++last_id_);
@@ -456,8 +499,7 @@
     {
         test_caller caller(
             processes_[static_cast<std::size_t>(node)]->callers.text());
-        auto const got =
-            caller.call(post(path_of(kind), to.id, headers, to.input));
+        auto const got = caller.call(post(path, to.id, headers, to.input));
         to.status = got.status;
         to.whole = got.whole;
         to.body = got.body;
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -62,6 +62,8 @@
     std::map<std::string, int> const& counts() const { return counts_; }
     /// Attempts served by each node after the last fault was over.
     std::vector<int> const& served_after() const { return served_after_; }
+    /// For each node, whether it served the route that was added last.
+    std::vector<bool> const& has_last_route() const { return has_last_route_; }
 
 private:
     struct soak_node
@@ -84,6 +86,10 @@
     void await_ready(soak_node const& one) const;
     void count(std::string const& what);
 
+    /// Changes the configuration until the faults end.
+    void change_configuration();
+    static std::string added_path(int change);
+
     // Faults, one at a time; each ends what it began.
     void draw_fault();
     void kill_node(soak_node& one);
@@ -115,6 +121,9 @@
     bool plain(program_run const& one, testing::call_kind kind);
     testing::recorded_attempt
     attempt(program_run const& one, testing::call_kind kind, int node);
+    testing::recorded_attempt attempt(
+        program_run const& one, testing::call_kind kind, int node,
+        std::string const& path);
 
     soak_options options_;
     dice dice_;
@@ -122,6 +131,8 @@
     testing::soak_history history_;
     std::map<std::string, int> counts_;
     std::vector<int> served_after_;
+    std::vector<bool> has_last_route_;
+    int changes_ = 0;
     std::atomic<std::uint64_t> last_id_{0};
     std::atomic<bool> faults_{true};
     std::atomic<bool> calling_{true};
