--- a/test/view_cluster.cpp
+++ b/test/view_cluster.cpp
@@ -49,7 +49,8 @@
 } // namespace
 
 view_cluster::view_cluster(view_cluster_options options)
-    : options_(options), random_(seeded_random(options.seed))
+    : options_(options),
+      random_(seeded_random(static_cast<std::uint32_t>(options.seed)))
 {
     clock_.advance(seconds(1'000));
     nodes_.resize(options_.nodes);
--- a/test/view_cluster.hpp
+++ b/test/view_cluster.hpp
@@ -33,7 +33,7 @@
 struct view_cluster_options
 {
     std::size_t nodes = 6;
-    std::uint32_t seed = 1;
+    std::uint64_t seed = 1;
     /// Time after a disturbance from which the bound holds on its node.
     std::chrono::milliseconds settling_time{4'000};
     /// Interval between reads.
