soak: overlapping faults, signals in series, connections that stay open

Cause: the soak played one fault at a time, opened a connection for each attempt, sent no SIGHUP, and its node processes inherited the connections of the callers and stand-ins, so that what these closed did not end.

Change: two threads draw faults, each node under one at a time; a planned stop gets a SIGHUP and a second SIGTERM, another fault is five SIGHUPs. Callers keep their connection to a node until it ends. A child closes what it inherits.

--- /dev/null
+++ b/support/soak_faults.cpp
@@ -0,0 +1,197 @@
+/// \file
+/// The faults of a soak. Two threads draw them, so that faults of different
+/// nodes, of the store and of the targets overlap; a third one changes the
+/// configuration meanwhile.
+
+#include "soak_world.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <utility>
+
+namespace walnutmill
+{
+namespace soak
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Between two faults, and how long one lasts.
+constexpr milliseconds least_pause{50};
+constexpr milliseconds most_pause{500};
+constexpr milliseconds least_fault{200};
+/// Longer than the store counts as lost and than a silent engine is borne.
+constexpr milliseconds most_fault{2'000};
+/// Between signals that come in series.
+constexpr milliseconds signal_pause{20};
+/// Index of the idempotent route in the configuration.
+constexpr std::size_t safe_route = 2;
+/// Between two changes of the configuration.
+constexpr int least_change_pause_ms = 20;
+constexpr int most_change_pause_ms = 400;
+
+} // namespace
+
+void soak_world::play_faults()
+{
+    auto const end = std::chrono::steady_clock::now() +
+                     std::chrono::seconds(options_.seconds);
+    auto const draw_until_end = [this, end]
+    {
+        while (std::chrono::steady_clock::now() < end)
+        {
+            std::this_thread::sleep_for(milliseconds(dice_.between(
+                static_cast<int>(least_pause.count()),
+                static_cast<int>(most_pause.count()))));
+            draw_fault();
+        }
+    };
+    std::thread changes([this] { change_configuration(); });
+    std::thread second(draw_until_end);
+    draw_until_end();
+    second.join();
+    faults_ = false;
+    changes.join();
+    store.set_down(false);
+    store.lose_answers(0);
+}
+
+std::string soak_world::added_path(int change)
+{
+    return "/added-" + std::to_string(change) + "/";
+}
+
+void soak_world::change_configuration()
+{
+    while (faults_)
+    {
+        auto document = configuration();
+        auto const first = document["version"].get<int>();
+        document["version"] = first + 2 * ++changes_;
+        auto added = document["routes"][safe_route];
+        added["name"] = "added";
+        added["prefix"] = added_path(changes_);
+        document["routes"].push_back(std::move(added));
+        store.put("op", "config", document);
+        count("configuration changed");
+        std::this_thread::sleep_for(milliseconds(
+            dice_.between(least_change_pause_ms, most_change_pause_ms)));
+    }
+}
+
+void soak_world::draw_fault()
+{
+    auto& node = *processes_[static_cast<std::size_t>(
+        dice_.between(0, options_.nodes - 1))];
+    constexpr int node_faults = 4;
+    constexpr int last_fault = 6;
+    auto const kind = dice_.between(0, last_fault);
+    if (kind < node_faults)
+    {
+        // The other thread may have a fault on the same node.
+        std::unique_lock<std::mutex> const alone(node.mutex, std::try_to_lock);
+        if (alone.owns_lock())
+            disturb_node(node, kind);
+        return;
+    }
+    switch (kind)
+    {
+    case node_faults:
+        return store_away();
+    case node_faults + 1:
+        return store_loses_answers();
+    default:
+        return target_leaves();
+    }
+}
+
+void soak_world::disturb_node(soak_node& one, int kind)
+{
+    switch (kind)
+    {
+    case 0:
+        return kill_node(one);
+    case 1:
+        return freeze_node(one);
+    case 2:
+        return reload_node(one);
+    default:
+        return stop_node(one);
+    }
+}
+
+void soak_world::kill_node(soak_node& one)
+{
+    count("fault: node killed");
+    one.process->signal(SIGKILL);
+    one.process->wait();
+    std::this_thread::sleep_for(least_fault);
+    one.process->start();
+}
+
+void soak_world::freeze_node(soak_node& one)
+{
+    count("fault: node frozen");
+    one.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(dice_.between(
+        static_cast<int>(least_fault.count()),
+        static_cast<int>(most_fault.count()))));
+    one.process->signal(SIGCONT);
+}
+
+void soak_world::reload_node(soak_node& one)
+{
+    count("fault: node reloaded in series");
+    constexpr int times = 5;
+    for (int i = 0; i < times; ++i)
+    {
+        one.process->signal(SIGHUP);
+        std::this_thread::sleep_for(signal_pause);
+    }
+}
+
+/// A planned stop, with a reload and a second stop while it is under way.
+void soak_world::stop_node(soak_node& one)
+{
+    count("fault: node stopped as planned");
+    for (auto const number : {SIGTERM, SIGHUP, SIGTERM})
+    {
+        one.process->signal(number);
+        std::this_thread::sleep_for(signal_pause);
+    }
+    if (one.process->wait() != 0)
+        count("planned stop that did not end well");
+    one.process->start();
+}
+
+void soak_world::store_away()
+{
+    count("fault: store away");
+    store.set_down(true);
+    std::this_thread::sleep_for(milliseconds(dice_.between(
+        static_cast<int>(least_fault.count()),
+        static_cast<int>(most_fault.count()))));
+    store.set_down(false);
+}
+
+void soak_world::store_loses_answers()
+{
+    count("fault: store loses answers");
+    constexpr unsigned every = 3;
+    store.lose_answers(every);
+    std::this_thread::sleep_for(most_fault / 2);
+    store.lose_answers(0);
+}
+
+void soak_world::target_leaves()
+{
+    count("fault: engine leaves");
+    store.remove("servers", engine_c_.id());
+    std::this_thread::sleep_for(most_fault / 2);
+    register_engine(engine_c_, "llm");
+}
+
+} // namespace soak
+} // namespace walnutmill
--- a/support/soak_process.cpp
+++ b/support/soak_process.cpp
@@ -43,6 +43,8 @@
         ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, log_mode);
     ::dup2(file, STDOUT_FILENO);
     ::dup2(file, STDERR_FILENO);
+    // A connection of the parent that the child kept open would never end.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(arguments[0], arguments.data());
     constexpr int not_found = 127;
     ::_exit(not_found);
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -27,12 +27,9 @@
 
 /// A node is ready within a second; a machine under load takes longer.
 constexpr seconds ready_patience{60};
-/// Between two faults, and how long one lasts.
-constexpr milliseconds least_pause{50};
-constexpr milliseconds most_pause{500};
-constexpr milliseconds least_fault{200};
-/// Longer than the store counts as lost and than a silent engine is borne.
-constexpr milliseconds most_fault{2'000};
+constexpr milliseconds pause_before_retry{200};
+/// Longer than the store counts as lost.
+constexpr milliseconds late_answer_delay{400};
 /// Long enough that accounts which dead nodes hold are let go.
 constexpr seconds calm{4};
 constexpr int turns_at_most = 14;
@@ -45,11 +42,6 @@
 constexpr int calls_after = 20;
 /// Nodes of a domain read the store for each other.
 constexpr int nodes_per_domain = 2;
-/// Index of the idempotent route in the configuration.
-constexpr std::size_t safe_route = 2;
-/// Between two changes of the configuration.
-constexpr int least_change_pause_ms = 20;
-constexpr int most_change_pause_ms = 400;
 
 /// Part of the calls at which a target misbehaves, each way.
 constexpr double refuses = 0.05;
@@ -185,18 +177,7 @@
     callers.reserve(static_cast<std::size_t>(options_.callers));
     for (int i = 0; i < options_.callers; ++i)
         callers.emplace_back([this, i] { call_for(i); });
-    std::thread changes([this] { change_configuration(); });
-    auto const end =
-        std::chrono::steady_clock::now() + seconds(options_.seconds);
-    while (std::chrono::steady_clock::now() < end)
-    {
-        std::this_thread::sleep_for(milliseconds(dice_.between(
-            static_cast<int>(least_pause.count()),
-            static_cast<int>(most_pause.count()))));
-        draw_fault();
-    }
-    faults_ = false;
-    changes.join();
+    play_faults();
     for (auto const& one : processes_)
         await_ready(*one);
     std::this_thread::sleep_for(calm);
@@ -223,105 +204,6 @@
     }
 }
 
-std::string soak_world::added_path(int change)
-{
-    return "/added-" + std::to_string(change) + "/";
-}
-
-void soak_world::change_configuration()
-{
-    while (faults_)
-    {
-        auto document = configuration();
-        auto const first = document["version"].get<int>();
-        document["version"] = first + 2 * ++changes_;
-        auto added = document["routes"][safe_route];
-        added["name"] = "added";
-        added["prefix"] = added_path(changes_);
-        document["routes"].push_back(std::move(added));
-        store.put("op", "config", document);
-        count("configuration changed");
-        std::this_thread::sleep_for(milliseconds(
-            dice_.between(least_change_pause_ms, most_change_pause_ms)));
-    }
-}
-
-void soak_world::draw_fault()
-{
-    auto& node = *processes_[static_cast<std::size_t>(
-        dice_.between(0, options_.nodes - 1))];
-    switch (dice_.between(0, 5))
-    {
-    case 0:
-        return kill_node(node);
-    case 1:
-        return freeze_node(node);
-    case 2:
-        return stop_node(node);
-    case 3:
-        return store_away();
-    case 4:
-        return store_loses_answers();
-    default:
-        return target_leaves();
-    }
-}
-
-void soak_world::kill_node(soak_node& one)
-{
-    count("fault: node killed");
-    one.process->signal(SIGKILL);
-    one.process->wait();
-    std::this_thread::sleep_for(least_fault);
-    one.process->start();
-}
-
-void soak_world::freeze_node(soak_node& one)
-{
-    count("fault: node frozen");
-    one.process->signal(SIGSTOP);
-    std::this_thread::sleep_for(milliseconds(dice_.between(
-        static_cast<int>(least_fault.count()),
-        static_cast<int>(most_fault.count()))));
-    one.process->signal(SIGCONT);
-}
-
-void soak_world::stop_node(soak_node& one)
-{
-    count("fault: node stopped as planned");
-    one.process->signal(SIGTERM);
-    if (one.process->wait() != 0)
-        count("planned stop that did not end well");
-    one.process->start();
-}
-
-void soak_world::store_away()
-{
-    count("fault: store away");
-    store.set_down(true);
-    std::this_thread::sleep_for(milliseconds(dice_.between(
-        static_cast<int>(least_fault.count()),
-        static_cast<int>(most_fault.count()))));
-    store.set_down(false);
-}
-
-void soak_world::store_loses_answers()
-{
-    count("fault: store loses answers");
-    constexpr unsigned every = 3;
-    store.lose_answers(every);
-    std::this_thread::sleep_for(most_fault / 2);
-    store.lose_answers(0);
-}
-
-void soak_world::target_leaves()
-{
-    count("fault: engine leaves");
-    store.remove("servers", engine_c_.id());
-    std::this_thread::sleep_for(most_fault / 2);
-    register_engine(engine_c_, "llm");
-}
-
 void soak_world::ran(http_request const& request, standin_target const& at)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -382,7 +264,7 @@
     }
     auto const late = faults_ && dice_.chance(answers_late);
     at.server().later(
-        late ? least_fault * 2 : milliseconds(dice_.between(2, 30)),
+        late ? late_answer_delay : milliseconds(dice_.between(2, 30)),
         [link, text]
         {
             link->write(text);
@@ -456,7 +338,7 @@
         }
         if (got.status == status_budget)
             return false;
-        std::this_thread::sleep_for(least_fault);
+        std::this_thread::sleep_for(pause_before_retry);
     }
     return false;
 }
@@ -495,11 +377,17 @@
         to.previous = one.last_kept;
         headers += "Previous-Turn: " + one.last_kept + "\r\n";
     }
+    // Each caller keeps its connection to a node until the node ends it.
+    thread_local std::map<int, std::unique_ptr<test_caller>> connections;
+    auto& connection = connections[node];
     try
     {
-        test_caller caller(
-            processes_[static_cast<std::size_t>(node)]->callers.text());
-        auto const got = caller.call(post(path, to.id, headers, to.input));
+        if (!connection)
+        {
+            connection = std::make_unique<test_caller>(
+                processes_[static_cast<std::size_t>(node)]->callers.text());
+        }
+        auto const got = connection->call(post(path, to.id, headers, to.input));
         to.status = got.status;
         to.whole = got.whole;
         to.body = got.body;
@@ -509,6 +397,8 @@
         // No connection: recorded as no answer.
         count("attempt without a connection");
     }
+    if (!to.whole)
+        connection.reset();
     count(
         "answer " + std::to_string(to.status) +
         (to.status == status_ok && !to.whole ? ", cut" : ""));
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -72,6 +72,8 @@
         testing::reserved_address ready;
         testing::reserved_address peers;
         std::unique_ptr<child_process> process;
+        /// Held by the fault that the node is under.
+        std::mutex mutex;
     };
     struct program_run
     {
@@ -90,10 +92,14 @@
     void change_configuration();
     static std::string added_path(int change);
 
-    // Faults, one at a time; each ends what it began.
+    /// Draws faults and changes the configuration for the soak's time.
+    void play_faults();
+    // Each fault ends what it began.
     void draw_fault();
+    void disturb_node(soak_node& one, int kind);
     void kill_node(soak_node& one);
     void freeze_node(soak_node& one);
+    void reload_node(soak_node& one);
     void stop_node(soak_node& one);
     void store_away();
     void store_loses_answers();
