--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace walnutmill
@@ -17,30 +16,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr char const* members_table = "walnutmill-nodes";
-/// Separate from the partition that engines and the operator write: 295
-/// members and 167 engines renew more rows per second than one partition
-/// accepts.
-constexpr char const* members_partition = "members";
-/// Writes of all members at once are spread over this time per member.
-constexpr double write_spread_per_member_ms = 6;
-/// Key by which the reader of a failure domain is selected.
-constexpr char const* reader_key = "cluster-reader";
-constexpr milliseconds row_renewal_interval{3'000};
-/// Intervals between reads of the members, and between queries to the reader,
-/// during the startup period. Nodes that lost power together rewrite their rows
-/// within a second. Until the new rows are read, budgets reserved by their
-/// former incarnations keep programs waiting.
-constexpr milliseconds startup_read_interval{1'000};
-constexpr milliseconds startup_reader_read_interval{300};
+/// Interval between queries to the reader during the startup period.
 constexpr milliseconds startup_query_interval{200};
 constexpr milliseconds startup_period{6'000};
-/// Timeout of one read. The next scheduled read retries it.
-constexpr milliseconds read_timeout{900};
-/// Timeout of the write of a node's row, and the delay before a failed one is
-/// retried. A partition processes 200 transactions per second, serially.
-constexpr milliseconds write_timeout{2'000};
-constexpr milliseconds write_retry_delay{1'500};
 /// A node that received a query within this time acts as a reader and polls
 /// twice as often.
 constexpr milliseconds recent_query_window{3'000};
@@ -182,9 +160,9 @@
 
 platform_view::table_reads platform_view::reads_of(cluster_table which)
 {
-    return which == cluster_table::configuration
-               ? table_reads{configuration_timer_, &platform_view::read_configuration}
-               : table_reads{engines_timer_, &platform_view::read_engines};
+    if (which == cluster_table::configuration)
+        return {configuration_timer_, &platform_view::read_configuration};
+    return {engines_timer_, &platform_view::read_engines};
 }
 
 /// Schedules the read after one of this node.
@@ -486,263 +464,4 @@
         apply_engines();
 }
 
-void platform_view::read_members()
-{
-    auto const interval = !is_starting_up()    ? row_renewal_interval
-                          : reads_for_others() ? startup_reader_read_interval
-                                               : startup_read_interval;
-    if (is_following())
-    {
-        schedule(interval, members_timer_, &platform_view::read_members);
-        return;
-    }
-    read_table(
-        members_table, members_partition,
-        [this, interval](std::optional<table_rows> const& read)
-        {
-            if (read)
-                members_read(*read);
-            schedule(interval, members_timer_, &platform_view::read_members);
-            schedule_first_self_write();
-        });
-}
-
-void platform_view::members_read(table_rows const& read)
-{
-    auto const now = clock_();
-    apply_section(
-        cluster_table::members,
-        make_section(
-            read.as_of, now, encode(members_.live_members(read.rows, now))));
-}
-
-/// Schedules the first write of this node's row.
-void platform_view::schedule_first_self_write()
-{
-    if (first_write_scheduled_)
-        return;
-    first_write_scheduled_ = true;
-    schedule_self_write();
-}
-
-/// Schedules the write of this node's row after a random delay that grows with
-/// the number of members. A partition processes transactions serially, and all
-/// nodes may have started, or reconnected to the store, at the same time.
-void platform_view::schedule_self_write()
-{
-    auto const members = static_cast<double>(member_names_.size());
-    auto const wait = milliseconds(static_cast<std::int64_t>(
-        random_() * members * write_spread_per_member_ms));
-    if (wait.count() == 0)
-    {
-        write_self();
-        return;
-    }
-    run_after(wait, self_timer_, &platform_view::write_self);
-}
-
-bool platform_view::apply_members()
-{
-    auto members = decode_member_list(section(cluster_table::members).bytes);
-    if (!members)
-        return false;
-    members->erase(
-        std::remove_if(
-            members->begin(), members->end(),
-            [this](entry_member const& one) { return one.node == self_.node; }),
-        members->end());
-    std::vector<coordinator_candidate> neighbors;
-    for (auto const& one : *members)
-    {
-        if (one.domain == self_.domain)
-            neighbors.push_back({one.node, one.address, one.strength});
-    }
-    reader_.set_nodes(std::move(neighbors));
-    log_members(*members);
-    hooks_.on_members(*members);
-    return true;
-}
-
-void platform_view::log_members(std::vector<entry_member> const& members)
-{
-    std::set<std::string> names;
-    for (auto const& one : members)
-        names.insert(one.node);
-    std::vector<std::string> joined;
-    std::vector<std::string> left;
-    std::set_difference(
-        names.begin(), names.end(), member_names_.begin(), member_names_.end(),
-        std::back_inserter(joined));
-    std::set_difference(
-        member_names_.begin(), member_names_.end(), names.begin(), names.end(),
-        std::back_inserter(left));
-    if (!joined.empty() || !left.empty())
-    {
-        log_.write(
-            log_priority::important, "members.changed",
-            {{"joined", joined}, {"left", left}, {"nodes", names.size()}});
-    }
-    member_names_ = std::move(names);
-}
-
-/// Queries the reader of this failure domain unless it is this node.
-void platform_view::ask_peer()
-{
-    schedule(query_interval(), ask_timer_, &platform_view::ask_peer);
-    auto const* reader = reader_.coordinator_of(reader_key, clock_());
-    if (reader == nullptr)
-        stop_following("this node is the reader");
-    if (reader == nullptr || !hooks_.ask)
-        return;
-    section_query query;
-    for (std::size_t i = 0; i < cluster_table_count; ++i)
-        query.digests[i] = sections_[i].digest;
-    hooks_.ask(
-        reader->address, encode(query),
-        [this, peer = *reader, asked_at = hooks_.boot_clock()](
-            std::optional<std::string> const& answer)
-        { on_peer_answer(peer, answer, asked_at); });
-}
-
-void platform_view::on_peer_answer(
-    coordinator_candidate const& peer, std::optional<std::string> const& answer,
-    time_point asked_at)
-{
-    auto const now = clock_();
-    auto const outcome = answer
-                             ? apply_peer_answer(peer.node, *answer, asked_at)
-                             : peer_answer_outcome::unusable;
-    if (outcome == peer_answer_outcome::behind)
-        return;
-    if (outcome == peer_answer_outcome::applied)
-    {
-        reader_.answered(peer.node);
-        follow(peer.node);
-        return;
-    }
-    reader_.mark_unresponsive(peer.node, now);
-    stop_following(answer ? "old or unreadable" : "no answer");
-}
-
-/// Uses the reader's answers instead of own reads for an interval.
-void platform_view::follow(std::string const& reader)
-{
-    auto const now = clock_();
-    if (!is_following())
-        log_.write(log_priority::routine, "view.follows", {{"reader", reader}});
-    followed_reader_ = reader;
-    reader_answered_at_ = now;
-    following_until_ = now + interval_;
-    schedule_read_when_due(cluster_table::configuration);
-    schedule_read_when_due(cluster_table::engines);
-}
-
-void platform_view::stop_following(std::string_view why)
-{
-    // Otherwise own reads are already scheduled.
-    if (!is_following())
-        return;
-    following_until_ = {};
-    log_.write(
-        log_priority::routine, "view.reads_itself",
-        {{"reader", followed_reader_}, {"why", why}});
-    read_all();
-}
-
-platform_view::peer_answer_outcome platform_view::apply_peer_answer(
-    std::string const& reader, std::string_view bytes, time_point asked_at)
-{
-    auto const reported = decode_peer_sections(bytes);
-    if (!reported)
-        return peer_answer_outcome::unusable;
-    auto const now = clock_();
-    // Engines renew their rows continuously, so a later read has a higher
-    // version.
-    auto const& engines =
-        (*reported)[static_cast<std::size_t>(cluster_table::engines)];
-    if (engines.as_of > section(cluster_table::engines).as_of)
-        engines_confirmed_at_ =
-            std::max(engines_confirmed_at_, now - engines.age);
-    if (now - engines_confirmed_at_ > max_followed_age())
-        return peer_answer_outcome::unusable;
-    auto outcome = peer_answer_outcome::applied;
-    for (std::size_t i = 0; i < cluster_table_count; ++i)
-    {
-        auto const& one = (*reported)[i];
-        auto const which = static_cast<cluster_table>(i);
-        // Counted from when the query was sent, as the answer may have been
-        // delayed in transit.
-        auto const read_started_at =
-            asked_at - one.read_start_age.value_or(one.age);
-        if (which != cluster_table::members &&
-            hooks_.boot_clock() - read_started_at > max_followed_age())
-            return peer_answer_outcome::unusable;
-        if (one.as_of < sections_[i].as_of)
-        {
-            // Members are read less often than the other tables.
-            if (which != cluster_table::members)
-                outcome = peer_answer_outcome::behind;
-            continue;
-        }
-        auto fresh = sections_[i];
-        if (one.bytes)
-            fresh = make_section(one.as_of, {}, *one.bytes);
-        if (fresh.digest != one.digest)
-            return peer_answer_outcome::unusable;
-        fresh.as_of = one.as_of;
-        fresh.read_at = now - one.age;
-        if (!apply_section(which, std::move(fresh)))
-            return peer_answer_outcome::unusable;
-        // A node of an earlier version does not say when its read began. Then
-        // this node's own reads confirm the table.
-        if (one.read_start_age)
-            confirm_section(which, reader, read_started_at);
-    }
-    return outcome;
-}
-
-std::optional<std::string> platform_view::serve(std::string_view query)
-{
-    last_query_at_ = clock_();
-    auto const asked = decode_section_query(query);
-    if (!asked)
-        return std::nullopt;
-    auto const answer =
-        answer_query(*asked, sections_, clock_(), hooks_.boot_clock());
-    if (!answer)
-        return std::nullopt;
-    return encode(*answer);
-}
-
-void platform_view::write_self()
-{
-    if (leaving_)
-        return;
-    row_transaction transaction;
-    transaction.writes.push_back(
-        {{members_table, members_partition, self_.node}, encode(self_)});
-    store_.commit(
-        std::move(transaction), write_timeout,
-        [this](transaction_result const& result)
-        {
-            if (leaving_)
-                return;
-            auto const failed = result.outcome != store_outcome::done;
-            schedule(
-                failed ? write_retry_delay : row_renewal_interval, self_timer_,
-                &platform_view::write_self);
-        });
-}
-
-void platform_view::leave(std::function<void()> done)
-{
-    leaving_ = true;
-    row_transaction transaction;
-    transaction.removals.push_back(
-        {members_table, members_partition, self_.node});
-    store_.commit(
-        std::move(transaction), read_timeout,
-        [done = std::move(done)](transaction_result const&) { done(); });
-}
-
 } // namespace walnutmill
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -124,6 +124,9 @@
     std::optional<std::string> serve(std::string_view query);
 
 private:
+    /// Timeout of one read. The next scheduled read retries it.
+    static constexpr std::chrono::milliseconds read_timeout{900};
+
     /// A row of the engines' table as this node last read it.
     struct decoded_row
     {
