entry: report the bytes of answers that were given up

What callers saw: calls run by a configuration that had been replaced. The lines told that reads failed and questions were not answered, not whether anything of the answers had arrived, nor how long a configuration takes to decode, so that the three hypotheses of the large configuration looked alike.

`store.call_failed` and `view.unanswered` give attempts, time and the bytes received for nothing, `configuration.applied` the size and the time of decoding; `walnutmill_store_bytes_received_total` and `walnutmill_store_bytes_abandoned_total` the same as counters. No decision changes.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -5,6 +5,8 @@
 
 #include <walnutmill/hash.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <csignal>
 #include <ctime>
@@ -140,13 +142,7 @@
           settings_.node, clock_, descriptor_sink(STDOUT_FILENO), log_limits()),
       store_(
           io_, settings_.store, seeded_random(seed_of(incarnation_)),
-          {[this](bool reachable, std::string_view why)
-           {
-               log_.write(
-                   log_priority::important,
-                   reachable ? "store.regained" : "store.lost", {{"why", why}});
-           },
-           [this] { view_.refresh(); }, &counters_}),
+          store_hooks()),
       balancer_(
           zone_name(settings_.domain), clock_,
           seeded_random(seed_of(incarnation_ + "board"))),
@@ -343,6 +339,30 @@
     store_.set_relays(std::move(relay_addresses));
 }
 
+store_client::hooks entry_node::store_hooks()
+{
+    store_client::hooks to;
+    to.on_change = [this](bool reachable, std::string_view why)
+    {
+        log_.write(
+            log_priority::important,
+            reachable ? "store.regained" : "store.lost", {{"why", why}});
+    };
+    to.on_recovery = [this] { view_.refresh(); };
+    to.counters = &counters_;
+    to.on_failed_call = [this](store_client::failed_call const& one)
+    {
+        log_.write(
+            log_priority::routine, "store.call_failed",
+            {{"call", one.verb},
+             {"table", one.table},
+             {"ms", ms_count(one.took)},
+             {"attempts", one.attempts},
+             {"abandoned_bytes", one.abandoned_bytes}});
+    };
+    return to;
+}
+
 platform_view::hooks entry_node::view_hooks()
 {
     platform_view::hooks to;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -64,6 +64,7 @@
     void answer_ready(link_ptr const& link);
     void answer_metrics(link_ptr const& link);
     void answer_peer(link_ptr const& link, request_type const& request);
+    store_client::hooks store_hooks();
     platform_view::hooks view_hooks();
     void ask_for_sections(
         std::string const& address, std::string const& query,
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -5,6 +5,10 @@
 
 #include "entry/entry_node.hpp"
 
+#include "entry/call_limits.hpp"
+
+#include <nlohmann/json.hpp>
+
 #include <utility>
 
 namespace walnutmill
@@ -146,12 +150,20 @@
     sections_client_.call(
         address, cbor_bytes_request(sections_path, address, query),
         sections_timeout,
-        [done](http_reply reply)
+        [this, done, address, asked_at = clock_()](http_reply reply)
         {
             if (reply.answered && reply.status == status_ok)
+            {
                 done(std::move(reply.body));
-            else
-                done(std::nullopt);
+                return;
+            }
+            log_.write(
+                log_priority::routine, "view.unanswered",
+                {{"address", address},
+                 {"status", reply.status},
+                 {"ms", ms_count(clock_() - asked_at)},
+                 {"abandoned_bytes", reply.body.size()}});
+            done(std::nullopt);
         });
 }
 
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -319,7 +319,9 @@
     if (!row || row->version <= configuration_row_version_)
         return row.has_value();
     findings problems;
+    auto const decoding_began = clock_();
     auto decoded = platform::decode_configuration(row->document, problems);
+    auto const decoding_took = clock_() - decoding_began;
     if (!decoded)
     {
         log_.write(
@@ -336,7 +338,9 @@
         {"configuration", decoded->version},
         {"row_version", configuration_row_version_},
         {"routes", decoded->routes.size()},
-        {"services", decoded->services.size()}};
+        {"services", decoded->services.size()},
+        {"bytes", row->document.size()},
+        {"decode_ms", ms_count(decoding_took)}};
     // The change is at most as old as the read that did not show it.
     if (auto const age = configuration_age(); age != duration::max())
         fields["changed_within_ms"] = ms_count(age);
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -90,7 +90,10 @@
     std::string_view verb;
     std::string table;
     time_point deadline;
+    time_point started_at;
     int attempts = 0;
+    /// Bytes of answers that did not arrive completely.
+    std::uint64_t abandoned_bytes = 0;
     unavailable_policy policy = unavailable_policy::retry_until_timeout;
     /// An attempt was sent but not answered, so its outcome is unknown.
     bool in_doubt = false;
@@ -136,7 +139,8 @@
         call->partition = partition_of(transaction);
         call->verb = "commit";
         call->table = table_of(transaction);
-        call->deadline = now() + timeout;
+        call->started_at = now();
+        call->deadline = call->started_at + timeout;
         call->done =
             [done = std::move(done)](
                 store_outcome outcome, store_reply const& reply, bool in_doubt)
@@ -160,7 +164,8 @@
         call->partition = range.partition;
         call->verb = "read";
         call->table = range.table;
-        call->deadline = now() + timeout;
+        call->started_at = now();
+        call->deadline = call->started_at + timeout;
         call->done = [done = std::move(done)](
                          store_outcome outcome, store_reply const& reply, bool)
         {
@@ -282,7 +287,14 @@
         hooks_.counters->count(
             reply.answered ? "walnutmill_store_attempts_turned_away_total"
                            : "walnutmill_store_attempts_unanswered_total");
+        if (!reply.answered)
+        {
+            hooks_.counters->count(
+                "walnutmill_store_bytes_abandoned_total", answer.body.size());
+        }
     }
+    if (!reply.answered)
+        call->abandoned_bytes += answer.body.size();
     // An unreachable partition does not indicate that the path is faulty.
     if (lost() || !lost(call->partition))
         paths_.failed(path, now());
@@ -323,6 +335,12 @@
 {
     if (hooks_.counters != nullptr)
         hooks_.counters->count("walnutmill_store_calls_failed_total");
+    if (hooks_.on_failed_call)
+    {
+        hooks_.on_failed_call(
+            {call->verb, call->table, now() - call->started_at, call->attempts,
+             call->abandoned_bytes});
+    }
     call->done(store_outcome::unavailable, {}, call->in_doubt);
 }
 
@@ -331,9 +349,12 @@
 {
     if (hooks_.counters != nullptr)
     {
+        auto const labels = "{call=\"" + std::string(call->verb) +
+                            "\",table=\"" + call->table + "\"}";
+        hooks_.counters->count("walnutmill_store_calls_total" + labels);
         hooks_.counters->count(
-            "walnutmill_store_calls_total{call=\"" + std::string(call->verb) +
-            "\",table=\"" + call->table + "\"}");
+            "walnutmill_store_bytes_received_total" + labels,
+            reply.body.size());
     }
     auto const kind = platform::kind_of(reply);
     auto const outcome =
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -19,9 +19,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -33,6 +35,18 @@
 public:
     using reply_fn = std::function<void(platform::store_reply)>;
 
+    /// A call that ended without a conclusive reply.
+    struct failed_call
+    {
+        /// "commit" or "read".
+        std::string_view verb;
+        std::string_view table;
+        duration took{0};
+        int attempts = 0;
+        /// Bytes of answers that did not arrive completely.
+        std::uint64_t abandoned_bytes = 0;
+    };
+
     struct hooks
     {
         /// The store became reachable, or unreachable over all paths.
@@ -40,6 +54,7 @@
         /// The store became reachable again after it counted as lost.
         std::function<void()> on_recovery;
         metrics* counters = nullptr;
+        std::function<void(failed_call const&)> on_failed_call{};
     };
 
     store_client(
