store client: run on exchanges, a clock and timers that tests replace

The store client and the questions between views held sockets and the system's clock, so that no test could give them a slow link or a small share of a processor, or let time pass without waiting for it.

Both now take an `exchange_runtime`: HTTP exchanges, a clock and timers. `network_runtime()` is the one over TCP. The questions move from the entry node into `section_client`. The rows of the tests' store stand alone in `store_rows`, so that a simulated network answers by the same protocol.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -123,25 +123,15 @@
     return std::max(min_read_interval, bound / reads_per_bound);
 }
 
-void entry_node::call_later(duration after, std::function<void()> what)
-{
-    auto const timer = std::make_shared<asio::steady_timer>(io_, after);
-    timer->async_wait(
-        [timer, what = std::move(what)](boost::system::error_code const& error)
-        {
-            if (!error)
-                what();
-        });
-}
-
 entry_node::entry_node(
     entry_settings settings, settings_reader_fn read_settings)
     : settings_(std::move(settings)), read_settings_(std::move(read_settings)),
       clock_(steady_now), incarnation_(new_incarnation(settings_.node)),
       log_(
           settings_.node, clock_, descriptor_sink(STDOUT_FILENO), log_limits()),
+      runtime_(network_runtime(io_)),
       store_(
-          io_, settings_.store, seeded_random(seed_of(incarnation_)),
+          runtime_, settings_.store, seeded_random(seed_of(incarnation_)),
           store_hooks()),
       balancer_(
           zone_name(settings_.domain), clock_,
@@ -165,7 +155,7 @@
       sweeper_(
           store_.calls(store_client::unavailable_policy::fail_fast),
           system_utc(), swept_tables()),
-      sections_client_(io_),
+      sections_(runtime_, log_),
       services_{
           io_,
           clock_,
@@ -273,7 +263,7 @@
         to.cache_bytes,
         settings_.memory_mb * bytes_per_mb / cache_memory_divisor);
     to.schedule_after = [this](milliseconds after, std::function<void()> what)
-    { call_later(after, std::move(what)); };
+    { runtime_.schedule_after(after, std::move(what)); };
     return to;
 }
 
@@ -375,9 +365,9 @@
     to.ask = [this](
                  std::string const& address, std::string const& query,
                  platform_view::peer_answer_fn const& done)
-    { ask_for_sections(address, query, done); };
+    { sections_.ask(address, query, done); };
     to.schedule_after = [this](duration after, std::function<void()> what)
-    { call_later(after, std::move(what)); };
+    { runtime_.schedule_after(after, std::move(what)); };
     to.boot_clock = boot_now;
     to.on_configuration_confirmed =
         [this](platform_view::configuration_confirmation const& one)
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -15,6 +15,7 @@
 #include "entry/platform_view.hpp"
 #include "entry/quota_exchange.hpp"
 #include "entry/row_sweeper.hpp"
+#include "entry/section_client.hpp"
 #include "entry/store_client.hpp"
 
 #include <walnutmill/start_lease.hpp>
@@ -66,9 +67,6 @@
     void answer_peer(link_ptr const& link, request_type const& request);
     store_client::hooks store_hooks();
     platform_view::hooks view_hooks();
-    void ask_for_sections(
-        std::string const& address, std::string const& query,
-        platform_view::peer_answer_fn const& done);
     void answer_sections(link_ptr const& link, request_type const& request);
     void relay_store_call(link_ptr const& link, request_type const& request);
 
@@ -87,7 +85,6 @@
     /// The actual interval may be up to 50 % longer.
     static std::chrono::milliseconds
     read_interval(entry_settings const& settings);
-    void call_later(duration after, std::function<void()> what);
     void connect_workspaces();
     bool await_confirmation(std::function<void()> then);
     void configuration_confirmed(
@@ -106,6 +103,7 @@
     std::string incarnation_;
     line_log log_;
     metrics counters_;
+    exchange_runtime runtime_;
     store_client store_;
     engine_balancer balancer_;
     engine_links links_;
@@ -117,7 +115,7 @@
     load_exchange loads_;
     quota_exchange quotas_;
     row_sweeper sweeper_;
-    http_caller sections_client_;
+    section_client sections_;
     entry_services services_;
     platform_view view_;
     acceptor caller_acceptor_;
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -5,10 +5,6 @@
 
 #include "entry/entry_node.hpp"
 
-#include "entry/call_limits.hpp"
-
-#include <nlohmann/json.hpp>
-
 #include <utility>
 
 namespace walnutmill
@@ -23,11 +19,6 @@
 /// use others.
 constexpr milliseconds not_ready_after{3'500};
 
-/// Path on which a node asks another one for the tables it has read.
-constexpr std::string_view sections_path = "/cluster/sections";
-/// Timeout of that request. After it, the node reads the store itself.
-constexpr milliseconds sections_timeout{150};
-
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
 constexpr int status_bad_request = 400;
@@ -137,36 +128,12 @@
         budgets_.serve(target, request.body(), reply);
     else if (history_exchange::is_request(target))
         peer_history_.serve(target, request.body(), reply);
-    else if (target == sections_path)
+    else if (section_client::is_request(target))
         answer_sections(link, request);
     else
         relay_store_call(link, request);
 }
 
-void entry_node::ask_for_sections(
-    std::string const& address, std::string const& query,
-    platform_view::peer_answer_fn const& done)
-{
-    sections_client_.call(
-        address, cbor_bytes_request(sections_path, address, query),
-        sections_timeout,
-        [this, done, address, asked_at = clock_()](http_reply reply)
-        {
-            if (reply.answered && reply.status == status_ok)
-            {
-                done(std::move(reply.body));
-                return;
-            }
-            log_.write(
-                log_priority::routine, "view.unanswered",
-                {{"address", address},
-                 {"status", reply.status},
-                 {"ms", ms_count(clock_() - asked_at)},
-                 {"abandoned_bytes", reply.body.size()}});
-            done(std::nullopt);
-        });
-}
-
 void entry_node::answer_sections(
     link_ptr const& link, request_type const& request)
 {
--- a/src/entry/entry_node_workspaces.cpp
+++ b/src/entry/entry_node_workspaces.cpp
@@ -95,7 +95,7 @@
     to.send = [this](std::string const& address, std::string const& bytes)
     { loads_.send_other_datagram(address, bytes); };
     to.schedule_after = [this](duration after, std::function<void()> what)
-    { call_later(after, std::move(what)); };
+    { runtime_.schedule_after(after, std::move(what)); };
     to.limit_of = [this](workspace_name const& owner)
     {
         quota_exchange::known_limit known;
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -140,4 +140,32 @@
         links.push_back(std::move(link));
 }
 
+exchange_runtime network_runtime(boost::asio::io_context& io)
+{
+    exchange_runtime to;
+    to.exchange = [caller = std::make_shared<http_caller>(io)](
+                      std::string const& address, std::string request,
+                      duration timeout, std::function<void(http_reply)> done)
+    { caller->call(address, std::move(request), timeout, std::move(done)); };
+    to.clock = now;
+    to.schedule_after = [&io](duration after, std::function<void()> what)
+    {
+        if (after <= duration(0))
+        {
+            boost::asio::post(io, std::move(what));
+            return;
+        }
+        auto const timer =
+            std::make_shared<boost::asio::steady_timer>(io, after);
+        timer->async_wait(
+            [timer,
+             what = std::move(what)](boost::system::error_code const& error)
+            {
+                if (!error)
+                    what();
+            });
+    };
+    return to;
+}
+
 } // namespace walnutmill
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -7,6 +7,7 @@
 
 #include <walnutmill/clock.hpp>
 
+#include "entry/exchange.hpp"
 #include "entry/http_link.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -23,19 +24,6 @@
 namespace walnutmill
 {
 
-/// Result of a short call.
-struct http_reply
-{
-    /// A complete answer was received.
-    bool answered = false;
-    /// The server may have read the request.
-    bool sent = false;
-    int status = 0;
-    std::string body;
-    /// Time from the call to the end of its exchange; zero after a timeout.
-    duration took{0};
-};
-
 /// \return a POST request with a CBOR body, in the form nodes exchange.
 std::string cbor_request(
     std::string_view path, std::string const& address,
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -2,9 +2,6 @@
 
 #include "entry/partitions.hpp"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -73,12 +70,6 @@
                                         : transaction.removals.front().table;
 }
 
-time_point now()
-{
-    return std::chrono::time_point_cast<duration>(
-        std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 struct store_client::pending
@@ -99,15 +90,14 @@
     bool in_doubt = false;
     bool ended = false;
     std::function<void(store_outcome, store_reply const&, bool in_doubt)> done;
-    std::shared_ptr<boost::asio::steady_timer> delay;
 };
 
 store_client::store_client(
-    boost::asio::io_context& io, std::string address, random_fn const& random,
+    exchange_runtime runtime, std::string address, random_fn const& random,
     hooks to)
-    : io_(io), address_(std::move(address)), random_(random),
-      hooks_(std::move(to)), paths_(random), caller_(io),
-      mean_latency_(initial_mean_latency), probe_timer_(io)
+    : runtime_(std::move(runtime)), address_(std::move(address)),
+      random_(random), hooks_(std::move(to)), paths_(random),
+      mean_latency_(initial_mean_latency)
 {
 }
 
@@ -139,7 +129,7 @@
         call->partition = partition_of(transaction);
         call->verb = "commit";
         call->table = table_of(transaction);
-        call->started_at = now();
+        call->started_at = runtime_.clock();
         call->deadline = call->started_at + timeout;
         call->done =
             [done = std::move(done)](
@@ -164,7 +154,7 @@
         call->partition = range.partition;
         call->verb = "read";
         call->table = range.table;
-        call->started_at = now();
+        call->started_at = runtime_.clock();
         call->deadline = call->started_at + timeout;
         call->done = [done = std::move(done)](
                          store_outcome outcome, store_reply const& reply, bool)
@@ -185,13 +175,13 @@
 
 duration store_client::lost_for() const
 {
-    return lost() ? now() - failing_since_ : duration(0);
+    return lost() ? runtime_.clock() - failing_since_ : duration(0);
 }
 
 bool store_client::lost() const
 {
     return failing_since_ != time_point{} &&
-           now() - failing_since_ >= lost_after;
+           runtime_.clock() - failing_since_ >= lost_after;
 }
 
 bool store_client::lost(std::string const& partition) const
@@ -200,15 +190,16 @@
         return true;
     auto const found = partition_failing_since_.find(partition);
     return found != partition_failing_since_.end() &&
-           now() - found->second >= lost_after;
+           runtime_.clock() - found->second >= lost_after;
 }
 
 void store_client::start(pending_ptr const& call, unavailable_policy policy)
 {
     call->policy = policy;
-    // Posted, because the caller's state may be incomplete during its call.
-    boost::asio::post(
-        io_,
+    // Asynchronous, because the caller's state may be incomplete during its
+    // call.
+    runtime_.schedule_after(
+        duration(0),
         [this, alive = alive_, call]
         {
             if (!*alive)
@@ -233,7 +224,7 @@
 
 void store_client::send_next_attempt(pending_ptr const& call)
 {
-    auto const at = now();
+    auto const at = runtime_.clock();
     if (at >= call->deadline)
     {
         fail(call);
@@ -257,12 +248,14 @@
 
 void store_client::send_attempt(
     std::string const& address, platform::store_request const& request,
-    duration timeout, http_caller::done_fn done)
+    duration timeout, std::function<void(http_reply)> done)
 {
-    caller_.call(
+    runtime_.exchange(
         address, platform::frame(request, address), timeout,
-        [this, done = std::move(done)](http_reply reply)
+        [this, alive = alive_, done = std::move(done)](http_reply reply)
         {
+            if (!*alive)
+                return;
             if (reply.answered)
                 mean_latency_ = (mean_latency_ * 7 + reply.took) / 8;
             done(std::move(reply));
@@ -277,7 +270,7 @@
         platform::kind_of(answer) == platform::reply_kind::server_unavailable;
     if (reply.answered && !server_unavailable)
     {
-        paths_.succeeded(path, now());
+        paths_.succeeded(path, runtime_.clock());
         record_success(call->partition);
         deliver(call, answer);
         return;
@@ -297,7 +290,7 @@
         call->abandoned_bytes += answer.body.size();
     // An unreachable partition does not indicate that the path is faulty.
     if (lost() || !lost(call->partition))
-        paths_.failed(path, now());
+        paths_.failed(path, runtime_.clock());
     call->in_doubt = call->in_doubt || (!reply.answered && reply.sent);
     record_failure(
         call->partition, reply.answered ? "turned away" : "no answer");
@@ -307,7 +300,8 @@
 void store_client::schedule_retry(pending_ptr const& call)
 {
     // The first attempt over a relay needs no delay.
-    auto const at_once = call->attempts == 1 && !paths_.direct_available(now());
+    auto const at_once =
+        call->attempts == 1 && !paths_.direct_available(runtime_.clock());
     if ((call->policy == unavailable_policy::single_attempt && !at_once) ||
         (call->policy == unavailable_policy::fail_fast &&
          lost(call->partition)))
@@ -321,12 +315,11 @@
         max_retry_delay);
     auto const wait = duration(static_cast<duration::rep>(
         static_cast<double>(delay.count()) * jitter));
-    call->delay = std::make_shared<boost::asio::steady_timer>(
-        io_, at_once ? duration(0) : wait);
-    call->delay->async_wait(
-        [this, alive = alive_, call](boost::system::error_code const& error)
+    runtime_.schedule_after(
+        at_once ? duration(0) : wait,
+        [this, alive = alive_, call]
         {
-            if (!error && *alive)
+            if (*alive)
                 send_next_attempt(call);
         });
 }
@@ -338,8 +331,8 @@
     if (hooks_.on_failed_call)
     {
         hooks_.on_failed_call(
-            {call->verb, call->table, now() - call->started_at, call->attempts,
-             call->abandoned_bytes});
+            {call->verb, call->table, runtime_.clock() - call->started_at,
+             call->attempts, call->abandoned_bytes});
     }
     call->done(store_outcome::unavailable, {}, call->in_doubt);
 }
@@ -389,10 +382,10 @@
 {
     auto const probing =
         failing_since_ != time_point{} || !partition_failing_since_.empty();
-    partition_failing_since_.emplace(partition, now());
+    partition_failing_since_.emplace(partition, runtime_.clock());
     if (failing_since_ == time_point{})
     {
-        failing_since_ = now();
+        failing_since_ = runtime_.clock();
         if (hooks_.on_change)
             hooks_.on_change(false, why);
     }
@@ -402,13 +395,14 @@
 
 void store_client::schedule_probe(duration after)
 {
-    probe_timer_.expires_after(after);
-    probe_timer_.async_wait(
-        [this, alive = alive_](boost::system::error_code const& error)
+    runtime_.schedule_after(
+        after,
+        [this, alive = alive_, run = ++probe_run_]
         {
-            auto const failing = failing_since_ != time_point{} ||
-                                 !partition_failing_since_.empty();
-            if (!error && *alive && failing)
+            if (!*alive || run != probe_run_)
+                return;
+            if (failing_since_ != time_point{} ||
+                !partition_failing_since_.empty())
                 probe();
         });
 }
@@ -440,7 +434,7 @@
     auto const partition = partition_to_probe();
     auto const nothing =
         platform::encode_range({"walnutmill-probe", partition, {}, {}});
-    caller_.call(
+    runtime_.exchange(
         address_, platform::frame(nothing, address_), probe_timeout,
         [this, alive = alive_, partition](http_reply const& reply)
         {
@@ -449,7 +443,7 @@
                 platform::kind_of(answer) ==
                     platform::reply_kind::server_unavailable)
                 return;
-            paths_.succeeded({}, now());
+            paths_.succeeded({}, runtime_.clock());
             record_success(partition);
         });
     auto const jitter = 0.75 + random_() / 2;
@@ -462,7 +456,7 @@
 void store_client::relay_request(
     platform::store_request const& request, reply_fn const& to)
 {
-    if (!paths_.direct_available(now()))
+    if (!paths_.direct_available(runtime_.clock()))
     {
         to({status_unavailable, {}});
         return;
@@ -478,9 +472,9 @@
                 reply.answered && platform::kind_of(answer) !=
                                       platform::reply_kind::server_unavailable;
             if (good)
-                paths_.succeeded({}, now());
+                paths_.succeeded({}, runtime_.clock());
             else
-                paths_.failed({}, now());
+                paths_.failed({}, runtime_.clock());
             if (!reply.answered)
             {
                 // A call that was sent but not answered may have taken effect.
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -12,13 +12,10 @@
 #include <walnutmill/random.hpp>
 #include <walnutmill/versioned_store.hpp>
 
-#include "entry/http_caller.hpp"
+#include "entry/exchange.hpp"
 #include "entry/store_paths.hpp"
 #include "platform/store_codec.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -58,8 +55,8 @@
     };
 
     store_client(
-        boost::asio::io_context& io, std::string address,
-        random_fn const& random, hooks to);
+        exchange_runtime runtime, std::string address, random_fn const& random,
+        hooks to);
     ~store_client();
     store_client(store_client const&) = delete;
     store_client& operator=(store_client const&) = delete;
@@ -120,14 +117,13 @@
     duration attempt_timeout(pending const& call) const;
     void send_attempt(
         std::string const& address, platform::store_request const& request,
-        duration timeout, http_caller::done_fn done);
+        duration timeout, std::function<void(http_reply)> done);
 
-    boost::asio::io_context& io_;
+    exchange_runtime runtime_;
     std::string address_;
     random_fn random_;
     hooks hooks_;
     store_paths paths_;
-    http_caller caller_;
     /// Moving average of the reply latency; determines attempt timeouts.
     duration mean_latency_;
     /// Time of the first failure since the last reply; the epoch if the last
@@ -136,7 +132,8 @@
     /// The same for each partition whose last call failed: some partitions may
     /// be unreachable while the others serve.
     std::unordered_map<std::string, time_point> partition_failing_since_;
-    boost::asio::steady_timer probe_timer_;
+    /// Number of the probe that was scheduled last; earlier ones are void.
+    std::uint64_t probe_run_ = 0;
     /// Number of nodes that may probe concurrently, including this one.
     std::size_t nodes_ = 1;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -1,7 +1,5 @@
 #include "entry_world.hpp"
 
-#include "base64.hpp"
-
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -33,28 +31,6 @@
 /// Long enough that a correct node becomes ready on a loaded machine.
 constexpr seconds startup_timeout{60};
 
-std::string query_value(std::string const& target, std::string const& name)
-{
-    auto const at = target.find(name + "=");
-    if (at == std::string::npos)
-        return {};
-    auto const from = at + name.size() + 1;
-    auto const raw = target.substr(from, target.find('&', from) - from);
-    std::string text;
-    for (std::size_t i = 0; i < raw.size(); ++i)
-    {
-        if (raw[i] != '%')
-        {
-            text.push_back(raw[i]);
-            continue;
-        }
-        text.push_back(
-            static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16)));
-        i += 2;
-    }
-    return text;
-}
-
 } // namespace
 
 reserved_address::reserved_address() : bound_(io_, tcp::v4())
@@ -129,22 +105,19 @@
     std::string const& table, std::string const& key, std::string value)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    rows_[{table, "", key}] = {std::move(value), ++version_};
+    rows_.put(table, key, std::move(value));
 }
 
 void standin_store::remove(std::string const& table, std::string const& key)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    rows_.erase({table, "", key});
+    rows_.remove(table, key);
 }
 
 std::size_t standin_store::count(std::string const& table) const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    std::size_t found = 0;
-    for (auto const& [at, row] : rows_)
-        found += at[0] == table ? 1 : 0;
-    return found;
+    return rows_.count(table);
 }
 
 std::size_t standin_store::readings(std::string const& table) const
@@ -196,85 +169,27 @@
 
 void standin_store::answer(link_ptr const& link, http_request const& request)
 {
-    int status = 200;
-    json body = json::object();
+    constexpr int status_unavailable = 503;
     std::string const target(request.target());
     if (is_silent(request))
         return;
-    if (down_)
-        status = 503;
-    else if (target == "/rows-tx")
+    store_rows::response answer{status_unavailable, json::object()};
+    if (!down_)
     {
-        body = transaction(json::parse(request.body()), status);
-        auto const every = lose_every_.load();
-        if (every > 0 && ++transactions_ % every == 0)
-        {
-            link->abort();
-            return;
-        }
-    }
-    else
-        body = range(target);
-    link->write(standin_target::answer(status, {}, body.dump()));
-    link->finish_answer(false);
-}
-
-json standin_store::row_json(row_key const& at) const
-{
-    auto const& row = rows_.at(at);
-    return {
-        {"table", at[0]},
-        {"part", at[1]},
-        {"key", at[2]},
-        {"value", to_base64(row.value)},
-        {"ver", row.version}};
-}
-
-json standin_store::transaction(json const& body, int& status)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    auto const key_of = [](json const& one) {
-        return row_key{one["table"], one["part"], one["key"]};
-    };
-    json present = json::array();
-    for (auto const& one : body["expect_rev"])
-    {
-        auto const found = rows_.find(key_of(one));
-        auto const version = found == rows_.end() ? 0 : found->second.version;
-        if (version != one["ver"].get<std::uint64_t>())
-            status = 412;
-        if (found != rows_.end())
-            present.push_back(row_json(found->first));
-    }
-    if (status != 200)
-        return {{"rows", present}, {"ver", version_}, {"now_ms", 1}};
-    ++version_;
-    for (auto const& one : body["writes"])
-    {
-        rows_[key_of(one)] = {
-            from_base64(one["value"].get<std::string>()), version_};
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (target != "/rows-tx")
+            ++readings_[query_value(target, "table")];
+        answer = rows_.respond(target, request.body());
     }
-    for (auto const& one : body["remove"])
-        rows_.erase(key_of(one));
-    return {{"ver", version_}, {"now_ms", 1}};
-}
-
-json standin_store::range(std::string const& target)
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    ++readings_[query_value(target, "table")];
-    auto const from = query_value(target, "from");
-    auto const to = query_value(target, "to");
-    json rows = json::array();
-    for (auto const& [at, row] : rows_)
+    auto const every = lose_every_.load();
+    if (!down_ && target == "/rows-tx" && every > 0 &&
+        ++transactions_ % every == 0)
     {
-        if (at[0] == query_value(target, "table") &&
-            at[1] == query_value(target, "part") && at[2] >= from &&
-            (to.empty() || at[2] < to))
-            rows.push_back(row_json(at));
+        link->abort();
+        return;
     }
-    return {
-        {"rows", rows}, {"truncated", false}, {"ver", version_}, {"now_ms", 1}};
+    link->write(standin_target::answer(answer.status, {}, answer.body.dump()));
+    link->finish_answer(false);
 }
 
 standin_target::standin_target(std::string id) : id_(std::move(id))
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -9,6 +9,8 @@
 #include "entry/caller_link.hpp"
 #include "entry/entry_node.hpp"
 
+#include "store_rows.hpp"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -108,26 +110,15 @@
     void silence_table(std::string const& table);
 
 private:
-    struct stored
-    {
-        std::string value;
-        std::uint64_t version = 0;
-    };
-    using row_key = std::array<std::string, 3>;
-
     void answer(link_ptr const& link, http_request const& request);
-    nlohmann::json transaction(nlohmann::json const& body, int& status);
-    nlohmann::json range(std::string const& target);
     bool is_silent(http_request const& request);
-    nlohmann::json row_json(row_key const& at) const;
 
     mutable std::mutex mutex_;
-    std::map<row_key, stored> rows_;
+    store_rows rows_;
     std::map<std::string, std::size_t> readings_;
     std::map<std::string, std::size_t> transactions_of_;
     std::set<std::string> silent_;
     std::string silent_table_;
-    std::uint64_t version_ = 0;
     std::atomic<bool> down_{false};
     std::atomic<unsigned> lose_every_{0};
     std::atomic<unsigned> transactions_{0};
--- a/test/store_return-test.cpp
+++ b/test/store_return-test.cpp
@@ -24,7 +24,7 @@
     standin_store store;
     int recoveries = 0;
     store_client client{
-        io,
+        network_runtime(io),
         store.address(),
         seeded_random(3),
         {{}, [this] { ++recoveries; }, nullptr}};
@@ -77,7 +77,8 @@
 {
     metrics counters;
     store_client counted(
-        io, store.address(), seeded_random(4), {{}, {}, &counters});
+        network_runtime(io), store.address(), seeded_random(4),
+        {{}, {}, &counters});
     int ended = 0;
     auto const calls =
         counted.calls(store_client::unavailable_policy::retry_until_timeout);
