tests: a large configuration does not reach nodes behind slow links (red)

What callers saw: calls run by a configuration replaced 3.9 s before, on undisturbed nodes of 0.12 cores and 30 Mbit/s, after it had grown by 1,400 routes.

The test plays a failure domain of 5 strong and 18 weak nodes on a simulated network whose links and processors have the platform's speeds, with the product's views and clients. At 4,200 routes a change is not in force after 19,900 ms (bound 3,000), and nodes count the store as lost 223 times.

The costs of the model are measured: 13.5 ns for each byte of an answer of the store, 31 ns for each byte of a document that is decoded.

--- /dev/null
+++ b/test/large_configuration-test.cpp
@@ -0,0 +1,52 @@
+/// \file
+/// Time until a change of a large configuration is in force on nodes behind
+/// slow links and with small shares of a processor. Nothing is disturbed.
+
+#include "entry/call_limits.hpp"
+
+#include "slow_link_cluster.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct large_configuration_fixture
+{
+    /// Time within which a change must be in force.
+    static constexpr milliseconds bound{3'000};
+    static constexpr seconds startup_time{10};
+    static constexpr int changes = 3;
+
+    /// Plays changes that follow each other as fast as each may be acknowledged
+    /// and checks that all nodes apply each within the bound.
+    static void check_bound(slow_link_cluster& cluster)
+    {
+        cluster.run_for(startup_time);
+        cluster.start_measuring();
+        for (int i = 0; i < changes; ++i)
+        {
+            cluster.change_configuration();
+            cluster.run_for(milliseconds(3'300));
+        }
+        CHECK(ms_count(cluster.worst_configuration()) <= bound.count());
+        CHECK(ms_count(cluster.worst_engines()) <= bound.count());
+        CHECK(cluster.store_losses() == 0);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    large_configuration_fixture,
+    "large configuration: nodes behind slow links apply a change within the "
+    "bound")
+{
+    slow_link_cluster cluster({});
+    check_bound(cluster);
+}
