http link: accept an answer whose head arrives before its body

What callers saw: 502 "the engine broke off", and calls of the store that counted as not answered and were sent again, whenever the head of an answer with a length came in a packet of its own.

Cause: Boost.Beast 1.74 compares the length with the parser's limit without asking whether there is one, so that `body_limit(none)` rejects each answer with a length. It goes unnoticed where a part of the body follows in the same read, as the error is then overwritten.

The limit is now the largest number. `exchange: an answer whose head arrives before its body is received` failed before (not answered, an empty body).

--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -9,6 +9,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace walnutmill
@@ -220,7 +222,8 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(max_head_bytes);
-    parser_->body_limit(boost::none);
+    // Without a limit, the parser rejects an answer whose head arrives alone.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
     head_received_ = false;
     skipping_ = false;
 }
--- a/test/exchange-test.cpp
+++ b/test/exchange-test.cpp
@@ -154,3 +154,17 @@
     CHECK(reply.status == 200);
     CHECK(reply.body == "part");
 }
+
+TEST_CASE_METHOD(
+    exchange_fixture,
+    "exchange: an answer whose head arrives before its body is received")
+{
+    server.on_request = [this](link_ptr const& link, http_request const&)
+    {
+        link->write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+        server.later(part_interval, [this, link] { send_parts(link, 1); });
+    };
+    auto const reply = call({seconds(20)});
+    CHECK(reply.answered);
+    CHECK(reply.body == part);
+}
