--- a/test/slow_link_cluster.cpp
+++ b/test/slow_link_cluster.cpp
@@ -183,6 +183,7 @@
     to.on_members = [this, &one](std::vector<entry_member> const& members)
     {
         std::vector<std::string> relays;
+        relays.reserve(members.size());
         for (auto const& each : members)
             relays.push_back(each.address);
         one.store->set_relays(std::move(relays));
