call: do not leave an engine that still receives the prompt

A repeatable call whose prompt takes longer to send than the engine may be silent was broken off in the middle of sending and sent anew, up to the limit of sends, and the engine's health fell.

Cause: the silence of an engine was counted from when the call was handed to the link, however large its body and its kept history: a fixed time beside a payload that grows. 400 ms carry 1.5 MB on a link of 30 Mbit/s.

Silence now counts from the last bytes sent, as in exchanges with the store. What the system buffers for a link counts as sent.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -124,7 +124,7 @@
     log_fields_["engine_load_age_ms"] = chosen->load_age.count();
     log_fields_["engine_cached"] = chosen->cached_tokens;
     attempt->sent_at = node_.clock();
-    attempt->last_received_at = attempt->sent_at;
+    attempt->last_progress_at = attempt->sent_at;
     attempt->silence_timeout = stall_timeout(
         chosen->time_to_first_byte, service_->model.has_value(), stalls_,
         node_.stalls);
@@ -146,6 +146,8 @@
         chain_.text.empty() ? request_.body() : chain_.text + request_.body());
     http_link::handlers callbacks;
     auto const self = shared_from_this();
+    callbacks.on_sent = [self, attempt]
+    { attempt->last_progress_at = self->node_.clock(); };
     callbacks.on_head = [self, attempt](platform::response_head const& head)
     { self->on_head(attempt, head); };
     callbacks.on_body = [self, attempt](std::string_view bytes)
@@ -158,7 +160,7 @@
 void call_flow::on_head(
     attempt_ptr const& attempt, platform::response_head const& head)
 {
-    attempt->last_received_at = node_.clock();
+    attempt->last_progress_at = node_.clock();
     attempt->answer = platform::decode_answer(head);
     if (attempt->answer.load)
         node_.balancer.report_load(attempt->at.ref(), *attempt->answer.load);
@@ -169,7 +171,7 @@
 
 void call_flow::on_body(attempt_ptr const& attempt, std::string_view bytes)
 {
-    attempt->last_received_at = node_.clock();
+    attempt->last_progress_at = node_.clock();
     auto const streams = route_->streams && attempt->accepted_by_engine &&
                          attempt->answer.status < status_success_end &&
                          attempt->answer.signed_by_engine;
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -111,8 +111,9 @@
         placement at;
         engine_links::link_ptr link;
         time_point sent_at{};
-        /// Time of the last bytes received, or of sending if there are none.
-        time_point last_received_at{};
+        /// Time of the last bytes received; before the first, of the last bytes
+        /// sent.
+        time_point last_progress_at{};
         /// Silence after which the engine counts as stalled.
         duration silence_timeout{0};
         engine_answer answer;
--- a/src/entry/call_stalls.cpp
+++ b/src/entry/call_stalls.cpp
@@ -15,7 +15,7 @@
     if (done_ || one->ended)
         return;
     stall_timer_.expires_after(
-        one->silence_timeout - (node_.clock() - one->last_received_at));
+        one->silence_timeout - (node_.clock() - one->last_progress_at));
     stall_timer_.async_wait(
         [self = shared_from_this(), one](boost::system::error_code const& error)
         {
@@ -26,7 +26,7 @@
 
 void call_flow::check_progress(attempt_ptr const& one)
 {
-    if (node_.clock() - one->last_received_at < one->silence_timeout)
+    if (node_.clock() - one->last_progress_at < one->silence_timeout)
     {
         watch_for_stall(one);
         return;
--- a/test/stalled_call-test.cpp
+++ b/test/stalled_call-test.cpp
@@ -2,8 +2,16 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
 #include <atomic>
+#include <chrono>
 #include <string>
+#include <thread>
 
 namespace
 {
@@ -40,6 +48,81 @@
     }
 };
 
+/// A target behind a slow link: reads a request at a limited rate, with little
+/// room for what it has not read, and answers at its end.
+class slow_reader
+{
+public:
+    slow_reader(std::size_t request_bytes, std::size_t bytes_per_s)
+        : request_bytes_(request_bytes), bytes_per_s_(bytes_per_s)
+    {
+        constexpr int buffer_bytes = 16'384;
+        tcp::endpoint const any(boost::asio::ip::address_v4::loopback(), 0);
+        acceptor_.open(any.protocol());
+        acceptor_.set_option(
+            boost::asio::socket_base::receive_buffer_size(buffer_bytes));
+        acceptor_.bind(any);
+        acceptor_.listen();
+        address_ =
+            "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~slow_reader()
+    {
+        stopping_ = true;
+        boost::system::error_code ignored; // the thread may have ended
+        tcp::socket(io_).connect(acceptor_.local_endpoint(), ignored);
+        thread_.join();
+    }
+    slow_reader(slow_reader const&) = delete;
+    slow_reader& operator=(slow_reader const&) = delete;
+
+    std::string const& address() const { return address_; }
+    int connections() const { return connections_; }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+    using steady = std::chrono::steady_clock;
+
+    void serve()
+    {
+        while (true)
+        {
+            auto socket = acceptor_.accept();
+            if (stopping_)
+                return;
+            ++connections_;
+            read_and_answer(socket);
+        }
+    }
+
+    void read_and_answer(tcp::socket& socket)
+    {
+        auto const began = steady::now();
+        std::array<char, 65'536> chunk{};
+        boost::system::error_code error;
+        std::size_t received = 0;
+        while (received < request_bytes_ && !error)
+        {
+            received += socket.read_some(boost::asio::buffer(chunk), error);
+            std::this_thread::sleep_until(
+                began + milliseconds(received * 1'000 / bytes_per_s_));
+        }
+        auto const answer = standin_target::answer(
+            200, "Request-Id: r1\r\nResponse-Stamp: s\r\n", "received");
+        boost::asio::write(socket, boost::asio::buffer(answer), error);
+    }
+
+    std::size_t request_bytes_;
+    std::size_t bytes_per_s_;
+    boost::asio::io_context io_;
+    tcp::acceptor acceptor_{io_};
+    std::string address_;
+    std::atomic<int> connections_{0};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
 } // namespace
 
 TEST_CASE_METHOD(
@@ -133,3 +216,32 @@
     test_caller caller(node.settings.listen_callers);
     CHECK(caller.call(turn("t1")).whole);
 }
+
+TEST_CASE_METHOD(
+    stalled_call_fixture,
+    "stalled call: an engine that is still reading a large prompt is not left")
+{
+    constexpr std::size_t prompt_bytes = 24'000'000;
+    constexpr std::size_t bytes_per_s = 6'000'000;
+    min_stall_timeout = milliseconds(1'500);
+    auto document = configuration();
+    document["limits"]["max_body_bytes"] = 2 * prompt_bytes;
+    document["limits"]["header_timeout_ms"] = 30'000;
+    for (auto& route : document["routes"])
+        route["timeout_ms"] = 30'000;
+    store.put("op", "config", document);
+    slow_reader engine(prompt_bytes, bytes_per_s);
+    store.put(
+        "servers", "da",
+        engine_row("desk", engine.address(), 1'700'000'000'000));
+    store.remove("servers", "db");
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    auto const got = caller.call(
+        "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+        "Deadline-Ms: 30000\r\nContent-Length: " +
+        std::to_string(prompt_bytes) + "\r\n\r\n" +
+        std::string(prompt_bytes, 'x'));
+    CHECK(got.status == 200);
+    CHECK(engine.connections() == 1);
+}
