--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -263,12 +263,10 @@
         read_whole_configuration();
         return;
     }
-    ++configuration_reads_in_progress_;
     store_.read_changes(
         std::string(platform::names::operator_table), known.as_of, read_timeout,
         [this, began = hooks_.boot_clock()](changes_result const& changes)
         {
-            --configuration_reads_in_progress_;
             if (changes.history_lost || !changes.removed.empty())
             {
                 read_whole_configuration();
@@ -282,13 +280,11 @@
 void platform_view::read_whole_configuration()
 {
     std::string const key(platform::names::configuration_key);
-    ++configuration_reads_in_progress_;
     store_.read(
         {std::string(platform::names::operator_table), "", key, key + '\0'},
         read_timeout,
         [this, began = hooks_.boot_clock()](range_result const& result)
         {
-            --configuration_reads_in_progress_;
             if (result.outcome != store_outcome::done)
                 ++failed_configuration_reads_;
             else
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -272,7 +272,6 @@
     std::uint64_t configuration_version_ = 0;
     std::string configuration_source_;
     std::uint32_t failed_configuration_reads_ = 0;
-    std::uint32_t configuration_reads_in_progress_ = 0;
     engine_roster engines_;
     member_roster members_;
     std::unordered_map<std::string, decoded_row> decoded_engines_;
