platform view: report a configuration that nears the supported size

What callers saw: calls run by a replaced configuration, with nothing that told operators before that the configuration had outgrown its nodes.

`walnutmill_configuration_bytes` is the size in force; `configuration.large` tells of one beyond three quarters of 1.1 MB, the largest document of which a change is in force within 3 s in a failure domain of 23 nodes of 0.12 cores and 30 Mbit/s each (5,600 routes in `large configuration: a reader behind a slow link passes a change on within the bound`). Two tests of the report.

--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -108,6 +108,9 @@
         static_cast<double>(history_.cached_bytes()));
     counters_.gauge(
         "walnutmill_log_lines_dropped", static_cast<double>(log_.dropped()));
+    counters_.gauge(
+        "walnutmill_configuration_bytes",
+        static_cast<double>(view_.configuration_bytes()));
     if (auto const age = view_.configuration_age(); age != duration::max())
     {
         counters_.gauge(
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -30,6 +30,9 @@
 /// Own reads start earlier by a random part of that, up to this fraction, so
 /// that the followers of a lost reader do not read at the same moment.
 constexpr double own_read_spread = 0.125;
+/// Size of a configuration from which operators are warned.
+constexpr std::size_t near_supported_bytes =
+    platform_view::supported_configuration_bytes / 4 * 3;
 
 coordinator_options reader_options(entry_member const& self)
 {
@@ -400,6 +403,15 @@
     if (auto const age = configuration_age(); age != duration::max())
         fields["changed_within_ms"] = ms_count(age);
     log_.write(log_priority::important, "configuration.applied", fields);
+    configuration_bytes_ = row->document.size();
+    if (configuration_bytes_ > near_supported_bytes)
+    {
+        log_.write(
+            log_priority::important, "configuration.large",
+            {{"configuration", decoded->version},
+             {"bytes", configuration_bytes_},
+             {"supported_bytes", supported_configuration_bytes}});
+    }
     hooks_.on_configuration(
         std::make_shared<routing_table const>(std::move(*decoded)));
     return true;
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -87,6 +87,11 @@
             on_configuration_confirmed{};
     };
 
+    /// Largest document of which a change is in force within 3 s in a failure
+    /// domain of 23 nodes with 0.12 cores and 30 Mbit/s each
+    /// (docs/CAPACITY.md).
+    static constexpr std::size_t supported_configuration_bytes = 1'100'000;
+
     /// Time until another node's answer to a query begins. Without an answer, a
     /// node still reads its tables itself before they are too old.
     static constexpr duration
@@ -120,6 +125,8 @@
     /// to which it is known to include every acknowledged write. The maximum
     /// duration if it was never read.
     duration configuration_age() const;
+    /// \return the size of the document that is in force; 0 if there is none
+    std::size_t configuration_bytes() const { return configuration_bytes_; }
     /// \return the node whose read of the configuration is the latest known;
     /// empty if it was never read.
     std::string const& configuration_source() const
@@ -270,6 +277,7 @@
     platform::configuration_decoder configuration_decoder_;
     std::uint64_t configuration_row_version_ = 0;
     std::uint64_t configuration_version_ = 0;
+    std::size_t configuration_bytes_ = 0;
     std::string configuration_source_;
     std::uint32_t failed_configuration_reads_ = 0;
     engine_roster engines_;
--- a/test/large_configuration-test.cpp
+++ b/test/large_configuration-test.cpp
@@ -6,8 +6,15 @@
 
 #include "slow_link_cluster.hpp"
 
+#include <walnutmill/random.hpp>
+
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
 namespace
 {
 
@@ -42,6 +49,53 @@
     }
 };
 
+/// A view whose store holds one configuration of a given size.
+struct configuration_size_fixture
+{
+    std::string lines;
+    std::size_t reported_bytes = 0;
+
+    void read_configuration(std::size_t bytes)
+    {
+        std::string const head = R"({"version":1,"routes":[],"services":[)"
+                                 R"({"name":")";
+        std::string const tail = R"("}]})";
+        auto const document =
+            head + std::string(bytes - head.size() - tail.size(), 'x') + tail;
+        auto const clock = [] { return time_point(seconds(1)); };
+        line_log log(
+            "n", clock,
+            [this](std::string_view written)
+            {
+                lines += written;
+                return written.size();
+            },
+            log_limits());
+        std::function<void(range_result)> answer;
+        versioned_store store;
+        store.read = [&](row_range const& range, milliseconds,
+                         std::function<void(range_result)> done)
+        {
+            if (range.table == "op")
+                answer = std::move(done);
+        };
+        platform_view::hooks hooks;
+        hooks.on_configuration = [](auto const&) {};
+        hooks.schedule_after = [](duration, auto const&) {};
+        platform_view view(
+            store, clock, seeded_random(1), log, entry_member(), seconds(1),
+            std::move(hooks));
+        view.start();
+        answer({store_outcome::done, {{{"op", "", "config"}, document, 1}}, 1});
+        log.flush();
+        reported_bytes = view.configuration_bytes();
+    }
+    bool is_reported_as_large() const
+    {
+        return lines.find("configuration.large") != std::string::npos;
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(
@@ -122,3 +176,23 @@
     CHECK(ms_count(cluster.worst_configuration()) <= bound.count());
     CHECK(ms_count(cluster.worst_engines()) <= bound.count());
 }
+
+TEST_CASE_METHOD(
+    configuration_size_fixture,
+    "large configuration: a document near the supported size is reported")
+{
+    constexpr std::size_t near =
+        platform_view::supported_configuration_bytes * 8 / 10;
+    read_configuration(near);
+    CHECK(reported_bytes == near);
+    CHECK(is_reported_as_large());
+}
+
+TEST_CASE_METHOD(
+    configuration_size_fixture,
+    "large configuration: a document of half the supported size is not "
+    "reported")
+{
+    read_configuration(platform_view::supported_configuration_bytes / 2);
+    CHECK_FALSE(is_reported_as_large());
+}
