--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -27,6 +27,9 @@
         "entry nodes")(
         "callers", po::value(&options.callers)->default_value(options.callers),
         "programs at a time")(
+        "idle-routes",
+        po::value(&options.idle_routes)->default_value(options.idle_routes),
+        "routes that nobody calls")(
         "program", po::value(&options.program)->required(),
         "the walnutmill program")(
         "directory", po::value(&options.directory)->required(),
--- a/support/soak_faults.cpp
+++ b/support/soak_faults.cpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <string>
 #include <utility>
 
 namespace walnutmill
@@ -63,12 +64,27 @@
     return "/added-" + std::to_string(change) + "/";
 }
 
+nlohmann::json soak_world::configuration_with_idle_routes() const
+{
+    auto document = configuration();
+    auto idle = document["routes"][safe_route];
+    for (int i = 0; i < options_.idle_routes; ++i)
+    {
+        auto const name = "idle-" + std::to_string(i);
+        idle["name"] = name;
+        idle["prefix"] = "/" + name + "/";
+        document["routes"].push_back(idle);
+    }
+    return document;
+}
+
 void soak_world::change_configuration()
 {
+    auto const unchanged = configuration_with_idle_routes();
+    auto const first = unchanged["version"].get<int>();
     while (faults_)
     {
-        auto document = configuration();
-        auto const first = document["version"].get<int>();
+        auto document = unchanged;
         document["version"] = first + 2 * ++changes_;
         auto added = document["routes"][safe_route];
         added["name"] = "added";
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -9,6 +9,8 @@
 #include "soak_history.hpp"
 #include "soak_process.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <atomic>
 #include <map>
 #include <memory>
@@ -29,6 +31,9 @@
     int seconds = 20;
     int nodes = 3;
     int callers = 12;
+    /// Routes that nobody calls, added with the first change of the
+    /// configuration.
+    int idle_routes = 0;
     /// The program whose nodes are run.
     std::string program;
     /// Where nodes' logs go.
@@ -88,6 +93,7 @@
     void await_ready(soak_node const& one) const;
     void count(std::string const& what);
 
+    nlohmann::json configuration_with_idle_routes() const;
     /// Changes the configuration until the faults end.
     void change_configuration();
     static std::string added_path(int change);
