--- a/test/stalled_call-test.cpp
+++ b/test/stalled_call-test.cpp
@@ -96,7 +96,7 @@
         }
     }
 
-    void read_and_answer(tcp::socket& socket)
+    void read_and_answer(tcp::socket& socket) const
     {
         auto const began = steady::now();
         std::array<char, 65'536> chunk{};
