entry: report software versions of engines and resumed streams

Resumes is decoded. call.ended has engine_version, resumes and resume_after, failed attempts and engines their version. stream.version_changed and its counter tell of an answer with events of two versions.

No decision changes. cluster section and foreign entry pass (2 new cases), linked by hand.

--- a/include/walnutmill/call.hpp
+++ b/include/walnutmill/call.hpp
@@ -54,6 +54,9 @@
     std::optional<std::chrono::milliseconds> deadline;
     /// The caller resumes a stream after this event.
     std::optional<std::uint64_t> resume_after;
+    /// The caller's attempt that received the first event of the stream that
+    /// this one resumes; empty where the caller did not name it.
+    request_id resumes;
     std::uint32_t prompt_tokens = 0;
     /// Most tokens that the turn may generate.
     std::uint32_t max_output_tokens = 0;
--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -155,6 +155,8 @@
     target_name engine;
     engine_incarnation incarnation;
     std::string address;
+    /// Version of the engine's software; empty where it reports none.
+    std::string version;
     /// Expected wait for a slot.
     std::chrono::milliseconds wait{0};
     /// Expected time to the first byte of the answer, including the wait.
--- a/include/walnutmill/routing_table.hpp
+++ b/include/walnutmill/routing_table.hpp
@@ -172,6 +172,8 @@
     /// IP:PORT
     std::string address;
     zone_name zone;
+    /// Version of the engine's software; empty where it reports none.
+    std::string version;
     std::uint32_t slots = 1;
     engine_state state = engine_state::ready;
 };
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -120,6 +120,7 @@
     ++sends_;
     current_ = attempt;
     log_fields_["engine"] = chosen->engine.str();
+    log_fields_["engine_version"] = chosen->version;
     log_fields_["engine_load"] = chosen->load;
     log_fields_["engine_load_age_ms"] = chosen->load_age.count();
     log_fields_["engine_cached"] = chosen->cached_tokens;
@@ -218,6 +219,7 @@
     }
     if (event.id)
         last_event_ = event.id;
+    observe_version(attempt);
     delivered_tokens_ += tokens_per_event_;
     if (route_->keeps_turns)
         output_.append(event.data).append("\n");
@@ -226,6 +228,23 @@
         abort_call("the caller does not read");
 }
 
+/// Reports an answer that holds events of engines of two software versions.
+void call_flow::observe_version(attempt_ptr const& attempt)
+{
+    auto const& version = attempt->at.version;
+    if (stream_version_ && *stream_version_ != version)
+    {
+        node_.counters.count("walnutmill_stream_version_changes_total");
+        node_.log.write(
+            log_priority::important, "stream.version_changed",
+            {{"request", call_.id.str()},
+             {"from", *stream_version_},
+             {"to", version},
+             {"engine", attempt->at.engine.str()}});
+    }
+    stream_version_ = version;
+}
+
 void call_flow::on_end(attempt_ptr const& attempt, link_end how)
 {
     if (attempt->ended)
@@ -454,6 +473,7 @@
          {"engine", attempt->at.engine.str()},
          {"started_at_ms", attempt->at.incarnation.started_at_ms},
          {"address", attempt->at.address},
+         {"version", attempt->at.version},
          {"outcome", outcome},
          {"status", attempt->answer.status},
          {"load", attempt->at.load},
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -76,6 +76,10 @@
     log_fields_["request"] = call_.id.str();
     if (!call_.program.program.empty())
         log_fields_["program"] = call_.program.program.str();
+    if (call_.resume_after)
+        log_fields_["resume_after"] = *call_.resume_after;
+    if (!call_.resumes.empty())
+        log_fields_["resumes"] = call_.resumes.str();
     table_ = node_.table;
     deadline_at_ = arrived_ + default_deadline;
     if (!table_)
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -175,6 +175,7 @@
     bool may_run_elsewhere(engine_ref const& previous) const;
 
     void forward_event(attempt_ptr const& attempt, stream_event const& event);
+    void observe_version(attempt_ptr const& attempt);
     void stream_completed();
     void deliver(attempt_ptr const& attempt);
 
@@ -229,6 +230,8 @@
     bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
     std::optional<std::uint64_t> last_event_;
+    /// Software version of the engine that produced the last event forwarded.
+    std::optional<std::string> stream_version_;
     turn_chain chain_;
     std::string output_;
     /// Fields of the log line `call.ended`.
--- a/src/entry/cluster_section.cpp
+++ b/src/entry/cluster_section.cpp
@@ -66,6 +66,7 @@
     entry.state =
         one.at(5).get<bool>() ? engine_state::ready : engine_state::draining;
     entry.incarnation.started_at_ms = one.at(6).get<std::int64_t>();
+    entry.version = one.at(7).get<std::string>();
     return entry;
 }
 
@@ -107,7 +108,7 @@
         body.push_back(json::array(
             {one.id.str(), one.service.str(), one.address, one.zone.str(),
              one.slots, one.state == engine_state::ready,
-             one.incarnation.started_at_ms}));
+             one.incarnation.started_at_ms, one.version}));
     }
     return to_bytes(body);
 }
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -269,6 +269,7 @@
     to.engine = best->entry.id;
     to.incarnation = best->entry.incarnation;
     to.address = best->entry.address;
+    to.version = best->entry.version;
     to.load = load_of(*best, now);
     to.slots = best->entry.slots;
     to.cost_ms = best_cost;
--- a/src/entry/engine_roster.cpp
+++ b/src/entry/engine_roster.cpp
@@ -89,6 +89,7 @@
         {{"engine", one.id.str()},
          {"service", one.service.str()},
          {"address", one.address},
+         {"version", one.version},
          {"started_at_ms", one.incarnation.started_at_ms},
          {"read_at_version", as_of_}});
 }
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -12,6 +12,7 @@
 #include <ctime>
 #include <map>
 #include <random>
+#include <set>
 #include <unistd.h>
 #include <utility>
 
@@ -303,6 +304,15 @@
 {
     counters_.gauge(
         "walnutmill_engines_known", static_cast<double>(engines.size()));
+    std::map<std::string, std::set<std::string>> versions;
+    for (auto const& one : engines)
+        versions[one.service.str()].insert(one.version);
+    for (auto const& [service, known] : versions)
+    {
+        counters_.gauge(
+            "walnutmill_engine_versions{service=\"" + service + "\"}",
+            static_cast<double>(known.size()));
+    }
     for (auto const& one : balancer_.set_engines(engines))
         links_.close_former_incarnations(one);
 }
--- a/test/cluster_section-test.cpp
+++ b/test/cluster_section-test.cpp
@@ -1,6 +1,7 @@
 #include "entry/cluster_section.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <string>
 
@@ -35,6 +36,7 @@
         one.slots = 6;
         one.state = engine_state::draining;
         one.incarnation.started_at_ms = 17;
+        one.version = "2.1";
         return {one};
     }
 
@@ -58,6 +60,7 @@
     REQUIRE(read);
     REQUIRE(read->size() == 1);
     CHECK(read->front().id == target_name("e1"));
+    CHECK(read->front().version == "2.1");
     CHECK(read->front().service == service_name("llm"));
     CHECK(read->front().address == "10.0.0.1:80");
     CHECK(read->front().zone == zone_name("z1"));
@@ -153,6 +156,15 @@
     CHECK_FALSE((*plain)[0].compressed);
 }
 
+TEST_CASE("cluster section: engines without versions, as older nodes encode "
+          "them, are rejected")
+{
+    auto const entry =
+        nlohmann::json::array({"e1", "llm", "10.0.0.1:80", "z1", 6, true, 17});
+    auto const bytes = nlohmann::json::to_cbor(nlohmann::json::array({entry}));
+    CHECK_FALSE(decode_engine_list(std::string(bytes.begin(), bytes.end())));
+}
+
 TEST_CASE("compression: invalid or too large bytes are rejected")
 {
     std::string const original(5'000, 'a');
--- a/test/foreign_entry-test.cpp
+++ b/test/foreign_entry-test.cpp
@@ -58,6 +58,18 @@
     }
 }
 
+TEST_CASE_METHOD(
+    foreign_entry_fixture,
+    "foreign entry: the version of an engine's software is text or a number")
+{
+    CHECK(decode(changed("version", "v1.2"))->version == "v1.2");
+    CHECK(decode(changed("version", 7))->version == "7");
+    CHECK(decode(changed("version", nullptr))->version.empty());
+    CHECK_FALSE(decode(changed("version", json::array({1}))));
+    CHECK_FALSE(decode(changed("version", "a version")));
+    CHECK_FALSE(decode(changed("version", std::string(300, 'v'))));
+}
+
 TEST_CASE_METHOD(
     foreign_entry_fixture,
     "foreign entry: an engine need not say when it started")
