--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -322,6 +322,20 @@
     return receive();
 }
 
+std::string test_caller::receive_until(std::string const& text)
+{
+    std::array<char, 4'096> chunk{};
+    while (buffer_.find(text) == std::string::npos)
+    {
+        boost::system::error_code error;
+        auto const size = socket_.read_some(asio::buffer(chunk), error);
+        if (error)
+            break;
+        buffer_.append(chunk.data(), size);
+    }
+    return buffer_;
+}
+
 void test_caller::close()
 {
     socket_.close();
@@ -392,6 +406,29 @@
     }
 }
 
+std::optional<double>
+entry_world::metric(node const& one, std::string const& name) const
+{
+    test_caller caller(one.settings.listen_metrics);
+    auto const text =
+        "\n" + caller.call("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body;
+    auto const at = text.find("\n" + name + " ");
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::stod(text.substr(at + name.size() + 2));
+}
+
+bool entry_world::knows_members(node const& one, int others) const
+{
+    // The metric counts the node itself.
+    return metric(one, "walnutmill_nodes_known") == others + 1;
+}
+
+bool entry_world::knows_engines(node const& one, int engines) const
+{
+    return metric(one, "walnutmill_engines_known") == engines;
+}
+
 void entry_world::stop_node(node& one)
 {
     if (!one.thread.joinable())
@@ -408,6 +445,15 @@
         "servers", one.id(), engine_row(service, one.address(), started_at_ms));
 }
 
+void entry_world::register_engine(
+    standin_target const& one, std::string const& service,
+    std::string const& version)
+{
+    auto row = engine_row(service, one.address(), 1'700'000'000'000);
+    row["version"] = version;
+    store.put("servers", one.id(), row);
+}
+
 json entry_world::engine_row(
     std::string const& service, std::string const& address,
     std::int64_t started_at_ms)
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -191,6 +192,9 @@
     void send(std::string const& bytes);
     caller_answer receive();
     caller_answer call(std::string const& bytes);
+    /// Reads until the bytes received contain the text or the connection ends.
+    /// \return the bytes, which receive() still reads
+    std::string receive_until(std::string const& text);
     void close();
 
 private:
@@ -227,11 +231,20 @@
     node& start_node();
     void stop_node(node& one);
     bool is_ready(node const& one) const;
+    /// \return the value of a metric; empty if the node does not report it
+    std::optional<double>
+    metric(node const& one, std::string const& name) const;
+    bool knows_members(node const& one, int others) const;
+    bool knows_engines(node const& one, int engines) const;
 
     /// \param started_at_ms start time of the engine in Unix milliseconds
     void register_engine(
         standin_target const& one, std::string const& service,
         std::int64_t started_at_ms = 1'700'000'000'000);
+    /// Registers an engine whose software has this version.
+    void register_engine(
+        standin_target const& one, std::string const& service,
+        std::string const& version);
     /// The row that a ready engine writes to the store.
     static nlohmann::json engine_row(
         std::string const& service, std::string const& address,
--- a/test/store_rows.cpp
+++ b/test/store_rows.cpp
@@ -2,6 +2,8 @@
 
 #include "base64.hpp"
 
+#include <chrono>
+#include <cstdint>
 #include <utility>
 
 namespace walnutmill
@@ -11,6 +13,19 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+/// Time of the store's steady clock.
+std::int64_t now_ms()
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
 std::string query_value(std::string_view target, std::string const& name)
 {
     auto const at = target.find(name + "=");
@@ -90,7 +105,7 @@
     }
     if (to.status == status_conflict)
     {
-        to.body = {{"rows", present}, {"ver", version_}, {"now_ms", 1}};
+        to.body = {{"rows", present}, {"ver", version_}, {"now_ms", now_ms()}};
         return to;
     }
     ++version_;
@@ -101,7 +116,7 @@
     }
     for (auto const& one : body["remove"])
         rows_.erase(key_of(one));
-    to.body = {{"ver", version_}, {"now_ms", 1}};
+    to.body = {{"ver", version_}, {"now_ms", now_ms()}};
     return to;
 }
 
@@ -119,7 +134,10 @@
     }
     response to;
     to.body = {
-        {"rows", rows}, {"truncated", false}, {"ver", version_}, {"now_ms", 1}};
+        {"rows", rows},
+        {"truncated", false},
+        {"ver", version_},
+        {"now_ms", now_ms()}};
     return to;
 }
 
@@ -142,7 +160,7 @@
     json rows = json::array();
     for (auto& [version, row] : changes)
         rows.push_back(std::move(row));
-    to.body = {{"rows", rows}, {"ver", version_}, {"now_ms", 1}};
+    to.body = {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()}};
     return to;
 }
 
