entry: resume a stream only at the software version that began it

Cause: the version of a stream was known nowhere. An engine's version was not decoded, Resumes not read; within one answer the next engine was whichever came next, and a caller's next attempt was placed as a new call.

A stream's origin, its service and version, is now a fact that outlives its node, link and engine: - Within one answer, engines of the version alone may be chosen from the first event on. - A row of the store for each service names the versions at which streams may begin. No stream begins at a version before its row does, so one read tells where streams can have begun, also after all nodes died. With one version, as nearly always, nothing is recorded for a stream. - While several versions count, each stream's origin is copied to three nodes, in other failure domains as far as there are, before its first event is forwarded. A version is announced 1 s ahead, in which nodes copy the streams under way. - An attempt that resumes goes by the origin of this node, of others or by the only version of the row. Where none tells, or no engine of the version is left, it gets 503 at once: it has not run and won't.

stream.version_changed goes: the version can no longer change.

--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -147,6 +147,10 @@
     std::vector<target_name> avoid;
     /// The only engine that may be chosen; empty for any.
     target_name only;
+    /// Software version that the engine must have; unset for any.
+    std::optional<std::string> version;
+    /// The call begins a stream that may resume at another engine.
+    bool begins_resumable_stream = false;
 };
 
 /// Engine chosen for a call, with the estimates behind the choice.
@@ -229,6 +233,11 @@
     /// engines count as connected.
     std::function<bool(target_name const&)> is_connected;
 
+    /// \return true if resumable streams of a service may begin at engines of
+    /// this software version; if null, they may begin at all.
+    std::function<bool(service_name const&, std::string const& version)>
+        may_begin_stream;
+
     /// \return the candidate with the lowest expected cost; empty if the
     /// service has no usable engine
     std::optional<placement> choose(balancer_request const& need);
@@ -273,7 +282,13 @@
     /// there is one
     bool known(engine_ref const& engine) const;
     /// \return the number of registered engines of a service, in any state
-    std::size_t count_engines(service_name const& service) const;
+    /// \param version unset: engines of all software versions
+    std::size_t count_engines(
+        service_name const& service,
+        std::optional<std::string> const& version = std::nullopt) const;
+    /// \return true if an engine of this software version accepts calls
+    bool has_ready_engine(
+        service_name const& service, std::string const& version) const;
     /// Calls of this node in progress, by engine.
     std::vector<std::pair<target_name, std::uint32_t>> own_calls() const;
     /// Recent outcomes of this node's calls, for engines that have any.
--- a/include/walnutmill/versioned_store.hpp
+++ b/include/walnutmill/versioned_store.hpp
@@ -102,6 +102,8 @@
     std::uint64_t version = 0;
     /// The range has more rows after the last one returned.
     bool truncated = false;
+    /// Time of the store's steady clock when it answered; zero: not reported.
+    std::chrono::milliseconds store_time{0};
 };
 
 /// Rows of a table that changed after a version.
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -206,6 +206,7 @@
             return;
         }
     }
+    record_origin(attempt);
     if (!head_written_)
     {
         head_written_ = true;
@@ -219,7 +220,6 @@
     }
     if (event.id)
         last_event_ = event.id;
-    observe_version(attempt);
     delivered_tokens_ += tokens_per_event_;
     if (route_->keeps_turns)
         output_.append(event.data).append("\n");
@@ -228,23 +228,6 @@
         abort_call("the caller does not read");
 }
 
-/// Reports an answer that holds events of engines of two software versions.
-void call_flow::observe_version(attempt_ptr const& attempt)
-{
-    auto const& version = attempt->at.version;
-    if (stream_version_ && *stream_version_ != version)
-    {
-        node_.counters.count("walnutmill_stream_version_changes_total");
-        node_.log.write(
-            log_priority::important, "stream.version_changed",
-            {{"request", call_.id.str()},
-             {"from", *stream_version_},
-             {"to", version},
-             {"engine", attempt->at.engine.str()}});
-    }
-    stream_version_ = version;
-}
-
 void call_flow::on_end(attempt_ptr const& attempt, link_end how)
 {
     if (attempt->ended)
@@ -372,7 +355,8 @@
     // A past incarnation is not among the service's engines.
     std::size_t const previous_count = node_.balancer.known(previous) ? 1 : 0;
     return static_cast<std::uint64_t>(alive) < route_->max_engines &&
-           node_.balancer.count_engines(need_.service) > previous_count;
+           node_.balancer.count_engines(need_.service, need_.version) >
+               previous_count;
 }
 
 /// Handles an attempt after which the engine may have run the call without
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -139,8 +139,13 @@
             break;
         }
     }
-    service_ = table_->find_service(chosen);
-    need_.service = chosen;
+    use_service(chosen);
+}
+
+void call_flow::use_service(service_name const& name)
+{
+    service_ = table_->find_service(name);
+    need_.service = name;
     if (service_ == nullptr || !service_->model)
         return;
     need_.prompt_tokens = std::max(call_.prompt_tokens, 1U);
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -20,8 +20,10 @@
 #include "entry/engine_links.hpp"
 #include "entry/event_stream.hpp"
 #include "entry/line_log.hpp"
+#include "entry/origin_exchange.hpp"
 #include "entry/outage_policy.hpp"
 #include "entry/quota_exchange.hpp"
+#include "entry/version_register.hpp"
 #include "entry/workspace_counters.hpp"
 #include "platform/call_codec.hpp"
 
@@ -89,6 +91,10 @@
     quota_exchange* quotas = nullptr;
     workspace_counters requests_by_workspace{counters};
     denied_keys denied{};
+    /// Origins of streams, and versions at which they may begin. Null: versions
+    /// of engines are not told apart.
+    origin_exchange* origins = nullptr;
+    version_register* versions = nullptr;
 };
 
 /// State machine of one call. Its pending callbacks share ownership of it.
@@ -128,6 +134,7 @@
 
     bool route_call();
     void choose_service();
+    void use_service(service_name const& name);
     void check_identity();
     void log_configuration_origin();
     bool is_configuration_in_force() const;
@@ -145,6 +152,14 @@
     std::uint32_t route_rank() const;
     std::chrono::milliseconds retry_after_jitter() const;
     void arm_deadline();
+    void begin_or_resume();
+    bool resumes_stream() const;
+    void find_origin();
+    void find_origin_in_register();
+    void origin_not_found();
+    void resume_at(stream_origin const& origin, std::string_view source);
+    void refuse_resumption(std::string_view why, std::string_view outcome);
+    void record_origin(attempt_ptr const& attempt);
     void admit();
     void budget_granted(budget_service::grant const& grant);
     void settle_budget();
@@ -175,7 +190,6 @@
     bool may_run_elsewhere(engine_ref const& previous) const;
 
     void forward_event(attempt_ptr const& attempt, stream_event const& event);
-    void observe_version(attempt_ptr const& attempt);
     void stream_completed();
     void deliver(attempt_ptr const& attempt);
 
@@ -230,8 +244,12 @@
     bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
     std::optional<std::uint64_t> last_event_;
-    /// Software version of the engine that produced the last event forwarded.
-    std::optional<std::string> stream_version_;
+    /// Searches for the origin of the stream that have not ended.
+    int origin_searches_ = 0;
+    /// The stream's origin is known, so that the call may go to an engine.
+    bool has_origin_ = false;
+    /// This call has forwarded an event.
+    bool forwards_events_ = false;
     turn_chain chain_;
     std::string output_;
     /// Fields of the log line `call.ended`.
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -47,7 +47,7 @@
     case identity_answer::anonymous:
         if (table_->workspaces)
             scope_ids();
-        admit();
+        begin_or_resume();
         break;
     case identity_answer::key_missing:
         reject_key("a key is needed");
@@ -121,6 +121,8 @@
             program_id(scoped_id(call_.owner, program.program.str()));
     }
     stored_turn_id_ = request_id(scoped_id(call_.owner, call_.id.str()));
+    if (!call_.resumes.empty())
+        call_.resumes = request_id(scoped_id(call_.owner, call_.resumes.str()));
     unscoped_previous_ = program.previous_turn;
     if (!program.previous_turn.empty())
     {
@@ -183,7 +185,7 @@
 {
     if (node_.quotas == nullptr)
     {
-        admit();
+        begin_or_resume();
         return;
     }
     node_.quotas->acquire(
@@ -212,7 +214,7 @@
     {
     case quota_decision::granted:
         quota_acquired_ = true;
-        admit();
+        begin_or_resume();
         break;
     case quota_decision::over_limit:
         refuse_over_limit(
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -111,12 +111,37 @@
             *engine.incarnation == found->second.entry.incarnation);
 }
 
-std::size_t engine_balancer::count_engines(service_name const& service) const
+std::size_t engine_balancer::count_engines(
+    service_name const& service,
+    std::optional<std::string> const& version) const
 {
     auto const found = by_service_.find(service);
-    return found == by_service_.end()
-               ? 0
-               : found->second.local.size() + found->second.remote.size();
+    if (found == by_service_.end())
+        return 0;
+    auto const& [local, remote] = found->second;
+    if (!version)
+        return local.size() + remote.size();
+    auto const has_version = [&](target_name const& id)
+    { return engines_.at(id).entry.version == *version; };
+    return static_cast<std::size_t>(
+        std::count_if(local.begin(), local.end(), has_version) +
+        std::count_if(remote.begin(), remote.end(), has_version));
+}
+
+bool engine_balancer::has_ready_engine(
+    service_name const& service, std::string const& version) const
+{
+    auto const found = by_service_.find(service);
+    if (found == by_service_.end())
+        return false;
+    auto const is_ready = [&](target_name const& id)
+    {
+        auto const& entry = engines_.at(id).entry;
+        return entry.version == version && entry.state == engine_state::ready;
+    };
+    auto const& [local, remote] = found->second;
+    return std::any_of(local.begin(), local.end(), is_ready) ||
+           std::any_of(remote.begin(), remote.end(), is_ready);
 }
 
 double
@@ -239,6 +264,9 @@
            record.entry.service == need.service &&
            !contains_target(need.avoid, record.entry.id) &&
            (need.only.empty() || need.only == record.entry.id) &&
+           (!need.version || *need.version == record.entry.version) &&
+           (!need.begins_resumable_stream || !may_begin_stream ||
+            may_begin_stream(need.service, record.entry.version)) &&
            (include_ejected || record.ejected_until <= now);
 }
 
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -153,6 +153,10 @@
       quotas_(
           clock_, settings_.node, settings_.capacity_weight, settings_.quota,
           quota_hooks()),
+      origins_(clock_, settings_.node, settings_.domain, origin_hooks()),
+      versions_(
+          store_.calls(store_client::unavailable_policy::fail_fast), boot_now,
+          seeded_random(seed_of(incarnation_ + "versions")), version_hooks()),
       sweeper_(
           store_.calls(store_client::unavailable_policy::fail_fast),
           system_utc(), swept_tables()),
@@ -193,6 +197,7 @@
     { loads_.before_choice(std::move(choose)); };
     services_.on_calls_changed = [this] { loads_.calls_changed(); };
     connect_workspaces();
+    connect_streams();
     balancer_.is_connected = [this](target_name const& engine)
     { return links_.has_idle(engine); };
     loads_.on_ejection =
@@ -298,6 +303,7 @@
     services_.table = std::move(table);
     // Total call times are kept by route, and the routes may have changed.
     services_.max_call_times.clear();
+    register_versions();
 }
 
 void entry_node::set_engines(std::vector<engine_entry> const& engines)
@@ -315,6 +321,8 @@
     }
     for (auto const& one : balancer_.set_engines(engines))
         links_.close_former_incarnations(one);
+    engines_ = engines;
+    register_versions();
 }
 
 void entry_node::set_members(std::vector<entry_member> const& members)
@@ -335,6 +343,7 @@
     peer_history_.set_nodes(std::move(by_domain));
     loads_.set_nodes(coordinators);
     quotas_.set_nodes(coordinators);
+    origins_.set_nodes(members);
     budgets_.set_nodes(std::move(coordinators));
     leases_.membership_known();
     services_.nodes = static_cast<std::uint32_t>(members.size() + 1);
@@ -436,6 +445,7 @@
     ledger_.tick();
     budgets_.tick();
     quotas_.tick();
+    versions_.tick();
     if (!services_.stopping)
         leases_.tick();
     log_.flush();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -12,11 +12,13 @@
 #include "entry/history_exchange.hpp"
 #include "entry/line_log.hpp"
 #include "entry/load_exchange.hpp"
+#include "entry/origin_exchange.hpp"
 #include "entry/platform_view.hpp"
 #include "entry/quota_exchange.hpp"
 #include "entry/row_sweeper.hpp"
 #include "entry/section_client.hpp"
 #include "entry/store_client.hpp"
+#include "entry/version_register.hpp"
 
 #include <walnutmill/start_lease.hpp>
 
@@ -86,6 +88,10 @@
     static std::chrono::milliseconds
     read_interval(entry_settings const& settings);
     void connect_workspaces();
+    void connect_streams();
+    origin_exchange::hooks origin_hooks();
+    version_register::hooks version_hooks();
+    void register_versions();
     bool await_confirmation(std::function<void()> then);
     void configuration_confirmed(
         platform_view::configuration_confirmation const& confirmation);
@@ -114,6 +120,8 @@
     history_exchange peer_history_;
     load_exchange loads_;
     quota_exchange quotas_;
+    origin_exchange origins_;
+    version_register versions_;
     row_sweeper sweeper_;
     section_client sections_;
     entry_services services_;
@@ -126,6 +134,8 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     std::unordered_set<caller_link*> caller_links_;
+    /// The registered engines.
+    std::vector<engine_entry> engines_;
     /// Continuations of calls that wait for a newer configuration.
     std::vector<std::function<void()>> confirmation_waiters_;
     /// Incarnations of the other nodes that are members.
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -76,8 +76,10 @@
 bool entry_node::ready() const
 {
     // Engines are read separately from the configuration. Until they are known,
-    // each call would be refused for lack of an engine.
-    return services_.table && view_.has_read_engines() && !services_.stopping &&
+    // each call would be refused for lack of an engine. The same holds for the
+    // versions at which streams may begin.
+    return services_.table && view_.has_read_engines() &&
+           versions_.has_registered() && !services_.stopping &&
            clock_() - view_.last_read() < not_ready_after;
 }
 
@@ -103,6 +105,8 @@
         "walnutmill_programs_known", static_cast<double>(ledger_.programs()));
     counters_.gauge(
         "walnutmill_usable_leases", static_cast<double>(leases_.usable()));
+    counters_.gauge(
+        "walnutmill_stream_origins", static_cast<double>(origins_.size()));
     counters_.gauge(
         "walnutmill_turn_cache_bytes",
         static_cast<double>(history_.cached_bytes()));
--- a/test/fake_store.hpp
+++ b/test/fake_store.hpp
@@ -5,6 +5,7 @@
 /// An in-memory version of the platform's versioned store that injects faults
 /// at chosen steps. Calls are queued until run() executes them in order.
 
+#include <walnutmill/clock.hpp>
 #include <walnutmill/versioned_store.hpp>
 
 #include <algorithm>
@@ -95,6 +96,8 @@
         faults_[step] = fault;
     }
     void set_down(bool down) { down_ = down; }
+    /// Sets the store's own clock; until then its answers tell no time.
+    void set_clock(clock_fn clock) { clock_ = std::move(clock); }
 
     std::size_t steps() const { return steps_; }
     std::size_t commits() const { return commits_; }
@@ -190,6 +193,12 @@
             return to;
         to.outcome = store_outcome::done;
         to.version = version_;
+        if (clock_)
+        {
+            to.store_time =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    clock_().time_since_epoch());
+        }
         for (auto const& [key, row] : rows_)
         {
             auto const& at = row.at;
@@ -221,6 +230,7 @@
     std::size_t steps_ = 0;
     std::size_t commits_ = 0;
     bool down_ = false;
+    clock_fn clock_;
 };
 
 } // namespace testing
