entry: refuse to resume a stored turn in its middle

A turn of a route that stores turns and may be resumed was taken up at another node, or at the same one by a new attempt, and stored under that attempt's id with the events after Last-Event-Id only. A later turn would have run with a history that lacks its beginning.

Found while looking for the cause of the joined streams elsewhere: what one attempt begins and another one finishes. The attempt now gets 503, not run; the caller sends the turn anew.

--- a/src/entry/call_resumption.cpp
+++ b/src/entry/call_resumption.cpp
@@ -30,6 +30,11 @@
         need_.begins_resumable_stream = route_->streams && route_->resumable;
         admit();
     }
+    else if (route_->keeps_turns)
+    {
+        // The turn could only be stored without the events of its beginning.
+        refuse_resumption("a stored turn can't be resumed", "stored turn");
+    }
     else
         find_origin();
 }
