entry: do not share type names with the other program shape

Cause: two types are named walnutmill::placement, a struct of the entry nodes' balancer and a class of serve with a destructor in its source. A third text in the struct kept its destructor from being inlined in release builds, and the linker took the class's one. The core of a node under the soak shows free() called by placement::~placement() from choose_engine(). http_reply and stream_event had two definitions each as well.

The entry nodes' types are engine_placement, exchange_reply and server_sent_event. The enumeration power_state has two definitions still; it has no members.

--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -154,7 +154,7 @@
 };
 
 /// Engine chosen for a call, with the estimates behind the choice.
-struct placement
+struct engine_placement
 {
     target_name engine;
     engine_incarnation incarnation;
@@ -240,7 +240,7 @@
 
     /// \return the candidate with the lowest expected cost; empty if the
     /// service has no usable engine
-    std::optional<placement> choose(balancer_request const& need);
+    std::optional<engine_placement> choose(balancer_request const& need);
 
     // Reports about a former incarnation are ignored.
 
--- a/src/entry/budget_service.cpp
+++ b/src/entry/budget_service.cpp
@@ -187,7 +187,7 @@
               {"turn", requested.turn}}),
          small_exchange(options_.admission_timeout)},
         [this, request, requested, requests_left,
-         answer](http_reply const& reply)
+         answer](exchange_reply const& reply)
         {
             auto const body = reply.answered && reply.status == status_ok
                                   ? json::from_cbor(reply.body, true, false)
@@ -244,7 +244,7 @@
          cbor_request(settle_path, granted.coordinator_address, settlement),
          small_exchange(settlement_timeout)},
         [this, granted, delivered_tokens, location,
-         attempts_left](http_reply const& reply)
+         attempts_left](exchange_reply const& reply)
         {
             // The coordinator ignores a repeated settlement.
             if (!reply.answered && attempts_left > 1)
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -191,7 +191,7 @@
 }
 
 void call_flow::forward_event(
-    attempt_ptr const& attempt, stream_event const& event)
+    attempt_ptr const& attempt, server_sent_event const& event)
 {
     if (event.id && last_event_)
     {
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -114,7 +114,7 @@
 private:
     struct engine_attempt
     {
-        placement at;
+        engine_placement at;
         engine_links::link_ptr link;
         time_point sent_at{};
         /// Time of the last bytes received; before the first, of the last bytes
@@ -189,7 +189,8 @@
     bool may_have_run(engine_ref const& engine) const;
     bool may_run_elsewhere(engine_ref const& previous) const;
 
-    void forward_event(attempt_ptr const& attempt, stream_event const& event);
+    void
+    forward_event(attempt_ptr const& attempt, server_sent_event const& event);
     void stream_completed();
     void deliver(attempt_ptr const& attempt);
 
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -270,7 +270,8 @@
            (include_ejected || record.ejected_until <= now);
 }
 
-std::optional<placement> engine_balancer::choose(balancer_request const& need)
+std::optional<engine_placement>
+engine_balancer::choose(balancer_request const& need)
 {
     auto const now = clock_();
     auto const service = by_service_.find(need.service);
@@ -293,7 +294,7 @@
         consider(id);
     if (best == nullptr)
         return std::nullopt;
-    placement to;
+    engine_placement to;
     to.engine = best->entry.id;
     to.incarnation = best->entry.incarnation;
     to.address = best->entry.address;
--- a/src/entry/event_stream.cpp
+++ b/src/entry/event_stream.cpp
@@ -33,7 +33,7 @@
     return value;
 }
 
-void parse_line(stream_event& to, std::string_view line, bool& has_data)
+void parse_line(server_sent_event& to, std::string_view line, bool& has_data)
 {
     if (!line.empty() && line.back() == '\r')
         line.remove_suffix(1);
@@ -53,9 +53,9 @@
     }
 }
 
-stream_event parse_event(std::string_view text)
+server_sent_event parse_event(std::string_view text)
 {
-    stream_event to;
+    server_sent_event to;
     to.text = std::string(text);
     bool has_data = false;
     while (!text.empty())
@@ -69,10 +69,10 @@
 
 } // namespace
 
-std::vector<stream_event> event_splitter::feed(std::string_view bytes)
+std::vector<server_sent_event> event_splitter::feed(std::string_view bytes)
 {
     buffer_.append(bytes);
-    std::vector<stream_event> events;
+    std::vector<server_sent_event> events;
     std::string_view unparsed = buffer_;
     for (;;)
     {
--- a/src/entry/event_stream.hpp
+++ b/src/entry/event_stream.hpp
@@ -14,7 +14,7 @@
 {
 
 /// One complete event.
-struct stream_event
+struct server_sent_event
 {
     /// As received, with the blank line that ends it.
     std::string text;
@@ -29,7 +29,7 @@
 {
 public:
     /// \return the events completed by these bytes.
-    std::vector<stream_event> feed(std::string_view bytes);
+    std::vector<server_sent_event> feed(std::string_view bytes);
 
     /// \return true while an incomplete event is buffered.
     bool partial() const { return !buffer_.empty(); }
--- a/src/entry/exchange.hpp
+++ b/src/entry/exchange.hpp
@@ -53,7 +53,7 @@
 };
 
 /// Result of an exchange.
-struct http_reply
+struct exchange_reply
 {
     /// A complete answer was received.
     bool answered = false;
@@ -70,7 +70,7 @@
 /// Sends a request.
 /// \param done called once, asynchronously
 using exchange_fn = std::function<void(
-    exchange_request request, std::function<void(http_reply)> done)>;
+    exchange_request request, std::function<void(exchange_reply)> done)>;
 
 /// Tells by the progress of an exchange when its limits are exceeded.
 class exchange_watch
@@ -91,7 +91,7 @@
 
     /// \return when the exchange ends unless there is progress before
     time_point expiry() const;
-    /// \return see http_reply::latency
+    /// \return see exchange_reply::latency
     duration latency() const
     {
         return answer_began_at_ ? *answer_began_at_ - began_ : duration(0);
--- a/src/entry/history_exchange.cpp
+++ b/src/entry/history_exchange.cpp
@@ -166,7 +166,8 @@
         {peer.address,
          cbor_request(chain_path, peer.address, {{"last", last.str()}}),
          {options_.timeout}},
-        [this, alive = alive_, node = peer.node, done](http_reply const& reply)
+        [this, alive = alive_, node = peer.node,
+         done](exchange_reply const& reply)
         {
             if (!*alive)
                 return;
@@ -201,7 +202,7 @@
         {peer->address,
          cbor_request(announce_path, peer->address, encode_turns(turns)),
          {options_.timeout}},
-        [](http_reply const&) {});
+        [](exchange_reply const&) {});
 }
 
 bool history_exchange::is_request(std::string_view target)
--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -65,7 +65,7 @@
     {
     }
 
-    http_reply reply;
+    exchange_reply reply;
     link_ptr link;
     exchange_watch watch;
     boost::asio::steady_timer timer;
@@ -175,7 +175,7 @@
     exchange_runtime to;
     to.exchange =
         [caller = std::make_shared<http_caller>(io)](
-            exchange_request request, std::function<void(http_reply)> done)
+            exchange_request request, std::function<void(exchange_reply)> done)
     { caller->call(std::move(request), std::move(done)); };
     to.clock = now;
     to.schedule_after = [&io](duration after, std::function<void()> what)
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -36,7 +36,7 @@
 class http_caller
 {
 public:
-    using done_fn = std::function<void(http_reply)>;
+    using done_fn = std::function<void(exchange_reply)>;
 
     explicit http_caller(boost::asio::io_context& io);
     ~http_caller();
--- a/src/entry/section_client.cpp
+++ b/src/entry/section_client.cpp
@@ -31,7 +31,7 @@
         {address,
          cbor_bytes_request(sections_path, address, query),
          {response_limit_}},
-        [this, done, address, asked_at = runtime_.clock()](http_reply reply)
+        [this, done, address, asked_at = runtime_.clock()](exchange_reply reply)
         {
             if (reply.answered && reply.status == status_ok)
             {
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -268,7 +268,7 @@
     ++call->attempts;
     send_attempt(
         address, call->request, limits, {},
-        [this, alive = alive_, call, path](http_reply reply)
+        [this, alive = alive_, call, path](exchange_reply reply)
         {
             if (*alive)
                 attempt_ended(call, path, std::move(reply));
@@ -278,12 +278,12 @@
 void store_client::send_attempt(
     std::string const& address, platform::store_request const& request,
     exchange_limits limits, std::function<void()> on_progress,
-    std::function<void(http_reply)> done)
+    std::function<void(exchange_reply)> done)
 {
     runtime_.exchange(
         {address, platform::frame(request, address), limits,
          std::move(on_progress)},
-        [this, alive = alive_, done = std::move(done)](http_reply reply)
+        [this, alive = alive_, done = std::move(done)](exchange_reply reply)
         {
             if (!*alive)
                 return;
@@ -294,7 +294,7 @@
 }
 
 void store_client::attempt_ended(
-    pending_ptr const& call, store_path const& path, http_reply reply)
+    pending_ptr const& call, store_path const& path, exchange_reply reply)
 {
     store_reply const answer{reply.status, std::move(reply.body)};
     auto const server_unavailable =
@@ -472,7 +472,7 @@
     runtime_.exchange(
         {address_, platform::frame(nothing, address_),
          small_exchange(probe_timeout)},
-        [this, alive = alive_, partition](http_reply const& reply)
+        [this, alive = alive_, partition](exchange_reply const& reply)
         {
             store_reply const answer{reply.status, reply.body};
             if (!*alive || !reply.answered ||
@@ -500,7 +500,7 @@
     }
     send_attempt(
         address_, request, {max_attempt_timeout}, std::move(on_progress),
-        [this, alive = alive_, to](http_reply reply)
+        [this, alive = alive_, to](exchange_reply reply)
         {
             if (!*alive)
                 return;
--- a/src/entry/store_client.hpp
+++ b/src/entry/store_client.hpp
@@ -105,7 +105,7 @@
     bool lost(std::string const& partition) const;
     void send_next_attempt(pending_ptr const& call);
     void attempt_ended(
-        pending_ptr const& call, store_path const& path, http_reply reply);
+        pending_ptr const& call, store_path const& path, exchange_reply reply);
     void schedule_retry(pending_ptr const& call);
     void fail(pending_ptr const& call) const;
     void
@@ -120,7 +120,7 @@
     void send_attempt(
         std::string const& address, platform::store_request const& request,
         exchange_limits limits, std::function<void()> on_progress,
-        std::function<void(http_reply)> done);
+        std::function<void(exchange_reply)> done);
 
     exchange_runtime runtime_;
     std::string address_;
--- a/test/event_stream-test.cpp
+++ b/test/event_stream-test.cpp
@@ -30,7 +30,7 @@
 {
     std::string const text = "id: 1\r\ndata: a\r\ndata: "
                              "b\r\n\r\nweight-versions: 3\nid:2\ndata:c\n\n";
-    std::vector<stream_event> events;
+    std::vector<server_sent_event> events;
     for (char const one : text)
     {
         for (auto& event : splitter.feed(std::string_view(&one, 1)))
--- a/test/exchange-test.cpp
+++ b/test/exchange-test.cpp
@@ -69,16 +69,16 @@
         };
     }
 
-    http_reply call(exchange_limits limits)
+    exchange_reply call(exchange_limits limits)
     {
-        http_reply to;
+        exchange_reply to;
         bool ended = false;
         exchange_request request{
             server.address(), "GET / HTTP/1.1\r\nHost: s\r\n\r\n", limits,
             [this] { ++progress; }};
         runtime.exchange(
             std::move(request),
-            [&](http_reply reply)
+            [&](exchange_reply reply)
             {
                 to = std::move(reply);
                 ended = true;
--- a/test/slow_link_cluster.cpp
+++ b/test/slow_link_cluster.cpp
@@ -154,8 +154,8 @@
             { network_.compute(nodes_[index]->machine, handler_cost, what); });
     };
     to.exchange =
-        [this,
-         index](exchange_request request, std::function<void(http_reply)> done)
+        [this, index](
+            exchange_request request, std::function<void(exchange_reply)> done)
     { exchange(index, std::move(request), std::move(done)); };
     return to;
 }
@@ -203,7 +203,7 @@
     machine_id server = 0;
     exchange_request request;
     exchange_watch watch;
-    std::function<void(http_reply)> done;
+    std::function<void(exchange_reply)> done;
     simulated_network::transfer_id answer = 0;
     /// The answer has arrived and waits for the processor.
     bool delivered = false;
@@ -212,7 +212,7 @@
 
 void slow_link_cluster::exchange(
     std::size_t index, exchange_request request,
-    std::function<void(http_reply)> done)
+    std::function<void(exchange_reply)> done)
 {
     auto const found = std::find_if(
         nodes_.begin(), nodes_.end(),
@@ -299,7 +299,7 @@
                         return;
                     }
                     call->ended = true;
-                    http_reply lost;
+                    exchange_reply lost;
                     lost.sent = true;
                     lost.body.resize(network_.cancel(call->answer));
                     lost.status = lost.body.empty() ? 0 : status_ok;
--- a/test/slow_link_cluster.hpp
+++ b/test/slow_link_cluster.hpp
@@ -102,7 +102,7 @@
     platform_view::hooks hooks_of(std::size_t index);
     void exchange(
         std::size_t index, exchange_request request,
-        std::function<void(http_reply)> done);
+        std::function<void(exchange_reply)> done);
     void send_answer(pending_ptr const& call, int status, std::string body);
     void report_progress(pending_ptr const& call);
     void await_progress(pending_ptr const& call);
