version register: stay ready while a further version is registered

A node counted as not ready until each service had a registered version, also later on, when all engines are of a version that is not registered yet. With the store's answers lost all nodes would have left the load balancer at once, for plain calls too. Only the first versions are awaited now, after a start.

Times in rows and in the store's answers are checked against a range, and decoders of origins, versions and the Resumes header are fuzzed. A stream of one workspace is not resumed by another (test).

--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -29,6 +29,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -134,8 +135,8 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     std::unordered_set<caller_link*> caller_links_;
-    /// The registered engines.
-    std::vector<engine_entry> engines_;
+    /// The registered engines; unset until they were read.
+    std::optional<std::vector<engine_entry>> engines_;
     /// Continuations of calls that wait for a newer configuration.
     std::vector<std::function<void()>> confirmation_waiters_;
     /// Incarnations of the other nodes that are members.
--- a/src/entry/entry_node_streams.cpp
+++ b/src/entry/entry_node_streams.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -59,7 +60,7 @@
 /// Registers the versions of the engines that resumable streams may reach.
 void entry_node::register_versions()
 {
-    if (!services_.table)
+    if (!services_.table || !engines_)
         return;
     std::set<service_name> services;
     for (auto const& route : services_.table->routes)
@@ -71,7 +72,7 @@
     }
     std::vector<engine_entry> engines;
     std::copy_if(
-        engines_.begin(), engines_.end(), std::back_inserter(engines),
+        engines_->begin(), engines_->end(), std::back_inserter(engines),
         [&services](engine_entry const& one)
         { return services.count(one.service) > 0; });
     versions_.set_engines(engines);
--- a/src/entry/version_register.cpp
+++ b/src/entry/version_register.cpp
@@ -21,6 +21,14 @@
 constexpr int renewal_divisor = 2;
 constexpr int renewal_delay_divisor = 4;
 
+/// Largest time in a row; a larger one is not valid.
+constexpr std::int64_t max_ms = 2'000'000'000'000'000;
+
+bool is_valid_time(std::int64_t ms)
+{
+    return ms >= -max_ms && ms <= max_ms;
+}
+
 milliseconds to_ms(duration time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
@@ -62,10 +70,13 @@
         std::vector<registered_version> versions;
         for (auto const& one : json::from_cbor(bytes.begin(), bytes.end()))
         {
+            auto const begins_at = one.at(1).get<std::int64_t>();
+            auto const ends_at = one.at(2).get<std::int64_t>();
+            if (!is_valid_time(begins_at) || !is_valid_time(ends_at))
+                return std::nullopt;
             versions.push_back(
-                {one.at(0).get<std::string>(),
-                 milliseconds(one.at(1).get<std::int64_t>()),
-                 milliseconds(one.at(2).get<std::int64_t>())});
+                {one.at(0).get<std::string>(), milliseconds(begins_at),
+                 milliseconds(ends_at)});
         }
         return versions;
     }
@@ -119,6 +130,8 @@
         if (changed)
             update(service, state);
     }
+    knows_engines_ = true;
+    note_registered();
 }
 
 /// Ends the permission for versions whose engines return after the
@@ -146,9 +159,11 @@
     }
 }
 
-bool version_register::has_registered() const
+void version_register::note_registered()
 {
-    return std::all_of(
+    if (has_registered_ || !knows_engines_)
+        return;
+    has_registered_ = std::all_of(
         services_.begin(), services_.end(),
         [](auto const& item)
         {
@@ -353,6 +368,7 @@
         }
     }
     of.begins_at = std::move(begins_at);
+    note_registered();
 }
 
 /// \return the row with all versions of the engines, and without those that no
--- a/src/entry/version_register.hpp
+++ b/src/entry/version_register.hpp
@@ -109,9 +109,9 @@
     /// Reads and renews rows when due. Call it a few times per second.
     void tick();
 
-    /// \return true once each service has a registered version among those of
-    /// its engines
-    bool has_registered() const;
+    /// \return true from the moment on when each service had a registered
+    /// version among those of its engines
+    bool has_registered() const { return has_registered_; }
     /// \return true if streams of the service may begin at this version
     bool
     may_begin(service_name const& service, std::string const& version) const;
@@ -155,6 +155,7 @@
         bool had_several = false;
     };
 
+    void note_registered();
     void withdraw_returned(
         service_state& of, std::set<std::string> const& engines) const;
     std::chrono::milliseconds store_time(service_state const& of) const;
@@ -184,6 +185,8 @@
     /// Delays this node's renewals, so that one node renews for all.
     std::chrono::milliseconds renewal_delay_;
     std::map<service_name, service_state> services_;
+    bool knows_engines_ = false;
+    bool has_registered_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/test/decoder_fuzz-test.cpp
+++ b/test/decoder_fuzz-test.cpp
@@ -5,7 +5,9 @@
 #include "platform/store_codec.hpp"
 
 #include "entry/event_stream.hpp"
+#include "entry/origin_message.hpp"
 #include "entry/quota_message.hpp"
+#include "entry/version_register.hpp"
 
 #include <walnutmill/program_ledger.hpp>
 #include <walnutmill/start_lease.hpp>
@@ -109,6 +111,7 @@
     "POST /a/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: t1\r\nDeadline-Ms: 3000\r\n"
     "Token-Usage: 10,20\r\nPrompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"
     "Token-Budget: 400\r\nFinish-Ms: 900.5\r\nLast-Event-Id: 4\r\n"
+    "Resumes: t0\r\n"
     "X-Api-Key: k1\r\nTenant: t\r\n"
     "Connection: close, X-Own\r\nX-Own: a\r\nContent-Length: 0\r\n\r\n";
 
@@ -148,7 +151,11 @@
         {"key", "e"},
         {"ver", 4},
         {"value", to_base64(engine_document)}};
-    json const reply{{"rows", {row, row}}, {"ver", 9}, {"truncated", true}};
+    json const reply{
+        {"rows", {row, row}},
+        {"ver", 9},
+        {"truncated", true},
+        {"now_ms", 1234}};
     run_mutated(
         {reply.dump()},
         [](std::string const& bytes)
@@ -190,6 +197,24 @@
         });
 }
 
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: origins of streams, and their versions")
+{
+    origin_message message;
+    message.type = origin_message_type::answer;
+    message.stream = 7;
+    message.node = "n1";
+    message.origin = stream_origin{service_name("llm"), "1.0"};
+    run_mutated(
+        {encode(message)},
+        [](std::string const& bytes) { decode_origin_message(bytes); });
+    std::vector<registered_version> const versions{
+        {"1.0", std::chrono::milliseconds(1), std::chrono::milliseconds(9)},
+        {"1.1", std::chrono::milliseconds(4), std::chrono::milliseconds(12)}};
+    run_mutated(
+        {encode(versions)},
+        [](std::string const& bytes) { decode_registered_versions(bytes); });
+}
+
 TEST_CASE_METHOD(fuzz_fixture, "fuzz: messages on limits")
 {
     quota_message ask;
--- a/test/soak_history-test.cpp
+++ b/test/soak_history-test.cpp
@@ -166,3 +166,30 @@
     attempt("k2").status = 404;
     CHECK(breaks("a kept turn was not found: k1"));
 }
+
+TEST_CASE_METHOD(
+    soak_history_fixture, "soak history: events of two versions are found")
+{
+    auto& first = attempt("t1");
+    first.whole = false;
+    first.body = soak_event("t1", 1, "1.0");
+    add("t2", call_kind::turn, "", "");
+    auto& second = attempt("t2");
+    second.resumes = "t1";
+    second.resumed_after = 1;
+    second.body = soak_event("t2", 2, "1.0") + soak_event("t2", 3, "1.0");
+    CHECK(broken_promises(history).empty());
+    second.body = soak_event("t2", 2, "1.1") + soak_event("t2", 3, "1.1");
+    CHECK(breaks("events of two versions: t1"));
+    second.body = soak_event("t2", 2, "1.0") + soak_event("t2", 3, "1.1");
+    CHECK(breaks("events of two versions: t1"));
+    second.body = soak_event("t2", 3, "1.0");
+    CHECK(breaks("wrong or missing pieces: t2"));
+    second.body = soak_event("t2", 2, "1.0");
+    CHECK(breaks("wrong or missing pieces: t2"));
+    second.whole = false;
+    second.body += "id: 3\ndata: pi";
+    CHECK(broken_promises(history).empty());
+    second.body += "x";
+    CHECK(breaks("wrong or missing pieces: t2"));
+}
--- a/test/soak_history.cpp
+++ b/test/soak_history.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
 
 namespace walnutmill
 {
@@ -34,19 +35,55 @@
     return one.status == status_ok && one.whole;
 }
 
-/// \return how many whole events the body begins with.
-std::uint64_t events_of(recorded_attempt const& one)
+/// The events of a turn's answer.
+struct received_events
 {
-    std::uint64_t count = 0;
-    std::string expected;
-    for (int i = 1; i <= soak_events; ++i)
+    int count = 0;
+    std::set<std::string> versions;
+    /// What follows the complete events is the beginning of the next one.
+    bool is_prefix = true;
+};
+
+constexpr char const* version_mark = " at ";
+
+received_events parse_events(recorded_attempt const& one)
+{
+    received_events to;
+    std::string_view rest = one.body;
+    for (int number = one.resumed_after + 1; number <= soak_events; ++number)
     {
-        expected += soak_event(one.id, i);
-        if (one.body.compare(0, expected.size(), expected) != 0)
-            break;
-        ++count;
+        auto const text = "id: " + std::to_string(number) +
+                          "\ndata: " + soak_event_data(one.id, number);
+        auto const end = rest.find("\n\n");
+        auto const event = rest.substr(0, end);
+        auto const common = std::min(event.size(), text.size());
+        auto const version = event.substr(common);
+        auto const is_version =
+            one.kind == call_kind::turn &&
+            version.substr(0, std::string_view(version_mark).size()) ==
+                std::string_view(version_mark).substr(0, version.size());
+        if (event.substr(0, common) !=
+                std::string_view(text).substr(0, common) ||
+            (!version.empty() && !is_version) ||
+            (end != std::string_view::npos && event.size() < text.size()))
+        {
+            to.is_prefix = false;
+            return to;
+        }
+        if (end == std::string_view::npos)
+            return to;
+        ++to.count;
+        to.versions.insert(std::string(version));
+        rest.remove_prefix(end + 2);
     }
-    return count;
+    to.is_prefix = rest.empty();
+    return to;
+}
+
+/// \return how many whole events the body begins with.
+std::uint64_t events_of(recorded_attempt const& one)
+{
+    return static_cast<std::uint64_t>(parse_events(one).count);
 }
 
 void check_runs(
@@ -73,15 +110,17 @@
 {
     if (one.status != status_ok)
         return;
-    auto expected = soak_plain_body(one.id);
+    auto const expected = soak_plain_body(one.id);
+    auto sound = one.whole
+                     ? one.body == expected
+                     : expected.compare(0, one.body.size(), one.body) == 0;
     if (is_turn(one.kind))
     {
-        expected.clear();
-        for (int i = 1; i <= soak_events; ++i)
-            expected += soak_event(one.id, i);
+        auto const events = parse_events(one);
+        auto const all = one.resumed_after + events.count == soak_events;
+        sound = events.is_prefix && (all || !one.whole);
     }
-    auto const begins = expected.compare(0, one.body.size(), one.body) == 0;
-    if (one.whole ? one.body != expected : !begins)
+    if (!sound)
         to.push_back("wrong or missing pieces: " + one.id);
 }
 
@@ -112,6 +151,26 @@
     }
 }
 
+/// What engines of two software versions produced is not joined to one stream,
+/// neither within an answer nor over the attempts of a caller.
+void check_versions(soak_history const& of, findings_list& to)
+{
+    std::map<std::string, std::set<std::string>> versions;
+    for (auto const& one : of.attempts)
+    {
+        if (one.kind != call_kind::turn || one.status != status_ok)
+            continue;
+        auto const found = parse_events(one).versions;
+        versions[one.resumes.empty() ? one.id : one.resumes].insert(
+            found.begin(), found.end());
+    }
+    for (auto const& [id, found] : versions)
+    {
+        if (found.size() > 1)
+            to.push_back("events of two versions: " + id);
+    }
+}
+
 using attempts_by_id = std::map<std::string, recorded_attempt const*>;
 
 /// \return inputs and outputs of a turn and of all before it.
@@ -166,6 +225,19 @@
            "\ndata: " + soak_event_data(id, number) + "\n\n";
 }
 
+std::string
+soak_event(std::string const& id, int number, std::string const& version)
+{
+    return "id: " + std::to_string(number) +
+           "\ndata: " + soak_event_data(id, number) + version_mark + version +
+           "\n\n";
+}
+
+int soak_events_of(recorded_attempt const& one)
+{
+    return parse_events(one).count;
+}
+
 std::string soak_plain_body(std::string const& id)
 {
     return "done: " + id;
@@ -185,6 +257,7 @@
         check_runs(one, runs, to);
         check_answer(one, to);
     }
+    check_versions(of, to);
     check_budgets(of, to);
     check_histories(of, to);
     return to;
--- a/test/soak_history.hpp
+++ b/test/soak_history.hpp
@@ -41,6 +41,10 @@
     int status = 0;
     bool whole = false;
     std::string body;
+    /// Of a turn that resumes a stream: the attempt that received the first
+    /// event, and the last event that the caller has.
+    std::string resumes;
+    int resumed_after = 0;
 };
 
 /// One run that a target began.
@@ -64,6 +68,13 @@
 /// \return the data of an event, as it stands in histories.
 std::string soak_event_data(std::string const& id, int number);
 std::string soak_event(std::string const& id, int number);
+/// An event of a turn that may be resumed, with the version of the software
+/// that produced it.
+std::string
+soak_event(std::string const& id, int number, std::string const& version);
+/// \return the number of complete events with which the body of a turn's answer
+/// begins
+int soak_events_of(recorded_attempt const& one);
 std::string soak_plain_body(std::string const& id);
 
 /// \return a line for each promise that the history breaks.
--- a/test/version_register-test.cpp
+++ b/test/version_register-test.cpp
@@ -107,6 +107,11 @@
     CHECK_FALSE(one->may_begin(llm, "1.1"));
     CHECK_FALSE(one->has_several(llm));
     CHECK(only_version(*one) == "1.0");
+    // Only the first versions are awaited.
+    store.set_down(true);
+    set_versions(*one, {"2.0"});
+    CHECK(one->has_registered());
+    CHECK_FALSE(one->may_begin(llm, "2.0"));
 }
 
 TEST_CASE_METHOD(
--- a/test/workspace_calls-test.cpp
+++ b/test/workspace_calls-test.cpp
@@ -157,6 +157,36 @@
     }
 }
 
+TEST_CASE_METHOD(
+    workspace_calls_fixture,
+    "workspaces: a stream of one is not resumed by another")
+{
+    register_engine(engine_a, "llm", "1.0");
+    register_engine(engine_b, "llm", "1.1");
+    for (auto* engine : {&engine_a, &engine_b})
+    {
+        engine->set_handler(
+            [](link_ptr const& link, http_request const& request)
+            {
+                auto const resumed = !request["Last-Event-Id"].empty();
+                link->write(standin_target::stream(
+                    std::string(request["Request-Id"]), resumed ? 3 : 1,
+                    resumed ? 3 : 2, resumed));
+                if (resumed)
+                    link->finish_answer(false);
+                return true;
+            });
+    }
+    auto& node = start_node();
+    test_caller caller(node.settings.listen_callers);
+    caller.send(turn("s1", key_a));
+    REQUIRE_THAT(caller.receive_until("piece 2"), Catch::Contains("piece 2"));
+    caller.close();
+    std::string const resumption = "Resumes: s1\r\nLast-Event-Id: 2\r\n";
+    CHECK(status_of(node, turn("s2", key_b + resumption)) == 503);
+    CHECK(status_of(node, turn("s3", key_a + resumption)) == 200);
+}
+
 TEST_CASE_METHOD(
     workspace_calls_fixture,
     "workspaces: a turn of one is unknown to another, on any node")
