soak: engines of several versions, and callers that resume their streams

No soak had engines of two versions or a caller that resumed a stream, so it could not find streams joined from two versions.

Engines are released in the middle of the faults, as other versions or earlier ones again, under new ids; some stop in the middle of a stream. Callers leave a fifth of their streams after the first event, or lose them with a node, and resume them at any node, one in ten without naming the stream. The history is checked for events of two versions in a stream; after the faults each node's stream has to be resumed by the next node.

--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -67,6 +67,12 @@
                 "node-" + std::to_string(i) +
                 " does not serve the route that was added last");
         }
+        if (!world.outlived()[i])
+        {
+            broken.push_back(
+                "a stream that node-" + std::to_string(i) +
+                " began is not resumed by another node");
+        }
     }
     for (auto const& one : broken)
         std::cout << "BROKEN " << one << '\n';
--- a/support/soak_faults.cpp
+++ b/support/soak_faults.cpp
@@ -102,7 +102,7 @@
     auto& node = *processes_[static_cast<std::size_t>(
         dice_.between(0, options_.nodes - 1))];
     constexpr int node_faults = 4;
-    constexpr int last_fault = 6;
+    constexpr int last_fault = 8;
     auto const kind = dice_.between(0, last_fault);
     if (kind < node_faults)
     {
@@ -118,8 +118,10 @@
         return store_away();
     case node_faults + 1:
         return store_loses_answers();
-    default:
+    case node_faults + 2:
         return target_leaves();
+    default:
+        return engine_released();
     }
 }
 
@@ -204,9 +206,30 @@
 void soak_world::target_leaves()
 {
     count("fault: engine leaves");
-    store.remove("servers", engine_c_.id());
+    std::string id;
+    std::string version;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        id = registrations_[engine_c_.id()].id;
+        version = version_of_id_[id];
+    }
+    store.remove("servers", id);
     std::this_thread::sleep_for(most_fault / 2);
-    register_engine(engine_c_, "llm");
+    register_version(engine_c_, version);
+}
+
+/// An engine is replaced by one whose software has another version, or an
+/// earlier one again.
+void soak_world::engine_released()
+{
+    count("fault: engine released");
+    testing::standin_target* const engines[] = {
+        &engine_a, &engine_b, &engine_c_, &engine_d_};
+    constexpr int last_engine = 3;
+    constexpr int last_version = 2;
+    auto const* const one = engines[dice_.between(0, last_engine)];
+    register_version(
+        *one, "1." + std::to_string(dice_.between(0, last_version)));
 }
 
 } // namespace soak
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -38,6 +38,7 @@
 constexpr int tries_of_a_turn = 3;
 constexpr int status_ok = 200;
 constexpr int status_budget = 402;
+constexpr int status_unavailable = 503;
 /// Calls to each node after the last fault, to see that it serves again.
 constexpr int calls_after = 20;
 /// Nodes of a domain read the store for each other.
@@ -50,6 +51,14 @@
 constexpr double stays_silent = 0.02;
 constexpr double adds_an_answer = 0.03;
 constexpr double answers_late = 0.05;
+constexpr double stops_midway = 0.05;
+
+/// Part of the callers that leave a stream after its first event and take it
+/// up again, and of those that then don't say which stream it is.
+constexpr double leaves_stream = 0.2;
+constexpr double names_nothing = 0.1;
+/// Path of streams whose first run stops after two events.
+constexpr char const* stopping_path = "/turns/stops";
 
 std::string sized_chunk(std::string const& text)
 {
@@ -103,9 +112,9 @@
 soak_world::soak_world(soak_options options)
     : options_(std::move(options)), dice_(options_.seed)
 {
-    register_engine(engine_c_, "llm");
-    for (auto* one : {&engine_a, &engine_b, &engine_c_})
+    for (auto* one : {&engine_a, &engine_b, &engine_c_, &engine_d_})
     {
+        register_version(*one, "1.0");
         one->set_handler(
             [this, one](link_ptr const& link, http_request const& request)
             {
@@ -126,6 +135,26 @@
         add_node(i);
 }
 
+/// Replaces the engine's registration by one of another version.
+void soak_world::register_version(
+    standin_target const& engine, std::string const& version)
+{
+    std::string former;
+    std::string id;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        auto& one = registrations_[engine.id()];
+        former = one.id;
+        id = engine.id() + "-" + std::to_string(++one.releases);
+        one.id = id;
+        version_of_id_[id] = version;
+    }
+    auto row = engine_row("llm", engine.address(), 1'700'000'000'000);
+    row["version"] = version;
+    store.put("servers", id, row);
+    store.remove("servers", former.empty() ? engine.id() : former);
+}
+
 void soak_world::add_node(int number)
 {
     auto one = std::make_unique<soak_node>();
@@ -199,8 +228,10 @@
         program_run reader;
         reader.id = "after" + std::to_string(++last_id_);
         auto const got =
-            attempt(reader, call_kind::lookup, node, added_path(changes_));
+            attempt(reader, call_kind::lookup, node, added_path(changes_), {});
         has_last_route_.push_back(got.status == status_ok);
+        outlived_.push_back(
+            resumes_elsewhere(node, (node + 1) % options_.nodes));
     }
 }
 
@@ -245,9 +276,28 @@
     auto const id = header_of(request, "Request-Id");
     auto const after = header_of(request, "Last-Event-Id");
     auto const first = after.empty() ? 1 : std::stoi(after) + 1;
+    std::string version;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        version = version_of_id_[header_of(request, "Expect-Instance")];
+    }
+    std::string const path(request.target());
+    auto const is_kept = path.find("/kept/") == 0;
     auto text = stream_head(id);
     for (int i = first; i <= testing::soak_events; ++i)
-        text += sized_chunk(testing::soak_event(id, i));
+    {
+        text += sized_chunk(
+            is_kept ? testing::soak_event(id, i)
+                    : testing::soak_event(id, i, version));
+        auto const stops = first == 1 && path == stopping_path;
+        if (i + 1 == testing::soak_events &&
+            (stops || (faults_ && dice_.chance(stops_midway))))
+        {
+            count("target stopped midway");
+            link->write(text);
+            return;
+        }
+    }
     if (faults_ && dice_.chance(cuts_midway))
     {
         count("target cut in the middle");
@@ -326,10 +376,32 @@
 bool soak_world::turn(program_run& one)
 {
     auto const kind = one.keeps ? call_kind::kept_turn : call_kind::turn;
+    interrupted_stream stream;
     for (int i = 0; i < tries_of_a_turn; ++i)
     {
-        auto const got =
-            attempt(one, kind, dice_.between(0, options_.nodes - 1));
+        stream.leaves =
+            kind == call_kind::turn && faults_ && dice_.chance(leaves_stream);
+        auto const got = attempt(
+            one, kind, dice_.between(0, options_.nodes - 1), path_of(kind),
+            stream);
+        if (kind == call_kind::turn && got.status == status_ok && !got.whole)
+        {
+            stream.last_event =
+                got.resumed_after + testing::soak_events_of(got);
+            if (stream.first_attempt.empty() && stream.last_event > 0)
+                stream.first_attempt = got.id;
+            stream.is_named = !dice_.chance(names_nothing);
+        }
+        if (!got.resumes.empty())
+        {
+            count(
+                std::string("resumed attempt, ") +
+                (stream.is_named ? "named" : "unnamed") + ", " +
+                std::to_string(got.status));
+        }
+        // The stream can't be resumed, so the turn begins anew.
+        if (got.status == status_unavailable)
+            stream = {};
         if (got.status == status_ok && got.whole)
         {
             if (one.keeps)
@@ -352,11 +424,12 @@
 recorded_attempt
 soak_world::attempt(program_run const& one, call_kind kind, int node)
 {
-    return attempt(one, kind, node, path_of(kind));
+    return attempt(one, kind, node, path_of(kind), {});
 }
 
 recorded_attempt soak_world::attempt(
-    program_run const& one, call_kind kind, int node, std::string const& path)
+    program_run const& one, call_kind kind, int node, std::string const& path,
+    interrupted_stream const& stream)
 {
     recorded_attempt to;
     to.id = "r" + std::to_string(++last_id_);
@@ -377,6 +450,15 @@
         to.previous = one.last_kept;
         headers += "Previous-Turn: " + one.last_kept + "\r\n";
     }
+    if (stream.last_event > 0)
+    {
+        to.resumes = stream.first_attempt;
+        to.resumed_after = stream.last_event;
+        headers +=
+            "Last-Event-Id: " + std::to_string(to.resumed_after) + "\r\n";
+        if (stream.is_named)
+            headers += "Resumes: " + to.resumes + "\r\n";
+    }
     // Each caller keeps its connection to a node until the node ends it.
     thread_local std::map<int, std::unique_ptr<test_caller>> connections;
     auto& connection = connections[node];
@@ -387,10 +469,8 @@
             connection = std::make_unique<test_caller>(
                 processes_[static_cast<std::size_t>(node)]->callers.text());
         }
-        auto const got = connection->call(post(path, to.id, headers, to.input));
-        to.status = got.status;
-        to.whole = got.whole;
-        to.body = got.body;
+        connection->send(post(path, to.id, headers, to.input));
+        receive(*connection, to, stream.leaves);
     }
     catch (boost::system::system_error const&)
     {
@@ -407,5 +487,46 @@
     return to;
 }
 
+void soak_world::receive(test_caller& from, recorded_attempt& to, bool leaves)
+{
+    if (leaves)
+    {
+        auto const text = from.receive_until("\r\n\r\n");
+        if (text.find("HTTP/1.1 200 ") == 0)
+        {
+            // An event is a chunk of its own.
+            auto const events = from.receive_until("\n\n");
+            auto const begin = events.find("id: ");
+            to.status = status_ok;
+            if (begin != std::string::npos)
+                to.body = events.substr(begin, events.find("\n\n") + 2 - begin);
+            return;
+        }
+    }
+    auto const got = from.receive();
+    to.status = got.status;
+    to.whole = got.whole;
+    to.body = got.body;
+}
+
+bool soak_world::resumes_elsewhere(int first, int second)
+{
+    program_run one;
+    one.id = "after" + std::to_string(++last_id_);
+    one.budget = 10 * most_tokens;
+    interrupted_stream stream;
+    stream.leaves = true;
+    auto const begun =
+        attempt(one, call_kind::turn, first, stopping_path, stream);
+    stream.leaves = false;
+    stream.first_attempt = begun.id;
+    stream.last_event = testing::soak_events_of(begun);
+    if (stream.last_event == 0)
+        return false;
+    auto const got =
+        attempt(one, call_kind::turn, second, stopping_path, stream);
+    return got.status == status_ok && got.whole;
+}
+
 } // namespace soak
 } // namespace walnutmill
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -69,6 +69,8 @@
     std::vector<int> const& served_after() const { return served_after_; }
     /// For each node, whether it served the route that was added last.
     std::vector<bool> const& has_last_route() const { return has_last_route_; }
+    /// For each node, whether the next one resumed a stream that it began.
+    std::vector<bool> const& outlived() const { return outlived_; }
 
 private:
     struct soak_node
@@ -80,6 +82,17 @@
         /// Held by the fault that the node is under.
         std::mutex mutex;
     };
+    /// A stream that a caller takes up again.
+    struct interrupted_stream
+    {
+        /// The attempt that received the first event; empty if none did.
+        std::string first_attempt;
+        int last_event = 0;
+        /// The caller says which stream it resumes.
+        bool is_named = true;
+        /// The caller leaves after the next event.
+        bool leaves = false;
+    };
     struct program_run
     {
         std::string id;
@@ -110,6 +123,7 @@
     void store_away();
     void store_loses_answers();
     void target_leaves();
+    void engine_released();
 
     // Targets.
     void answer_turn(
@@ -135,7 +149,12 @@
     attempt(program_run const& one, testing::call_kind kind, int node);
     testing::recorded_attempt attempt(
         program_run const& one, testing::call_kind kind, int node,
-        std::string const& path);
+        std::string const& path, interrupted_stream const& stream);
+    /// Receives the answer, or its first event only.
+    static void receive(
+        testing::test_caller& from, testing::recorded_attempt& to, bool leaves);
+    /// \return true if a stream that one node began goes on at another one
+    bool resumes_elsewhere(int first, int second);
 
     soak_options options_;
     dice dice_;
@@ -144,11 +163,24 @@
     std::map<std::string, int> counts_;
     std::vector<int> served_after_;
     std::vector<bool> has_last_route_;
+    std::vector<bool> outlived_;
+    /// An engine's registration and the version of its software. An engine
+    /// that is released registers anew under another id.
+    struct registration
+    {
+        std::string id;
+        int releases = 0;
+    };
+    void register_version(
+        testing::standin_target const& engine, std::string const& version);
+    std::map<std::string, registration> registrations_;
+    std::map<std::string, std::string> version_of_id_;
     int changes_ = 0;
     std::atomic<std::uint64_t> last_id_{0};
     std::atomic<bool> faults_{true};
     std::atomic<bool> calling_{true};
     testing::standin_target engine_c_{"ic"};
+    testing::standin_target engine_d_{"id"};
     std::vector<std::unique_ptr<soak_node>> processes_;
 };
 
