version register, tests: what the linter finds

Integer division in a floating-point context (the spread of renewals in whole milliseconds; it changes by less than one), a constant that kept a result from being moved, copied parameters and widening multiplications in tests.

--- a/src/entry/version_register.cpp
+++ b/src/entry/version_register.cpp
@@ -98,9 +98,9 @@
     : store_(std::move(store)), clock_(std::move(clock)),
       hooks_(std::move(callbacks)), options_(options),
       renewal_delay_(static_cast<std::int64_t>(
-          random() * static_cast<double>(
-                         milliseconds(options.registration).count() /
-                         renewal_delay_divisor)))
+          random() *
+          static_cast<double>(milliseconds(options.registration).count()) /
+          renewal_delay_divisor))
 {
 }
 
@@ -300,7 +300,7 @@
 std::shared_ptr<version_register::row_read>
 version_register::start_read(service_name const& service, service_state& of)
 {
-    auto const read = std::make_shared<row_read>();
+    auto read = std::make_shared<row_read>();
     read->began = clock_();
     of.read = read;
     auto const at = address_of(service);
--- a/test/stream_cluster.cpp
+++ b/test/stream_cluster.cpp
@@ -207,14 +207,13 @@
     };
     versioned_store to;
     to.read = [this, index, answer](
-                  row_range range, milliseconds timeout,
-                  std::function<void(range_result)> done)
+                  row_range const& range, milliseconds timeout,
+                  std::function<void(range_result)> const& done)
     {
         ++store_reads_;
         auto const result = std::make_shared<range_result>();
         at(now() + between(one_way, store_latency * 3),
-           [this, index, answer, range = std::move(range), timeout, done,
-            result]
+           [this, index, answer, range, timeout, done, result]
            {
                auto const answered =
                    reaches_store(index) && draw() >= unanswered_calls;
@@ -229,8 +228,8 @@
            });
     };
     to.commit = [this, index, answer](
-                    row_transaction one, milliseconds timeout,
-                    std::function<void(transaction_result)> done)
+                    row_transaction const& one, milliseconds timeout,
+                    std::function<void(transaction_result)> const& done)
     {
         ++store_writes_;
         auto const result = std::make_shared<transaction_result>();
--- a/test/version_register-test.cpp
+++ b/test/version_register-test.cpp
@@ -237,19 +237,20 @@
     version_register_fixture,
     "version register: one node renews the registration for all")
 {
-    constexpr int nodes = 20;
-    constexpr int periods = 6;
+    constexpr std::size_t nodes = 20;
+    constexpr std::size_t periods = 6;
     std::vector<register_ptr> owned;
     std::vector<version_register*> all;
-    for (int i = 0; i < nodes; ++i)
+    for (std::size_t i = 0; i < nodes; ++i)
     {
-        owned.push_back(make_register(static_cast<double>(i) / nodes));
+        owned.push_back(
+            make_register(static_cast<double>(i) / static_cast<double>(nodes)));
         all.push_back(owned.back().get());
         set_versions(*all.back(), {"1.0"});
     }
     auto const before = store.commits();
     auto const steps = store.steps();
-    run_for(all, options.registration * periods);
+    run_for(all, options.registration * static_cast<int>(periods));
     auto const writes = store.commits() - before;
     CHECK(writes <= 2 * periods);
     CHECK(store.steps() - steps <= 2 * periods * nodes + writes);
