docs, version register: say when nodes learn of an announced version

With bounds of 2 to 3 s they read the engines every 0.67 to 1.5 s, so some learn of it later; safety does not rest on it, their streams have no copies until then.

--- a/src/entry/version_register.hpp
+++ b/src/entry/version_register.hpp
@@ -55,7 +55,7 @@
 struct version_register_options
 {
     /// Time from the moment a node finds a version in the row until it begins
-    /// streams there. Nodes read the engines at least twice in that time.
+    /// streams there. Nodes that learn of it later copy their streams later.
     std::chrono::milliseconds announcement{1'000};
     /// Part of the announcement that is not relied upon, for clocks that run at
     /// different rates.
