--- a/src/entry/version_register.hpp
+++ b/src/entry/version_register.hpp
@@ -12,7 +12,7 @@
 /// cost every node a few KB a second all the time.
 ///
 /// A version is announced in the row some time before streams begin there.
-/// Meanwhile all nodes learn of it and copy the origins of the streams that
+/// Meanwhile most nodes learn of it and copy the origins of the streams that
 /// they serve.
 
 #include <walnutmill/clock.hpp>
