entry tests: send the turn that must be stored at the start of the outage

Cause: the test sends a turn that must be stored after another turn has ended, and such a turn is refused, as designed, once the store has been away for a second.

The turn that must be stored is now sent first, and on a connection of its own. The checks are the same but for the number of calls between the two turns, which are under way together.

--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -434,18 +434,20 @@
             return got.body.find("walnutmill_usable_leases 64") !=
                    std::string::npos;
         }));
-    store.set_down(true);
+    test_caller keeper(node.settings.listen_callers);
     test_caller caller(node.settings.listen_callers);
-    std::string const program = "Program-Id: p9\r\nToken-Budget: 900\r\n";
-    CHECK(caller.call(turn("t1", program)).status == 200);
-    CHECK(engine_calls() == 1);
+    store.set_down(true);
     // A turn that must be stored runs, but does not end before it is durable.
-    caller.send(
+    // Sent first, because one that arrives after a second of an outage is
+    // refused.
+    keeper.send(
         turn("k1", "Program-Id: p10\r\nToken-Budget: 900\r\n", "/kept/"));
+    std::string const program = "Program-Id: p9\r\nToken-Budget: 900\r\n";
+    CHECK(caller.call(turn("t1", program)).status == 200);
     REQUIRE(eventually([this] { return engine_calls() == 2; }));
     CHECK(store.count("walnutmill-turns") == 0);
     store.set_down(false);
-    auto const kept = caller.receive();
+    auto const kept = keeper.receive();
     CHECK(store.count("walnutmill-turns") == (kept.whole ? 1 : 0));
     CHECK(kept.body == three_events);
 }
