tests: the stand-in of the store finds rows by an index

Cause: the stand-in read every row of every table for each read and each look at the feed, encoded each value anew, and did so on one thread.

The feed also passed over all rows but one of those that one transaction wrote: "store rows: a feed has all rows of a transaction" fails on the former stand-in.

--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -102,10 +102,10 @@
 }
 
 void standin_store::put_bytes(
-    std::string const& table, std::string const& key, std::string value)
+    std::string const& table, std::string const& key, std::string_view value)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
-    rows_.put(table, key, std::move(value));
+    rows_.put(table, key, value);
 }
 
 void standin_store::remove(std::string const& table, std::string const& key)
@@ -173,7 +173,7 @@
     std::string const target(request.target());
     if (is_silent(request))
         return;
-    store_rows::response answer{status_unavailable, json::object()};
+    store_rows::response answer{status_unavailable, "{}"};
     if (!down_)
     {
         std::lock_guard<std::mutex> const lock(mutex_);
@@ -188,7 +188,7 @@
         link->abort();
         return;
     }
-    link->write(standin_target::answer(answer.status, {}, answer.body.dump()));
+    link->write(standin_target::answer(answer.status, {}, answer.body));
     link->finish_answer(false);
 }
 
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -93,7 +94,8 @@
         nlohmann::json const& value);
     /// Stores a value that need not be valid JSON.
     void put_bytes(
-        std::string const& table, std::string const& key, std::string value);
+        std::string const& table, std::string const& key,
+        std::string_view value);
     void remove(std::string const& table, std::string const& key);
     /// While down, the store answers every call with 503.
     void set_down(bool down) { down_ = down; }
--- a/test/slow_link_cluster.cpp
+++ b/test/slow_link_cluster.cpp
@@ -313,8 +313,7 @@
 {
     auto const answer = rows_.respond(target_of(call), body_of(call));
     network_.after(
-        store_service_time,
-        [reply, status = answer.status, body = answer.body.dump()]
+        store_service_time, [reply, status = answer.status, body = answer.body]
         { reply(status, body); });
 }
 
@@ -373,14 +372,14 @@
 {
     auto const number = configurations_.back().number;
     auto const service = number % 2 == 0 ? "desk-apps" : "findaid-llm";
-    auto document = R"({"version":)" + std::to_string(number) +
-                    R"(,"routes":[)" + routes_ +
-                    route_of("moved", service).dump() +
-                    R"(],"services":[{"name":"desk-apps"},)"
-                    R"({"name":"findaid-llm"}],"tenants":[)" +
-                    workspaces_ + "]}";
+    auto const document = R"({"version":)" + std::to_string(number) +
+                          R"(,"routes":[)" + routes_ +
+                          route_of("moved", service).dump() +
+                          R"(],"services":[{"name":"desk-apps"},)"
+                          R"({"name":"findaid-llm"}],"tenants":[)" +
+                          workspaces_ + "]}";
     document_bytes_ = document.size();
-    rows_.put("op", "config", std::move(document));
+    rows_.put("op", "config", document);
 }
 
 void slow_link_cluster::change_engine()
--- a/test/store_rows.cpp
+++ b/test/store_rows.cpp
@@ -24,6 +24,13 @@
         .count();
 }
 
+void append_row(std::string& rows, std::string_view text)
+{
+    if (!rows.empty())
+        rows += ',';
+    rows += text;
+}
+
 } // namespace
 
 std::string query_value(std::string_view target, std::string const& name)
@@ -49,24 +56,49 @@
 }
 
 void store_rows::put(
-    std::string const& table, std::string const& key, std::string value)
+    std::string const& table, std::string const& key, std::string_view value)
 {
-    rows_[{table, "", key}] = {std::move(value), ++version_};
+    ++version_;
+    store({table, "", key}, value);
 }
 
 void store_rows::remove(std::string const& table, std::string const& key)
 {
-    rows_.erase({table, "", key});
+    erase({table, "", key});
 }
 
 std::size_t store_rows::count(std::string const& table) const
 {
     std::size_t found = 0;
-    for (auto const& [at, row] : rows_)
-        found += at[0] == table ? 1 : 0;
+    for (auto at = rows_.lower_bound({table, "", ""});
+         at != rows_.end() && at->first[0] == table; ++at)
+        ++found;
     return found;
 }
 
+/// Stores a row at the current version.
+void store_rows::store(row_key const& at, std::string_view value)
+{
+    erase(at);
+    changes_.emplace(at[0], version_, at);
+    json const row{
+        {"table", at[0]},
+        {"part", at[1]},
+        {"key", at[2]},
+        {"value", to_base64(value)},
+        {"ver", version_}};
+    rows_[at] = {row.dump(), version_};
+}
+
+void store_rows::erase(row_key const& at)
+{
+    auto const found = rows_.find(at);
+    if (found == rows_.end())
+        return;
+    changes_.erase({at[0], found->second.version, at});
+    rows_.erase(found);
+}
+
 store_rows::response
 store_rows::respond(std::string const& target, std::string const& body)
 {
@@ -75,15 +107,13 @@
     return target.find("/rows-feed") == 0 ? feed(target) : range(target);
 }
 
-json store_rows::row_json(row_key const& at) const
+std::string
+store_rows::answer_with(std::string_view rows, std::string_view more) const
 {
-    auto const& row = rows_.at(at);
-    return {
-        {"table", at[0]},
-        {"part", at[1]},
-        {"key", at[2]},
-        {"value", to_base64(row.value)},
-        {"ver", row.version}};
+    std::string body(R"({"rows":[)");
+    body.append(rows).append("]").append(more);
+    return body + R"(,"ver":)" + std::to_string(version_) + R"(,"now_ms":)" +
+           std::to_string(now_ms()) + "}";
 }
 
 store_rows::response store_rows::transaction(json const& body)
@@ -93,7 +123,7 @@
     auto const key_of = [](json const& one) {
         return row_key{one["table"], one["part"], one["key"]};
     };
-    json present = json::array();
+    std::string present;
     for (auto const& one : body["expect_rev"])
     {
         auto const found = rows_.find(key_of(one));
@@ -101,43 +131,39 @@
         if (version != one["ver"].get<std::uint64_t>())
             to.status = status_conflict;
         if (found != rows_.end())
-            present.push_back(row_json(found->first));
+            append_row(present, found->second.text);
     }
     if (to.status == status_conflict)
     {
-        to.body = {{"rows", present}, {"ver", version_}, {"now_ms", now_ms()}};
+        to.body = answer_with(present);
         return to;
     }
     ++version_;
     for (auto const& one : body["writes"])
-    {
-        rows_[key_of(one)] = {
-            from_base64(one["value"].get<std::string>()), version_};
-    }
+        store(key_of(one), from_base64(one["value"].get<std::string>()));
     for (auto const& one : body["remove"])
-        rows_.erase(key_of(one));
-    to.body = {{"ver", version_}, {"now_ms", now_ms()}};
+        erase(key_of(one));
+    to.body = json{{"ver", version_}, {"now_ms", now_ms()}}.dump();
     return to;
 }
 
 store_rows::response store_rows::range(std::string const& target) const
 {
-    auto const from = query_value(target, "from");
+    row_key const from{
+        query_value(target, "table"), query_value(target, "part"),
+        query_value(target, "from")};
     auto const end = query_value(target, "to");
-    json rows = json::array();
-    for (auto const& [at, row] : rows_)
+    std::string rows;
+    for (auto row = rows_.lower_bound(from); row != rows_.end(); ++row)
     {
-        if (at[0] == query_value(target, "table") &&
-            at[1] == query_value(target, "part") && at[2] >= from &&
-            (end.empty() || at[2] < end))
-            rows.push_back(row_json(at));
+        auto const& at = row->first;
+        if (at[0] != from[0] || at[1] != from[1] ||
+            (!end.empty() && at[2] >= end))
+            break;
+        append_row(rows, row->second.text);
     }
     response to;
-    to.body = {
-        {"rows", rows},
-        {"truncated", false},
-        {"ver", version_},
-        {"now_ms", now_ms()}};
+    to.body = answer_with(rows, R"(,"truncated":false)");
     return to;
 }
 
@@ -151,16 +177,12 @@
         to.status = status_gone;
         return to;
     }
-    std::map<std::uint64_t, json> changes;
-    for (auto const& [at, row] : rows_)
-    {
-        if (at[0] == query_value(target, "table") && row.version > after)
-            changes[row.version] = row_json(at);
-    }
-    json rows = json::array();
-    for (auto& [version, row] : changes)
-        rows.push_back(std::move(row));
-    to.body = {{"rows", rows}, {"ver", version_}, {"now_ms", now_ms()}};
+    auto const table = query_value(target, "table");
+    std::string rows;
+    for (auto change = changes_.lower_bound({table, after + 1, row_key()});
+         change != changes_.end() && std::get<0>(*change) == table; ++change)
+        append_row(rows, rows_.at(std::get<2>(*change)).text);
+    to.body = answer_with(rows);
     return to;
 }
 
--- a/test/store_rows.hpp
+++ b/test/store_rows.hpp
@@ -10,8 +10,10 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace walnutmill
 {
@@ -27,11 +29,13 @@
     struct response
     {
         int status = 200;
-        nlohmann::json body;
+        /// JSON
+        std::string body = "{}";
     };
 
     void
-    put(std::string const& table, std::string const& key, std::string value);
+    put(std::string const& table, std::string const& key,
+        std::string_view value);
     void remove(std::string const& table, std::string const& key);
     /// \return the number of rows of a table
     std::size_t count(std::string const& table) const;
@@ -44,18 +48,27 @@
 private:
     struct stored
     {
-        std::string value;
+        /// JSON; encoded once, since rows are read far more often than written.
+        std::string text;
         std::uint64_t version = 0;
     };
     /// Table, partition and key.
     using row_key = std::array<std::string, 3>;
+    /// Table, version and row.
+    using row_change = std::tuple<std::string, std::uint64_t, row_key>;
 
     response transaction(nlohmann::json const& body);
     response range(std::string const& target) const;
     response feed(std::string const& target) const;
-    nlohmann::json row_json(row_key const& at) const;
+    void store(row_key const& at, std::string_view value);
+    void erase(row_key const& at);
+    /// \param rows JSON of rows, separated by commas
+    std::string
+    answer_with(std::string_view rows, std::string_view more = {}) const;
 
     std::map<row_key, stored> rows_;
+    /// The newest change of each row.
+    std::set<row_change> changes_;
     std::uint64_t version_ = 0;
     /// Feeds after an older version are refused.
     std::uint64_t forgotten_before_ = 0;
