soak: tell a store that was too slow from one that nobody reached

The soak now prints the longest time between two requests at the store, how late its thread was at most, and how many connections it failed to accept.

A stand-in that once fails to accept a connection, as without descriptors, stopped accepting for good; it tries again.

--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -233,6 +233,14 @@
         outlived_.push_back(
             resumes_elsewhere(node, (node + 1) % options_.nodes));
     }
+    // Tell a stand-in that was too slow from nodes that did not reach it.
+    std::lock_guard<std::mutex> const lock(mutex_);
+    counts_["ms at most from one request at the store to the next"] =
+        static_cast<int>(store.longest_pause().count());
+    counts_["ms at most that the store's thread was late"] =
+        static_cast<int>(store.server().longest_delay().count());
+    counts_["connections that the store failed to accept"] =
+        static_cast<int>(store.server().failed_accepts());
 }
 
 void soak_world::ran(http_request const& request, standin_target const& at)
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -6,7 +6,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <stdexcept>
 
 namespace walnutmill
@@ -30,6 +32,9 @@
 
 /// Long enough that a correct node becomes ready on a loaded machine.
 constexpr seconds startup_timeout{60};
+/// Wait before the next accept, for a process that has no descriptor left.
+constexpr milliseconds accept_retry_delay{20};
+constexpr milliseconds delay_watch_interval{50};
 
 } // namespace
 
@@ -44,6 +49,7 @@
     : work_(io_.get_executor()), acceptor_(io_, any_loopback())
 {
     accept();
+    watch_delays();
     thread_ = std::thread([this] { io_.run(); });
 }
 
@@ -75,7 +81,11 @@
         [this](boost::system::error_code const& error, tcp::socket socket)
         {
             if (error)
+            {
+                ++failed_accepts_;
+                later(accept_retry_delay, [this] { accept(); });
                 return;
+            }
             caller_link::hooks hooks;
             hooks.on_request =
                 [this](link_ptr const& link, http_request&& request)
@@ -88,6 +98,26 @@
         });
 }
 
+milliseconds standin_server::longest_delay() const
+{
+    return milliseconds(longest_delay_ms_.load());
+}
+
+void standin_server::watch_delays()
+{
+    auto const due = std::chrono::steady_clock::now() + delay_watch_interval;
+    later(
+        delay_watch_interval,
+        [this, due]
+        {
+            auto const late = std::chrono::duration_cast<milliseconds>(
+                std::chrono::steady_clock::now() - due);
+            longest_delay_ms_ =
+                std::max<std::int64_t>(longest_delay_ms_, late.count());
+            watch_delays();
+        });
+}
+
 standin_store::standin_store()
 {
     server_.on_request =
@@ -140,6 +170,13 @@
     return found == transactions_of_.end() ? 0 : found->second;
 }
 
+milliseconds standin_store::longest_pause() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return std::chrono::duration_cast<milliseconds>(std::max(
+        longest_pause_, std::chrono::steady_clock::now() - last_request_at_));
+}
+
 bool standin_store::is_silent(http_request const& request)
 {
     std::string const target(request.target());
@@ -154,6 +191,9 @@
         }
     }
     std::lock_guard<std::mutex> const lock(mutex_);
+    auto const now = std::chrono::steady_clock::now();
+    longest_pause_ = std::max(longest_pause_, now - last_request_at_);
+    last_request_at_ = now;
     if (target == "/rows-tx")
         ++transactions_of_[partition];
     return silent_.count(partition) > 0 ||
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -17,6 +17,9 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -70,10 +73,17 @@
     answer_fn on_request;
     /// Runs a function on the server's thread after a delay.
     void later(std::chrono::milliseconds after, std::function<void()> what);
+    /// \return how late at most the thread was to run a timer
+    std::chrono::milliseconds longest_delay() const;
+    /// \return the number of connections that could not be accepted
+    std::size_t failed_accepts() const { return failed_accepts_; }
 
 private:
     void accept();
+    void watch_delays();
 
+    std::atomic<std::int64_t> longest_delay_ms_{0};
+    std::atomic<std::size_t> failed_accepts_{0};
     boost::asio::io_context io_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work_;
@@ -107,6 +117,9 @@
     /// \return the number of transactions received for a partition, including
     /// unanswered ones
     std::size_t transactions_of(std::string const& partition) const;
+    /// \return the longest time between two requests, or since the last one
+    std::chrono::milliseconds longest_pause() const;
+    standin_server const& server() const { return server_; }
     /// Leaves calls to these partitions unanswered.
     void silence(std::set<std::string> partitions);
     /// Leaves reads of this table unanswered; an empty name answers all.
@@ -122,6 +135,9 @@
     std::map<std::string, std::size_t> transactions_of_;
     std::set<std::string> silent_;
     std::string silent_table_;
+    std::chrono::steady_clock::time_point last_request_at_ =
+        std::chrono::steady_clock::now();
+    std::chrono::steady_clock::duration longest_pause_{0};
     std::atomic<bool> down_{false};
     std::atomic<unsigned> lose_every_{0};
     std::atomic<unsigned> transactions_{0};
