slopes: measure what the origins of streams cost a node

The figures in docs/CAPACITY.md were of a program that is not in the repository, so nobody could run them again. support/slopes has a section for them.

--- a/support/slopes-sections.hpp
+++ b/support/slopes-sections.hpp
@@ -19,6 +19,8 @@
 
 /// What programs cost their owner, and their recovery.
 void run_owner_section(std::uint32_t seed);
+/// What the origins of streams cost a node among 13 to 390.
+void run_origins_section();
 
 } // namespace slopes
 } // namespace walnutmill
--- a/support/slopes.cpp
+++ b/support/slopes.cpp
@@ -19,5 +19,6 @@
     walnutmill::slopes::run_decisions_section(seed);
     walnutmill::slopes::run_members_section(seed);
     walnutmill::slopes::run_owner_section(seed);
+    walnutmill::slopes::run_origins_section();
     return 0;
 }
--- a/test/store_rows.hpp
+++ b/test/store_rows.hpp
@@ -63,6 +63,7 @@
     void store(row_key const& at, std::string_view value);
     void erase(row_key const& at);
     /// \param rows JSON of rows, separated by commas
+    /// \param more JSON of further fields, with a comma before each
     std::string
     answer_with(std::string_view rows, std::string_view more = {}) const;
 
