call_flow: report a call that nothing continues, and what a call waited for

What callers saw: nothing, in the suspected case. A call whose last owner lets go of it left its connection open, without an answer, a line or a count, and the connection answered no further request either.

Cause: the state of a call is shared by its pending callbacks. Where the last of them is lost, nobody is left to answer. The connection's own callback could keep such a call alive unseen until the caller left.

Change: a call that is destroyed without an end writes request.unanswered, counts walnutmill_unanswered_calls_total, settles its budget and quota, and ends the caller's connection. The connection holds the call weakly. A registry shared with the calls tells those that the event loop destroys after the node's services that these are gone. call.ended names the limit of time in force (limit, limit_ms) and, for ends by time and for callers that left, what the call waited for (waits_for).

Evidence: "call: one that nothing continues is logged and its connection closed" and "call: a lost continuation shows in the answer at the call's limit" fail on the code before (3 of 5 assertions each: connection open after 5 s, no line, no count; no waits_for and no limit). They pass now. No lost continuation was found in the product: this is the net under it.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -81,6 +81,7 @@
         choose_engine();
         return;
     }
+    waits_for_ = "place";
     node_.before_choice([self = shared_from_this()] { self->choose_engine(); });
 }
 
@@ -141,6 +142,7 @@
 
 void call_flow::exchange(attempt_ptr const& attempt)
 {
+    waits_for_ = "engine";
     platform::send_fields send;
     send.engine = attempt->at.engine;
     send.deadline_left = std::chrono::duration_cast<milliseconds>(time_left());
@@ -432,6 +434,7 @@
 /// accepts connections. No request may be sent there to find out.
 void call_flow::retry_if_ended(attempt_ptr const& attempt)
 {
+    waits_for_ = "engine's end";
     node_.links.check_listening(
         attempt->at.address,
         [self = shared_from_this(), attempt](bool listening)
@@ -477,6 +480,7 @@
     turn.input = request_.body();
     turn.output = std::move(output_);
     auto const began = node_.clock();
+    waits_for_ = "store";
     node_.history.store_turn(
         std::move(turn), std::chrono::duration_cast<milliseconds>(time_left()),
         [self = shared_from_this(), began](bool durable)
--- a/src/entry/call_crashes.cpp
+++ b/src/entry/call_crashes.cpp
@@ -57,6 +57,7 @@
 
 bool call_flow::await_crash_records(void (call_flow::*again)())
 {
+    waits_for_ = "records";
     log_fields_["awaited_crash_records"] = true;
     node_.counters.count("walnutmill_calls_awaiting_crash_records_total");
     return node_.crashes->await_records(
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -44,16 +44,41 @@
 call_flow::call_flow(
     entry_services& node, std::shared_ptr<caller_link> link,
     caller_link::request_type&& request)
-    : node_(node), link_(std::move(link)), request_(std::move(request)),
-      deadline_timer_(node.io), stall_timer_(node.io), identity_timer_(node.io),
-      arrived_(node.clock())
+    : node_(node), calls_(node.calls), link_(std::move(link)),
+      request_(std::move(request)), deadline_timer_(node.io),
+      stall_timer_(node.io), identity_timer_(node.io), arrived_(node.clock())
 {
     ++node_.calls_in_flight;
+    calls_->calls.insert(this);
 }
 
 call_flow::~call_flow()
 {
+    calls_->calls.erase(this);
+    if (calls_->is_closed)
+        return;
     --node_.calls_in_flight;
+    if (!done_)
+        release_unanswered();
+}
+
+/// Ends a call that nothing will continue, so that its caller does not wait in
+/// vain.
+void call_flow::release_unanswered()
+{
+    done_ = true;
+    abandon_attempt();
+    settle_budget();
+    if (sends_ == 0)
+        return_quota();
+    node_.counters.count("walnutmill_unanswered_calls_total");
+    node_.log.write(
+        log_priority::important, "request.unanswered",
+        {{"request", call_.id.str()},
+         {"why", "nothing continues the call"},
+         {"waits_for", waits_for_},
+         {"ms", ms_count(node_.clock() - arrived_)}});
+    link_->abort();
 }
 
 duration call_flow::time_left() const
@@ -97,8 +122,12 @@
     log_fields_["configuration"] = table_->version;
     if (!route_call())
         return;
-    link_->on_disconnect = [self = shared_from_this()]
-    { self->on_caller_disconnected(); };
+    // Weak, so that a call that nothing continues ends at once.
+    link_->on_disconnect = [call = weak_from_this()]
+    {
+        if (auto const self = call.lock())
+            self->on_caller_disconnected();
+    };
     arm_deadline();
     check_identity();
 }
@@ -155,13 +184,24 @@
     tokens_per_event_ = service_->model->tokens_per_event;
 }
 
+/// Limits the call's time by its caller and by its route, as of the
+/// configuration that the call is routed by; later ones change nothing.
 void call_flow::arm_deadline()
 {
     auto wait = default_deadline;
-    if (route_->timeout.count() > 0)
-        wait = std::min(wait, route_->timeout);
-    if (call_.deadline)
-        wait = std::min(wait, *call_.deadline - deadline_margin);
+    std::string_view limit = "default";
+    if (route_->timeout.count() > 0 && route_->timeout < wait)
+    {
+        wait = route_->timeout;
+        limit = "route";
+    }
+    if (call_.deadline && *call_.deadline - deadline_margin < wait)
+    {
+        wait = *call_.deadline - deadline_margin;
+        limit = "caller";
+    }
+    log_fields_["limit"] = limit;
+    log_fields_["limit_ms"] = wait.count();
     deadline_at_ = arrived_ + wait;
     auto& longest = node_.max_call_times[route_->name];
     longest = std::max(longest, duration(wait));
@@ -209,6 +249,7 @@
     auto const only_started_programs =
         node_.random() <
         refusal_probability(pressure, route_rank(), less_urgent_in_flight);
+    waits_for_ = "budget";
     node_.budgets.admit(
         {program.program, *program.token_budget, max_tokens_,
          only_started_programs,
@@ -291,6 +332,7 @@
 /// turns were stored while callers needed no keys
 void call_flow::load_turn(request_id const& previous, bool try_unscoped_id)
 {
+    waits_for_ = "history";
     node_.history.load(
         previous,
         [self = shared_from_this(),
@@ -326,19 +368,33 @@
 {
     if (done_)
         return;
-    auto const sent = current_ && !current_->ended;
-    if (sent)
-    {
-        give_up_run();
-        end_attempt(current_, engine_outcome::abandoned);
-        // Closing the connection also stops the engine's work on the call.
-        current_->link->close();
-    }
-    if (sent || head_written_ || may_have_run_)
-        abort_call("time is up");
+    end_unanswered(
+        "time is up", "time was up before an engine was free",
+        min_retry_after_refusal);
+}
+
+/// Ends a call that has waited in vain.
+/// \param why_not_run reason given where no engine can have run the call
+void call_flow::end_unanswered(
+    std::string_view why, std::string_view why_not_run,
+    milliseconds retry_after)
+{
+    log_fields_["waits_for"] = waits_for_;
+    if ((current_ && !current_->ended) || head_written_ || may_have_run_)
+        abort_call(why);
     else
-        refuse(
-            "time was up before an engine was free", min_retry_after_refusal);
+        refuse(why_not_run, retry_after);
+}
+
+/// Gives up the current attempt, if it has not ended.
+void call_flow::abandon_attempt()
+{
+    if (!current_ || current_->ended)
+        return;
+    give_up_run();
+    end_attempt(current_, engine_outcome::abandoned);
+    // Closing the connection also stops the engine's work on the call.
+    current_->link->close();
 }
 
 void call_flow::on_caller_disconnected()
@@ -346,13 +402,9 @@
     if (done_)
         return;
     caller_disconnected_ = true;
-    if (current_ && !current_->ended &&
-        (route_->streams || route_->repeats == repeatability::idempotent))
-    {
-        give_up_run();
-        end_attempt(current_, engine_outcome::abandoned);
-        current_->link->close();
-    }
+    log_fields_["waits_for"] = waits_for_;
+    if (route_->streams || route_->repeats == repeatability::idempotent)
+        abandon_attempt();
     finish("caller left", false);
 }
 
@@ -428,12 +480,7 @@
 {
     if (done_)
         return;
-    if (current_ && !current_->ended)
-    {
-        give_up_run();
-        end_attempt(current_, engine_outcome::abandoned);
-        current_->link->close();
-    }
+    abandon_attempt();
     if (!head_written_)
     {
         respond_locally(
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -38,11 +38,23 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace walnutmill
 {
 
+class call_flow;
+
+/// Calls of a node. Shared with the calls, because the event loop may destroy
+/// the last of them after the node's services.
+struct call_registry
+{
+    std::unordered_set<call_flow*> calls;
+    /// The services of the node may be gone.
+    bool is_closed = false;
+};
+
 /// Services of the entry node that its calls use.
 struct entry_services
 {
@@ -99,6 +111,7 @@
     version_register* versions = nullptr;
     /// Requests under which engines ended. Null: they are not told apart.
     crash_exchange* crashes = nullptr;
+    std::shared_ptr<call_registry> calls = std::make_shared<call_registry>();
 };
 
 /// State machine of one call. Its pending callbacks share ownership of it.
@@ -211,6 +224,11 @@
     void deliver(attempt_ptr const& attempt);
 
     void on_deadline();
+    void end_unanswered(
+        std::string_view why, std::string_view why_not_run,
+        std::chrono::milliseconds retry_after);
+    void abandon_attempt();
+    void release_unanswered();
     void on_caller_disconnected();
     outage_call current_outage() const;
     void refuse(std::string_view why, std::chrono::milliseconds retry_after);
@@ -227,6 +245,7 @@
     duration time_left() const;
 
     entry_services& node_;
+    std::shared_ptr<call_registry> calls_;
     std::shared_ptr<caller_link> link_;
     caller_link::request_type request_;
     std::shared_ptr<routing_table const> table_;
@@ -264,6 +283,8 @@
     request_id unscoped_previous_;
     bool head_written_ = false;
     bool done_ = false;
+    /// What the call waits for, or last waited for.
+    std::string_view waits_for_;
     /// Waits for a newer configuration.
     bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -149,6 +149,7 @@
             }))
     {
         awaits_confirmation_ = true;
+        waits_for_ = "configuration";
         identity_timer_.expires_after(max_confirmation_wait - waited);
         identity_timer_.async_wait(
             [self = shared_from_this()](boost::system::error_code const& error)
@@ -188,6 +189,7 @@
         begin_or_resume();
         return;
     }
+    waits_for_ = "quota";
     node_.quotas->acquire(
         call_.owner,
         [self = shared_from_this(), began = node_.clock()](
--- a/src/entry/call_resumption.cpp
+++ b/src/entry/call_resumption.cpp
@@ -45,6 +45,7 @@
 /// the same time.
 void call_flow::find_origin()
 {
+    waits_for_ = "origin";
     if (call_.resumes.empty())
     {
         origin_searches_ = 1;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -215,7 +215,10 @@
     };
 }
 
-entry_node::~entry_node() = default;
+entry_node::~entry_node()
+{
+    services_.calls->is_closed = true;
+}
 
 bool entry_node::listen(acceptor& on, std::string const& address)
 {
--- /dev/null
+++ b/test/call_flow-test.cpp
@@ -0,0 +1,500 @@
+/// \file
+/// Tests single calls in one event loop: what each of them waits for is held
+/// back until the test releases it, and what it depends on changes meanwhile.
+
+#include "entry/call_flow.hpp"
+
+#include "entry_world.hpp"
+#include "fake_store.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A caller on the event loop of the calls.
+class loop_caller
+{
+public:
+    loop_caller(asio::io_context& io, tcp::endpoint const& to) : socket_(io)
+    {
+        socket_.connect(to);
+        read();
+    }
+
+    void send(std::string const& bytes)
+    {
+        asio::write(socket_, asio::buffer(bytes));
+    }
+    void close() { socket_.close(); }
+    std::string const& received() const { return received_; }
+    bool closed() const { return closed_; }
+    /// \return the status received; 0 without one
+    int status() const
+    {
+        constexpr std::size_t status_at = 9;
+        return received_.size() < status_at + 3
+                   ? 0
+                   : std::stoi(received_.substr(status_at, 3));
+    }
+    /// \return true if a stream or an answer with a length is complete
+    bool whole() const
+    {
+        auto const head = received_.find("\r\n\r\n");
+        if (head == std::string::npos)
+            return false;
+        if (received_.find("chunked") < head)
+            return received_.find("\r\n0\r\n\r\n", head) != std::string::npos;
+        constexpr std::string_view field = "Content-Length: ";
+        auto const length = received_.find(field);
+        return length < head &&
+               received_.size() - head - 4 ==
+                   std::stoul(received_.substr(length + field.size()));
+    }
+
+private:
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(chunk_),
+            [this](boost::system::error_code const& error, std::size_t size)
+            {
+                if (error == asio::error::operation_aborted)
+                    return;
+                received_.append(chunk_.data(), size);
+                closed_ = bool(error);
+                if (!error)
+                    read();
+            });
+    }
+
+    tcp::socket socket_;
+    std::array<char, 4'096> chunk_{};
+    std::string received_;
+    bool closed_ = false;
+};
+
+/// A model engine or plain service that answers once the test lets it.
+struct held_target
+{
+    standin_target target;
+    std::atomic<bool> silent{false};
+    std::atomic<bool> sends_first_event{false};
+
+    /// \param breaks number of requests whose connection the targets close
+    held_target(std::string const& id, std::atomic<int>& breaks)
+        : target(id), breaks_(breaks)
+    {
+        target.set_handler(
+            [this](link_ptr const& link, http_request const& request)
+            { return handle(link, request); });
+    }
+
+    bool handle(link_ptr const& link, http_request const& request)
+    {
+        if (breaks_ > 0)
+        {
+            --breaks_;
+            standin_target::cut(link);
+            return true;
+        }
+        if (!silent)
+            return false;
+        if (sends_first_event)
+        {
+            link->write(standin_target::stream(
+                std::string(request["Request-Id"]), 1, 1, false));
+        }
+        std::lock_guard<std::mutex> const lock(mutex_);
+        held_.emplace_back(link, request);
+        return true;
+    }
+
+    void release()
+    {
+        silent = false;
+        target.server().later(
+            milliseconds(0),
+            [this]
+            {
+                std::lock_guard<std::mutex> const lock(mutex_);
+                for (auto const& [link, request] : held_)
+                    answer(link, request);
+                held_.clear();
+            });
+    }
+
+private:
+    void answer(link_ptr const& link, http_request const& request) const
+    {
+        std::string const id(request["Request-Id"]);
+        auto const streams = request.target().find("/turns/") == 0 ||
+                             request.target().find("/kept/") == 0;
+        auto const whole = standin_target::stream(id, 1, 3, true);
+        auto const begun = standin_target::stream(id, 1, 1, false);
+        link->write(
+            !streams
+                ? standin_target::answer(
+                      200, "Request-Id: " + id + "\r\nResponse-Stamp: s\r\n",
+                      "done")
+            : sends_first_event ? whole.substr(begun.size())
+                                : whole);
+        link->finish_answer(false);
+    }
+
+    std::atomic<int>& breaks_;
+    std::mutex mutex_;
+    std::vector<std::pair<link_ptr, http_request>> held_;
+};
+
+struct call_flow_fixture
+{
+    asio::io_context io;
+    clock_fn clock = monotonic_clock();
+    fake_store store;
+    bool store_answers = true;
+    std::string lines;
+    metrics counters;
+    std::atomic<int> breaks{0};
+    held_target engine_a{"ia", breaks};
+    held_target engine_b{"ib", breaks};
+    held_target service_a{"da", breaks};
+    held_target service_b{"db", breaks};
+    engine_balancer balancer{zone_name("z1"), clock, seeded_random(1)};
+    engine_links links{io};
+    program_ledger ledger{store.calls(), clock, "n.1"};
+    budget_service budgets{io, ledger, clock, "n", "n.1"};
+    turn_history history{store.calls()};
+    line_log log{
+        "n", clock,
+        [this](std::string_view bytes)
+        {
+            lines.append(bytes);
+            return bytes.size();
+        },
+        log_limits()};
+    std::vector<std::function<void()>> held;
+    std::vector<std::string> sent_datagrams;
+    quota_exchange quotas{clock, "n", 1, {}, quota_hooks()};
+    crash_exchange crashes{
+        clock, seeded_random(2), crash_hooks(), short_patience()};
+    origin_exchange origins{clock, "n", "z1", origin_hooks()};
+    version_register versions{store.calls(), clock, seeded_random(3), {}};
+    entry_services services{
+        io,
+        clock,
+        seeded_random(4),
+        balancer,
+        links,
+        budgets,
+        history,
+        log,
+        counters,
+        patient_stalls(),
+        retry_budget(),
+        active_ranks(),
+        nullptr,
+        1,
+        false,
+        true,
+        0,
+        {},
+        {}};
+    tcp::acceptor acceptor{
+        io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    /// Lets go of each call instead of starting it.
+    bool loses_calls = false;
+    int accepted_calls = 0;
+    std::unique_ptr<loop_caller> caller;
+
+    call_flow_fixture()
+    {
+        budgets.set_nodes({});
+        services.table = std::make_shared<routing_table>(table());
+        services.versions = &versions;
+        set_engines(1);
+        accept();
+    }
+
+    ~call_flow_fixture() { services.calls->is_closed = true; }
+
+    static stall_options patient_stalls()
+    {
+        stall_options to;
+        to.min_timeout = seconds(20);
+        return to;
+    }
+
+    static crash_exchange_options short_patience()
+    {
+        crash_exchange_options to;
+        to.answer_patience = milliseconds(200);
+        return to;
+    }
+
+    template<class Hooks>
+    Hooks datagram_hooks()
+    {
+        Hooks to;
+        to.send = [this](std::string const&, std::string bytes)
+        { sent_datagrams.push_back(std::move(bytes)); };
+        to.schedule_after = [this](duration after, std::function<void()> what)
+        { schedule(after, std::move(what)); };
+        return to;
+    }
+
+    quota_exchange::hooks quota_hooks()
+    {
+        auto to = datagram_hooks<quota_exchange::hooks>();
+        to.limit_of = [this](workspace_name const& owner)
+        {
+            quota_exchange::known_limit known;
+            if (auto const* one = services.table->workspaces
+                                      ? services.table->workspaces->find(owner)
+                                      : nullptr)
+                known.limit = one->limit;
+            return known;
+        };
+        to.reachable_share = [] { return 1.0; };
+        return to;
+    }
+    crash_exchange::hooks crash_hooks()
+    {
+        return datagram_hooks<crash_exchange::hooks>();
+    }
+    origin_exchange::hooks origin_hooks()
+    {
+        return datagram_hooks<origin_exchange::hooks>();
+    }
+
+    void schedule(duration after, std::function<void()> what)
+    {
+        auto const timer = std::make_shared<asio::steady_timer>(io, after);
+        timer->async_wait([timer, what = std::move(what)](
+                              boost::system::error_code const&) { what(); });
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [this](boost::system::error_code const& error, tcp::socket socket)
+            {
+                if (error)
+                    return;
+                caller_link::hooks hooks;
+                hooks.on_request =
+                    [this](link_ptr const& link, http_request&& request)
+                {
+                    ++accepted_calls;
+                    auto const call = std::make_shared<call_flow>(
+                        services, link, std::move(request));
+                    if (!loses_calls)
+                        call->start();
+                };
+                hooks.refuse = [](int, std::string_view)
+                { return std::string(); };
+                hooks.limits = [this] { return services.table->limits; };
+                hooks.on_end = [](caller_link*) {};
+                std::make_shared<caller_link>(std::move(socket), hooks)
+                    ->start();
+                accept();
+            });
+    }
+
+    static route make_route(
+        std::string const& name, bool streams, service_name const& service)
+    {
+        route to;
+        to.name = name;
+        to.host = "h.example";
+        to.prefix = "/" + name + "/";
+        to.streams = streams;
+        to.timeout = seconds(3);
+        to.max_engines = 2;
+        to.shares = {{service, 1}};
+        return to;
+    }
+
+    static routing_table table()
+    {
+        routing_table to;
+        to.version = 1;
+        auto turns = make_route("turns", true, service_name("llm"));
+        turns.resumable = true;
+        turns.repeats = repeatability::idempotent;
+        auto kept = make_route("kept", true, service_name("llm"));
+        kept.keeps_turns = true;
+        kept.kept_for = seconds(60);
+        auto safe = make_route("safe", false, service_name("desk"));
+        safe.repeats = repeatability::idempotent;
+        to.routes = {
+            turns, kept, safe,
+            make_route("orders", false, service_name("desk"))};
+        service llm;
+        llm.name = service_name("llm");
+        llm.model = engine_model{8, 10, 0};
+        service desk;
+        desk.name = service_name("desk");
+        to.services = {llm, desk};
+        to.seal();
+        return to;
+    }
+
+    void publish(routing_table to)
+    {
+        to.version = services.table->version + 1;
+        to.seal();
+        services.table = std::make_shared<routing_table>(std::move(to));
+    }
+    void change(std::function<void(routing_table&)> const& what)
+    {
+        auto to = *services.table;
+        what(to);
+        publish(std::move(to));
+    }
+
+    void set_engines(std::int64_t started_at_ms)
+    {
+        std::vector<engine_entry> engines;
+        auto const add = [&](held_target const& one, char const* service)
+        {
+            engine_entry entry;
+            entry.id = target_name(one.target.id());
+            entry.incarnation.started_at_ms = started_at_ms;
+            entry.service = service_name(service);
+            entry.address = one.target.address();
+            entry.zone = zone_name("z1");
+            entry.slots = 8;
+            engines.push_back(std::move(entry));
+        };
+        add(engine_a, "llm");
+        add(engine_b, "llm");
+        add(service_a, "desk");
+        add(service_b, "desk");
+        for (auto const& one : balancer.set_engines(engines))
+            links.close_former_incarnations(one);
+    }
+
+    /// Runs the event loop until the condition holds. \return false if it does
+    /// not hold within five seconds
+    template<class Condition>
+    bool run_until(Condition const& condition)
+    {
+        auto const end = std::chrono::steady_clock::now() + seconds(5);
+        while (!condition() && std::chrono::steady_clock::now() < end)
+        {
+            if (store_answers)
+                store.run();
+            crashes.tick();
+            io.restart();
+            io.run_for(milliseconds(2));
+        }
+        return condition();
+    }
+    void run_for(milliseconds time)
+    {
+        auto const end = std::chrono::steady_clock::now() + time;
+        run_until([end] { return std::chrono::steady_clock::now() >= end; });
+    }
+
+    void send(std::string const& bytes)
+    {
+        caller = std::make_unique<loop_caller>(io, acceptor.local_endpoint());
+        caller->send(bytes);
+    }
+
+    /// \return true once the caller has a whole answer or no connection
+    bool caller_knows() const { return caller->whole() || caller->closed(); }
+
+    std::size_t count(std::string const& text)
+    {
+        log.flush();
+        std::size_t found = 0;
+        for (auto at = lines.find(text); at != std::string::npos;
+             at = lines.find(text, at + 1))
+            ++found;
+        return found;
+    }
+    std::string last_line(std::string const& event)
+    {
+        log.flush();
+        auto const at = lines.rfind("\"event\":\"" + event + "\"");
+        if (at == std::string::npos)
+            return {};
+        auto const from = lines.rfind('\n', at);
+        return lines.substr(from + 1, lines.find('\n', at) - from - 1);
+    }
+
+    std::size_t engine_calls() const
+    {
+        std::size_t sum = 0;
+        for (auto const* one : {&engine_a, &engine_b, &service_a, &service_b})
+            sum += one->target.calls().size();
+        return sum;
+    }
+    void set_silent(bool silent)
+    {
+        for (auto* one : {&engine_a, &engine_b, &service_a, &service_b})
+        {
+            if (silent)
+                one->silent = true;
+            else
+                one->release();
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: one that nothing continues is logged and its connection closed")
+{
+    loses_calls = true;
+    send(entry_world::turn("t1"));
+    CHECK(run_until([&] { return caller_knows(); }));
+    CHECK(caller->received().empty());
+    CHECK(count("\"event\":\"request.unanswered\"") == 1);
+    CHECK(counters.counter("walnutmill_unanswered_calls_total") == 1);
+    CHECK(services.calls_in_flight == 0);
+}
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a lost continuation shows in the answer at the call's limit")
+{
+    services.before_choice = [](std::function<void()> const&) {};
+    change(
+        [](routing_table& to)
+        {
+            for (auto& one : to.routes)
+                one.timeout = milliseconds(100);
+        });
+    send(entry_world::turn("t1"));
+    CHECK(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    auto const line = last_line("call.ended");
+    CHECK(line.find("\"waits_for\":\"place\"") != std::string::npos);
+    CHECK(line.find("\"limit_ms\":100") != std::string::npos);
+    CHECK(line.find("\"limit\":\"route\"") != std::string::npos);
+}
