call_flow: limit the engine's time for a call whose caller has left

What operators saw: an order whose caller had left stayed in flight for as long as its engine was silent; the node held its connection to the engine, counted it in walnutmill_calls_under_way, and drained only at the end of the grace period.

Cause: the end of the call for its caller cancelled the deadline, although the engine was left to complete the order.

Change: the deadline stays armed until the attempt has ended. It then gives up the attempt and writes call.attempt with "caller left, time is up".

Evidence: "call: an engine that is silent is not waited for past the limit of a call whose caller has left" fails on the code before (still in flight after 5 s, limit 300 ms) and passes now. "call: one whose caller has left ends with its engine's answer" passes before and after; it guards the order that completes.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -296,6 +296,8 @@
         attempt->at.ref(), need_, outcome, node_.clock() - attempt->sent_at);
     notify_calls_changed();
     node_.links.release_link(attempt->at.ref(), attempt->link);
+    if (done_)
+        deadline_timer_.cancel();
 }
 
 void call_flow::refused_by_engine(attempt_ptr const& attempt)
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -367,7 +367,13 @@
 void call_flow::on_deadline()
 {
     if (done_)
+    {
+        // The caller has left, and the engine was to complete the call.
+        if (current_ && !current_->ended)
+            log_failed_attempt(current_, "caller left, time is up");
+        abandon_attempt();
         return;
+    }
     end_unanswered(
         "time is up", "time was up before an engine was free",
         min_retry_after_refusal);
@@ -500,7 +506,10 @@
         return;
     done_ = true;
     settle_budget();
-    deadline_timer_.cancel();
+    // The deadline also limits an engine that completes a call whose caller has
+    // left.
+    if (!current_ || current_->ended)
+        deadline_timer_.cancel();
     stall_timer_.cancel();
     identity_timer_.cancel();
     if (outcome != "broken off" && !caller_disconnected_)
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -498,3 +498,39 @@
     CHECK(line.find("\"limit_ms\":100") != std::string::npos);
     CHECK(line.find("\"limit\":\"route\"") != std::string::npos);
 }
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: an engine that is silent is not waited for past the limit of a call "
+    "whose caller has left")
+{
+    set_silent(true);
+    change(
+        [](routing_table& to)
+        {
+            for (auto& one : to.routes)
+                one.timeout = milliseconds(300);
+        });
+    send(entry_world::post("/orders/x", "t1"));
+    REQUIRE(run_until([&] { return engine_calls() == 1; }));
+    caller->close();
+    REQUIRE(run_until([&] { return count("caller left") > 0; }));
+    CHECK(services.calls_in_flight == 1);
+    CHECK(run_until([&] { return services.calls_in_flight == 0; }));
+    CHECK(count("\"event\":\"call.ended\"") == 1);
+}
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: one whose caller has left ends with its engine's answer")
+{
+    set_silent(true);
+    send(entry_world::post("/orders/x", "t1"));
+    REQUIRE(run_until([&] { return engine_calls() == 1; }));
+    caller->close();
+    REQUIRE(run_until([&] { return count("caller left") > 0; }));
+    set_silent(false);
+    auto const answered_at = clock();
+    CHECK(run_until([&] { return services.calls_in_flight == 0; }));
+    CHECK(clock() - answered_at < seconds(1));
+}
