call_flow: limit a call routed anew by the configuration that routes it

What callers saw: a call with an unknown key waits for a newer configuration and is routed by it. Its limit of time stayed the one of the older configuration's route: with a shorter timeout in the newer one, the answer came late.

Cause: the deadline was armed once, before the wait. The choice of the former service also stayed in what the balancer is asked for.

Change: routing a call resets what is asked of the balancer, and routing it anew arms the deadline anew, counted from the call's arrival. A call that has been identified keeps the limit of the configuration that routed it, whatever comes later: that is what the operator had set when it came.

Evidence: "call: one that is routed anew by a later configuration has the limit of that one" fails on the code before (no answer in 1 s at a limit of 300 ms) and passes now.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -143,6 +143,7 @@
         return false;
     }
     log_fields_["route"] = route_->name;
+    need_ = balancer_request();
     choose_service();
     if (service_ == nullptr)
     {
@@ -205,7 +206,7 @@
     deadline_at_ = arrived_ + wait;
     auto& longest = node_.max_call_times[route_->name];
     longest = std::max(longest, duration(wait));
-    deadline_timer_.expires_after(wait);
+    deadline_timer_.expires_after(time_left());
     deadline_timer_.async_wait(
         [self = shared_from_this()](boost::system::error_code const& error)
         {
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -170,8 +170,10 @@
     identity_timer_.cancel();
     table_ = node_.table;
     log_fields_["configuration"] = table_->version;
-    if (route_call())
-        check_identity();
+    if (!route_call())
+        return;
+    arm_deadline();
+    check_identity();
 }
 
 bool call_flow::reject_key(std::string_view why)
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -464,6 +464,15 @@
     }
 };
 
+std::string const key = "X-Api-Key: key-of-archive\r\n";
+
+void release_held(call_flow_fixture& at)
+{
+    at.services.before_choice = {};
+    for (auto const& one : std::exchange(at.held, {}))
+        one();
+}
+
 } // namespace
 
 TEST_CASE_METHOD(
@@ -534,3 +543,32 @@
     CHECK(run_until([&] { return services.calls_in_flight == 0; }));
     CHECK(clock() - answered_at < seconds(1));
 }
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: one that is routed anew by a later configuration has the limit of "
+    "that one")
+{
+    change([](routing_table& to) { to.workspaces.emplace(); });
+    services.configuration_age = [] { return seconds(1); };
+    services.after_confirmation = [this](std::function<void()> confirmed)
+    {
+        held.push_back(std::move(confirmed));
+        return true;
+    };
+    set_silent(true);
+    send(entry_world::post("/safe/x", "t1", key));
+    REQUIRE(run_until([&] { return !held.empty(); }));
+    change(
+        [](routing_table& to)
+        {
+            to.workspaces.reset();
+            for (auto& one : to.routes)
+                one.timeout = milliseconds(300);
+        });
+    release_held(*this);
+    auto const routed_at = clock();
+    CHECK(run_until([&] { return caller_knows(); }));
+    CHECK(clock() - routed_at < seconds(1));
+    CHECK(caller->status() == 504);
+}
