call_flow: refuse to resume a stream whose service is not configured

What callers saw: all calls of a node ended without an answer, because its process crashed.

Cause: a route may name a service that the configuration lacks, while its engines are still registered. A stream that had begun there was resumed at that service, which find_service() does not know, and the call went on with a null service.

Change: such a route no longer leads to the service that began the stream, so the resumption is refused and the caller begins anew.

Evidence: "call: a resumed stream whose service has left the configuration is refused" ends the test program by SIGSEGV on the code before and passes now.

--- a/src/entry/call_resumption.cpp
+++ b/src/entry/call_resumption.cpp
@@ -112,7 +112,7 @@
         route_->shares.begin(), route_->shares.end(),
         [&origin](route_share const& one)
         { return one.service == origin.service; });
-    if (!is_routed)
+    if (!is_routed || table_->find_service(origin.service) == nullptr)
     {
         refuse_resumption(
             "the route no longer leads to the service that began the stream",
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -572,3 +572,32 @@
     CHECK(clock() - routed_at < seconds(1));
     CHECK(caller->status() == 504);
 }
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a resumed stream whose service has left the configuration is "
+    "refused")
+{
+    services.origins = &origins;
+    origins.record(
+        stream_key_of("t0"), stream_origin{service_name("other"), ""});
+    engine_entry other;
+    other.id = target_name("io");
+    other.service = service_name("other");
+    other.address = engine_a.target.address();
+    other.zone = zone_name("z1");
+    balancer.set_engines({other});
+    change(
+        [](routing_table& to)
+        {
+            for (auto& one : to.routes)
+                one.shares = {
+                    {service_name("llm"), 1}, {service_name("other"), 0}};
+        });
+    send(entry_world::turn(
+        "t1", "Resumes: t0\r\nLast-Event-Id: 1\r\n"
+              "Program-Id: p1\r\nToken-Budget: 900\r\n"));
+    CHECK(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    CHECK(engine_calls() == 0);
+}
