call_flow: end all calls of a node that has to exit

What callers saw: calls in flight at the end of the grace period were cut without an answer, also those that no engine had seen, and without a line; node.stopped counted them.

Change: end_calls_for_exit() ends every call whose caller waits. One that no engine can have run is refused with 503; one that may have run is answered 502, or 504 if its time is up; a stream that has begun is broken off. Each writes call.ended with "the node has to exit" and what it waited for.

Evidence: "call: at the exit, one that waits for a place is refused, and one that an engine may run is not" fails with an empty function in its place (2 of 9 assertions) and passes now.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -380,6 +380,14 @@
         min_retry_after_refusal);
 }
 
+void call_flow::end_for_exit()
+{
+    if (done_)
+        return;
+    constexpr std::string_view why = "the node has to exit";
+    end_unanswered(why, why, milliseconds(0));
+}
+
 /// Ends a call that has waited in vain.
 /// \param why_not_run reason given where no engine can have run the call
 void call_flow::end_unanswered(
@@ -533,4 +541,13 @@
         std::chrono::duration<double>(node_.clock() - arrived_).count());
 }
 
+void end_calls_for_exit(entry_services& node)
+{
+    std::vector<std::shared_ptr<call_flow>> calls;
+    for (auto* one : node.calls->calls)
+        calls.push_back(one->shared_from_this());
+    for (auto const& one : calls)
+        one->end_for_exit();
+}
+
 } // namespace walnutmill
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -114,6 +114,10 @@
     std::shared_ptr<call_registry> calls = std::make_shared<call_registry>();
 };
 
+/// Ends all calls whose callers wait, since the process is about to exit. A
+/// call that no engine can have run is refused.
+void end_calls_for_exit(entry_services& node);
+
 /// State machine of one call. Its pending callbacks share ownership of it.
 class call_flow : public std::enable_shared_from_this<call_flow>
 {
@@ -127,6 +131,8 @@
 
     /// Decodes the request and starts the call.
     void start();
+    /// Ends the call, since the process is about to exit.
+    void end_for_exit();
 
 private:
     struct engine_attempt
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -601,3 +601,28 @@
     CHECK(caller->status() == 503);
     CHECK(engine_calls() == 0);
 }
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: at the exit, one that waits for a place is refused, and one that an "
+    "engine may run is not")
+{
+    set_silent(true);
+    send(entry_world::post("/orders/x", "t1"));
+    REQUIRE(run_until([&] { return engine_calls() == 1; }));
+    auto const order = std::move(caller);
+    services.before_choice = [this](std::function<void()> choose)
+    { held.push_back(std::move(choose)); };
+    send(entry_world::turn("t2"));
+    REQUIRE(run_until([&] { return !held.empty(); }));
+    services.stopping = true;
+    end_calls_for_exit(services);
+    CHECK(run_until([&] { return caller_knows(); }));
+    CHECK(run_until([&] { return order->whole(); }));
+    CHECK(caller->status() == 503);
+    CHECK(order->status() == 502);
+    CHECK(count("the node has to exit") == 2);
+    CHECK(engine_calls() == 1);
+    release_held(*this);
+    CHECK(run_until([&] { return services.calls_in_flight == 0; }));
+}
