--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -120,6 +120,7 @@
                          caller_links_.empty() && !ledger_.busy();
     if (drained || last)
     {
+        end_calls_for_exit(services_);
         io_.stop();
         return;
     }
