row_sweeper: keep turns and accounts for as long as was promised

What callers would see: a kept turn answered 404 before its time, after a configuration that retains turns for less. No such answer was seen.

Cause: rows expired by the longest retention of the configuration now in force. A configuration that removes or shortens a route ended the promises made under the one before; only the margin of ten minutes covered them.

Change: a node keeps the retention of a former configuration in force for as long as it was promised. The first row of a turn also states its own retention, for nodes that start later; earlier versions ignore the additional number, and rows without it expire as before.

Evidence: "sweeper: a turn outlives a configuration that retains turns for less" and "sweeper: a retention that a configuration promised outlives it" use what did not exist before. The code before removes the turn of the first one after 660 s instead of 3,600 s by its only rule (retention of the configuration and margin); the existing tests of that rule pass unchanged.

--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -42,6 +42,8 @@
     std::string input;
     /// Data of all output events, each followed by a line feed.
     std::string output;
+    /// Time for which the row is to be retained; not part of the encoding.
+    std::chrono::seconds kept_for{0};
 
     /// \return the estimated memory use in bytes, overhead included.
     std::size_t bytes() const;
@@ -61,12 +63,15 @@
     std::size_t chunk_count = 1;
     /// Time of writing in UTC seconds.
     std::int64_t written_at = 0;
+    /// Time for which the turn is to be retained; zero if it does not say.
+    std::chrono::seconds kept_for{0};
     /// Size of the header in bytes, which is the offset of the encoded turn.
     std::size_t size = 0;
 };
 /// \return the header text for the first row of a turn.
-std::string
-encode_turn_header(std::size_t chunk_count, std::int64_t written_at);
+std::string encode_turn_header(
+    std::size_t chunk_count, std::int64_t written_at,
+    std::chrono::seconds kept_for);
 /// \return nullopt if the value is not the first row of a turn.
 std::optional<turn_header> decode_turn_header(std::string_view value);
 
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -481,6 +481,8 @@
     turn.chain = chain_.ids;
     turn.input = request_.body();
     turn.output = std::move(output_);
+    turn.kept_for =
+        std::chrono::duration_cast<std::chrono::seconds>(route_->kept_for);
     auto const began = node_.clock();
     waits_for_ = "store";
     node_.history.store_turn(
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -163,6 +163,7 @@
       sweeper_(
           store_.calls(store_client::unavailable_policy::fail_fast),
           system_utc(), swept_tables()),
+      retention_(clock_),
       sections_(
           runtime_, log_,
           platform_view::query_response_limit(read_interval(settings_))),
@@ -310,6 +311,11 @@
     services_.table = std::move(table);
     // Total call times are kept by route, and the routes may have changed.
     services_.max_call_times.clear();
+    milliseconds kept_for{0};
+    for (auto const& one : services_.table->routes)
+        kept_for = std::max(kept_for, one.kept_for);
+    retention_.configure(
+        std::chrono::duration_cast<std::chrono::seconds>(kept_for));
     register_versions();
 }
 
@@ -487,17 +493,10 @@
             auto const partitions = all_partitions();
             auto const& partition =
                 partitions[next_partition_++ % partitions.size()];
-            std::chrono::milliseconds kept_for{0};
-            if (services_.table)
-            {
-                for (auto const& one : services_.table->routes)
-                    kept_for = std::max(kept_for, one.kept_for);
-            }
             if (services_.table && budgets_.is_coordinator_of(partition))
             {
                 sweeper_.sweep(
-                    partition,
-                    std::chrono::duration_cast<std::chrono::seconds>(kept_for),
+                    partition, retention_.longest(),
                     [this, partition](std::size_t removed)
                     {
                         if (removed > 0)
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -132,6 +132,7 @@
     version_register versions_;
     crash_exchange crashes_;
     row_sweeper sweeper_;
+    promised_retention retention_;
     section_client sections_;
     entry_services services_;
     platform_view view_;
--- a/src/entry/row_sweeper.cpp
+++ b/src/entry/row_sweeper.cpp
@@ -3,6 +3,7 @@
 #include <walnutmill/program_ledger.hpp>
 #include <walnutmill/turn_history.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <utility>
 
@@ -16,6 +17,31 @@
 
 } // namespace
 
+void promised_retention::configure(std::chrono::seconds kept_for)
+{
+    auto const now = clock_();
+    former_.erase(
+        std::remove_if(
+            former_.begin(), former_.end(),
+            [now](former_promise const& one) { return one.until <= now; }),
+        former_.end());
+    if (kept_for < configured_)
+        former_.push_back({configured_, now + configured_});
+    configured_ = kept_for;
+}
+
+std::chrono::seconds promised_retention::longest() const
+{
+    auto const now = clock_();
+    auto kept_for = configured_;
+    for (auto const& one : former_)
+    {
+        if (one.until > now)
+            kept_for = std::max(kept_for, one.kept_for);
+    }
+    return kept_for;
+}
+
 struct row_sweeper::pass
 {
     struct expired_row
@@ -25,6 +51,8 @@
     };
 
     std::string partition;
+    std::chrono::seconds retention{0};
+    /// Rows whose retention ended before it are removed, in UTC seconds.
     std::int64_t cutoff = 0;
     std::size_t table = 0;
     std::string from;
@@ -54,7 +82,8 @@
 {
     auto const state = std::make_shared<pass>();
     state->partition = partition;
-    state->cutoff = utc_() - (retention + options_.margin).count();
+    state->retention = retention;
+    state->cutoff = utc_() - options_.margin.count();
     state->done = std::move(done);
     read_next_page(state);
 }
@@ -84,7 +113,10 @@
     for (auto const& row : page.rows)
     {
         auto const age = tables_[state->table].age_of(row);
-        if (age && age->written_at < state->cutoff)
+        if (!age)
+            continue;
+        auto const kept_for = std::max(state->retention, age->kept_for);
+        if (age->written_at < state->cutoff - kept_for.count())
             state->rows.push_back({row, age->dependent_rows});
     }
     if (!page.rows.empty())
@@ -144,7 +176,7 @@
         auto const account = decode_account(row.value);
         if (!account)
             return std::nullopt;
-        return row_age{account->written_at, {}};
+        return row_age{account->written_at, {}, {}};
     };
     swept_table turns;
     turns.name = turn_history::table();
@@ -153,7 +185,7 @@
         auto const head = decode_turn_header(row.value);
         if (!head)
             return std::nullopt;
-        row_age age{head->written_at, {}};
+        row_age age{head->written_at, head->kept_for, {}};
         for (std::size_t i = 1; i < head->chunk_count; ++i)
         {
             auto at = row.at;
--- a/src/entry/row_sweeper.hpp
+++ b/src/entry/row_sweeper.hpp
@@ -12,6 +12,7 @@
 /// programs. Two nodes that sweep the same partition do no harm: a row is
 /// removed only if its version is unchanged.
 
+#include <walnutmill/clock.hpp>
 #include <walnutmill/random.hpp>
 #include <walnutmill/versioned_store.hpp>
 #include <walnutmill/wall_clock.hpp>
@@ -22,6 +23,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace walnutmill
@@ -32,6 +34,9 @@
 {
     /// Time of the last write, in UTC seconds.
     std::int64_t written_at = 0;
+    /// Time for which the row was promised to be retained; zero if it does not
+    /// say.
+    std::chrono::seconds kept_for{0};
     /// Rows that are removed together with this row.
     std::vector<row_address> dependent_rows;
 };
@@ -53,6 +58,29 @@
     std::chrono::milliseconds timeout{2'000};
 };
 
+/// The longest time for which turns are retained. A promise outlives the
+/// configuration that made it: it holds for the turns written until then.
+class promised_retention
+{
+public:
+    explicit promised_retention(clock_fn clock) : clock_(std::move(clock)) {}
+
+    /// \param kept_for the longest retention of the configuration now in force
+    void configure(std::chrono::seconds kept_for);
+    std::chrono::seconds longest() const;
+
+private:
+    struct former_promise
+    {
+        std::chrono::seconds kept_for;
+        time_point until;
+    };
+
+    clock_fn clock_;
+    std::chrono::seconds configured_{0};
+    std::vector<former_promise> former_;
+};
+
 class row_sweeper
 {
 public:
@@ -64,7 +92,8 @@
     row_sweeper& operator=(row_sweeper const&) = delete;
 
     /// Sweeps one partition of all tables sequentially.
-    /// \param retention the longest time for which any route retains turns
+    /// \param retention the longest time for which any route retains turns;
+    /// a row that was promised more is retained for that
     /// \param done receives the number of removed rows
     void sweep(
         std::string const& partition, std::chrono::seconds retention,
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -40,7 +40,8 @@
         auto value = bytes.substr(i * row_bytes, row_bytes);
         if (i == 0)
         {
-            value.insert(0, encode_turn_header(chunk_count, written_at));
+            value.insert(
+                0, encode_turn_header(chunk_count, written_at, turn.kept_for));
         }
         rows.push_back(
             {chunk_address(turn.id, candidate, i), std::move(value)});
--- a/src/entry/turn_record.cpp
+++ b/src/entry/turn_record.cpp
@@ -33,6 +33,8 @@
 /// Marks the first row of a turn, so that a later chunk is not mistaken for a
 /// first row.
 constexpr std::string_view header_tag = "turn";
+/// A longer retention, of more than ten years, is not valid.
+constexpr std::int64_t max_kept_s = 320'000'000;
 
 } // namespace
 
@@ -87,14 +89,21 @@
         !(in >> tag >> result.chunk_count >> result.written_at) ||
         tag != header_tag)
         return std::nullopt;
+    // Rows of earlier versions end here.
+    std::int64_t kept_for = 0;
+    if (in >> kept_for && kept_for >= 0 && kept_for <= max_kept_s)
+        result.kept_for = std::chrono::seconds(kept_for);
     result.size = line.size() + 1;
     return result;
 }
 
-std::string encode_turn_header(std::size_t chunk_count, std::int64_t written_at)
+std::string encode_turn_header(
+    std::size_t chunk_count, std::int64_t written_at,
+    std::chrono::seconds kept_for)
 {
     return std::string(header_tag) + " " + std::to_string(chunk_count) + " " +
-           std::to_string(written_at) + "\n";
+           std::to_string(written_at) + " " + std::to_string(kept_for.count()) +
+           "\n";
 }
 
 } // namespace walnutmill
--- a/test/row_sweeper-test.cpp
+++ b/test/row_sweeper-test.cpp
@@ -25,7 +25,8 @@
     utc_fn utc = [this] { return now; };
     row_sweeper sweeper{store.calls(), utc, swept_tables()};
 
-    void write_turn(std::string const& id, std::size_t bytes)
+    void write_turn(
+        std::string const& id, std::size_t bytes, seconds kept_for = seconds(0))
     {
         history_options options;
         options.utc = utc;
@@ -33,6 +34,7 @@
         stored_turn turn;
         turn.id = request_id(id);
         turn.input = std::string(bytes, 'x');
+        turn.kept_for = kept_for;
         history.store_turn(std::move(turn), seconds(1), [](bool) {});
         store.run();
     }
@@ -109,3 +111,32 @@
         }
     }
 }
+
+TEST_CASE_METHOD(
+    sweeper_fixture,
+    "sweeper: a turn outlives a configuration that retains turns for less")
+{
+    write_turn("t1", 100, seconds(3'000));
+    now += 3'500;
+    CHECK(sweep_all() == 0);
+    now += 200;
+    CHECK(sweep_all() == 1);
+}
+
+TEST_CASE("sweeper: a retention that a configuration promised outlives it")
+{
+    manual_clock clock;
+    promised_retention retention(clock.fn());
+    CHECK(retention.longest() == seconds(0));
+    retention.configure(seconds(3'000));
+    clock.advance(seconds(100));
+    retention.configure(seconds(60));
+    retention.configure(seconds(0));
+    CHECK(retention.longest() == seconds(3'000));
+    clock.advance(seconds(2'999));
+    CHECK(retention.longest() == seconds(3'000));
+    clock.advance(seconds(1));
+    CHECK(retention.longest() == seconds(0));
+    retention.configure(seconds(60));
+    CHECK(retention.longest() == seconds(60));
+}
