call_flow: find a kept turn after its route has stopped keeping turns

What engines saw: a turn that names its previous turn, on a route whose retention a configuration had just switched off, ran without its history: its caller had sent the new input alone.

Cause: the history was loaded only where the route keeps turns now, not where the previous turn had been kept.

Change: a turn of a stream that names its previous turn gets the history of that turn if it is kept. On a route that keeps none, an unknown turn goes on as it came, as before; while the store can't tell, the turn is refused.

Evidence: "call: a kept turn is found after its route has stopped keeping turns" fails on the code before (the engine gets "input of t2;" alone) and passes now. "call: a kept turn is found after its route's service has changed" passes before and after.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -319,7 +319,8 @@
 
 void call_flow::load_history()
 {
-    if (!route_->keeps_turns || call_.program.previous_turn.empty())
+    // The previous turn may have been stored when the route kept turns.
+    if (!route_->streams || call_.program.previous_turn.empty())
     {
         try_engine();
         return;
@@ -356,6 +357,10 @@
                 self->chain_ = std::move(chain);
                 self->try_engine();
             }
+            else if (
+                answer == history_answer::unknown_turn &&
+                !self->route_->keeps_turns)
+                self->try_engine();
             else if (answer == history_answer::unknown_turn)
                 self->respond_locally(status_not_found, "no such turn is kept");
             else
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -626,3 +626,51 @@
     release_held(*this);
     CHECK(run_until([&] { return services.calls_in_flight == 0; }));
 }
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a kept turn is found after its route's service has changed")
+{
+    send(entry_world::turn("t1", {}, "/kept/"));
+    REQUIRE(run_until([&] { return caller->whole(); }));
+    change(
+        [](routing_table& to)
+        {
+            for (auto& one : to.routes)
+                one.shares = {{service_name("desk"), 1}};
+        });
+    send(entry_world::turn("t2", "Previous-Turn: t1\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 200);
+    auto calls = service_a.target.calls();
+    if (calls.empty())
+        calls = service_b.target.calls();
+    REQUIRE(calls.size() == 1);
+    CHECK(
+        calls.front().body ==
+        "input of t1;piece 1\npiece 2\npiece 3\ninput of t2;");
+}
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a kept turn is found after its route has stopped keeping turns")
+{
+    send(entry_world::turn("t1", {}, "/kept/"));
+    REQUIRE(run_until([&] { return caller->whole(); }));
+    change(
+        [](routing_table& to)
+        {
+            for (auto& one : to.routes)
+                one.keeps_turns = false;
+        });
+    send(entry_world::turn("t2", "Previous-Turn: t1\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 200);
+    std::string last_body;
+    for (auto const* one : {&engine_a, &engine_b})
+    {
+        for (auto const& call : one->target.calls())
+            last_body = call.id == "t2" ? call.body : last_body;
+    }
+    CHECK(last_body == "input of t1;piece 1\npiece 2\npiece 3\ninput of t2;");
+}
