caller_link: report bytes of requests that get no answer

Callers saw connections end without an answer to a whole request. Nothing told such a request from an idle close: bytes that arrived behind the node's FIN were read and dropped without a line or a count.

The hook on_unanswered reports bytes read behind a close, behind an answer that ends its connection, with or behind a refused request, and those cut by the exit. The node writes request.unanswered and counts walnutmill_unanswered_bytes_total by reason.

--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -27,6 +27,13 @@
 /// its idle timer later than the node does.
 constexpr milliseconds idle_timeout_margin{1'000};
 
+// Why bytes of a request get no answer.
+constexpr std::string_view read_after_close = "read after the close";
+constexpr std::string_view behind_last_answer = "behind the last answer";
+constexpr std::string_view behind_broken_answer = "behind a broken-off answer";
+constexpr std::string_view rest_of_refused = "rest of a refused request";
+constexpr std::string_view process_exit = "process exit";
+
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
@@ -92,7 +99,9 @@
         handle_disconnect();
         return;
     }
-    if (!shutting_down_)
+    if (shutting_down_)
+        report_unanswered(size, refused_ ? rest_of_refused : read_after_close);
+    else
     {
         incoming_.append(chunk_.data(), size);
         if (!answering_)
@@ -115,6 +124,7 @@
         error_code error;
         auto const used = parser_->put(asio::buffer(incoming_), error);
         incoming_.erase(0, used);
+        request_bytes_ += used;
         if (error && error != http::error::need_more)
         {
             refuse_request(error);
@@ -148,6 +158,8 @@
 {
     auto const status = status_of(error);
     answering_ = true;
+    refused_ = true;
+    report_unanswered(incoming_.size(), rest_of_refused);
     incoming_.clear();
     write(hooks_.refuse(status, error.message()));
     finish_answer(true);
@@ -190,6 +202,7 @@
 void caller_link::finish_answer(bool close)
 {
     answering_ = false;
+    request_bytes_ = 0;
     on_disconnect = {};
     if (ended_)
         return;
@@ -218,6 +231,8 @@
     if (shutting_down_ || ended_)
         return;
     shutting_down_ = true;
+    report_unanswered(incoming_.size(), behind_last_answer);
+    incoming_.clear();
     error_code ignored; // the peer may already have disconnected
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     arm_timer(close_timeout);
@@ -236,6 +251,9 @@
 {
     on_disconnect = {};
     answering_ = false;
+    request_bytes_ = 0;
+    report_unanswered(incoming_.size(), behind_broken_answer);
+    incoming_.clear();
     if (in_flight_.empty() && outgoing_.empty())
     {
         close_socket();
@@ -246,6 +264,22 @@
     close_after_answer_ = true;
 }
 
+void caller_link::close_for_exit()
+{
+    if (ended_)
+        return;
+    if (!shutting_down_)
+        report_unanswered(request_bytes_ + incoming_.size(), process_exit);
+    close_socket();
+}
+
+void caller_link::report_unanswered(
+    std::size_t bytes, std::string_view why) const
+{
+    if (bytes > 0 && hooks_.on_unanswered)
+        hooks_.on_unanswered(bytes, why);
+}
+
 void caller_link::arm_timer(milliseconds after)
 {
     timer_.expires_after(after);
@@ -265,6 +299,7 @@
     if (head_begun_ && !shutting_down_)
     {
         answering_ = true;
+        refused_ = true;
         write(hooks_.refuse(status_timeout, "the request came too slowly"));
         finish_answer(true);
         return;
--- a/src/entry/caller_link.hpp
+++ b/src/entry/caller_link.hpp
@@ -42,6 +42,10 @@
         std::function<caller_limits()> limits;
         /// Called once, after the connection is closed.
         std::function<void(caller_link*)> on_end;
+        /// Called when bytes of requests were read that get no answer; may be
+        /// null.
+        std::function<void(std::size_t bytes, std::string_view why)>
+            on_unanswered{};
     };
 
     caller_link(boost::asio::ip::tcp::socket socket, hooks to);
@@ -76,6 +80,8 @@
     /// Closes the connection at once if it is idle, and after the current
     /// answer otherwise.
     void close_when_idle();
+    /// Closes the connection at once because the process exits.
+    void close_for_exit();
 
 private:
     using error_code = boost::system::error_code;
@@ -96,6 +102,7 @@
     void end_gracefully();
     void handle_disconnect();
     void close_socket();
+    void report_unanswered(std::size_t bytes, std::string_view why) const;
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
@@ -111,6 +118,10 @@
     bool answering_ = false;
     bool wants_close_ = false;
     bool close_after_answer_ = false;
+    /// The last request was refused before it was read completely.
+    bool refused_ = false;
+    /// Bytes of the request that is being read or answered.
+    std::size_t request_bytes_ = 0;
     bool shutting_down_ = false;
     bool ended_ = false;
 };
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -32,6 +32,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 #include <vector>
 
@@ -66,6 +67,8 @@
     caller_link::hooks caller_hooks();
     caller_link::hooks service_hooks(
         std::function<void(link_ptr const&, request_type const&)> answer);
+    void report_unanswered(
+        std::string_view listener, std::size_t bytes, std::string_view why);
     void answer_ready(link_ptr const& link);
     void answer_metrics(link_ptr const& link);
     void answer_peer(link_ptr const& link, request_type const& request);
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -56,6 +56,8 @@
     to.limits = [this]
     { return services_.table ? services_.table->limits : caller_limits(); };
     to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
+    to.on_unanswered = [this](std::size_t bytes, std::string_view why)
+    { report_unanswered("callers", bytes, why); };
     return to;
 }
 
@@ -70,9 +72,22 @@
     { return text_answer(status, std::string(why)); };
     to.limits = [] { return caller_limits(); };
     to.on_end = [](caller_link*) {};
+    to.on_unanswered = [this](std::size_t bytes, std::string_view why)
+    { report_unanswered("services", bytes, why); };
     return to;
 }
 
+void entry_node::report_unanswered(
+    std::string_view listener, std::size_t bytes, std::string_view why)
+{
+    log_.write(
+        log_priority::important, "request.unanswered",
+        {{"listener", listener}, {"bytes", bytes}, {"why", why}});
+    counters_.count(
+        "walnutmill_unanswered_bytes_total{why=\"" + std::string(why) + "\"}",
+        bytes);
+}
+
 bool entry_node::ready() const
 {
     // Engines are read separately from the configuration. Until they are known,
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -120,6 +120,9 @@
                          caller_links_.empty() && !ledger_.busy();
     if (drained || last)
     {
+        auto const open = caller_links_;
+        for (auto* link : open)
+            link->close_for_exit();
         io_.stop();
         return;
     }
--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -8,8 +8,10 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace
 {
@@ -17,10 +19,14 @@
 using namespace walnutmill;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
 
 /// Exceeds the kernel's socket buffers of a loopback connection.
 constexpr std::size_t large_answer_bytes = 33'554'432;
 
+std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
 /// A caller's socket and the node's side of its connection, on one event loop.
 /// The caller reads nothing before read_all().
 struct link_fixture
@@ -29,7 +35,10 @@
     tcp::socket caller{io};
     std::shared_ptr<caller_link> link;
     int requests = 0;
+    int refusals = 0;
     bool ended = false;
+    std::size_t unanswered_bytes = 0;
+    std::string unanswered_why;
 
     link_fixture()
     {
@@ -40,21 +49,70 @@
         hooks.on_request = [this](
                                std::shared_ptr<caller_link> const&,
                                caller_link::request_type&&) { ++requests; };
-        hooks.refuse = [](int, std::string_view) { return std::string(); };
+        hooks.refuse = [this](int, std::string_view)
+        {
+            ++refusals;
+            return std::string();
+        };
         hooks.limits = [] { return caller_limits(); };
         hooks.on_end = [this](caller_link*) { ended = true; };
+        hooks.on_unanswered = [this](std::size_t bytes, std::string_view why)
+        {
+            unanswered_bytes += bytes;
+            unanswered_why = why;
+        };
         link = std::make_shared<caller_link>(acceptor.accept(), hooks);
         link->start();
     }
 
+    void send(std::string const& bytes)
+    {
+        asio::write(caller, asio::buffer(bytes));
+    }
+
     void send_request()
     {
-        std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
-        asio::write(caller, asio::buffer(request));
+        send(request);
         while (requests == 0)
             io.run_one();
     }
 
+    /// Runs the event loop until the condition holds; fails after 10 s.
+    template<class Condition>
+    bool run_until(Condition const& holds)
+    {
+        auto const end = steady_clock::now() + std::chrono::seconds(10);
+        while (!holds() && steady_clock::now() < end)
+            io.run_one_for(milliseconds(10));
+        return holds();
+    }
+
+    void run_for(milliseconds time)
+    {
+        auto const end = steady_clock::now() + time;
+        while (steady_clock::now() < end)
+            io.run_one_until(end);
+    }
+
+    /// Runs the event loop until the caller can read.
+    /// \return how reading ends once all bytes that came before were read
+    boost::system::error_code closed_how()
+    {
+        boost::system::error_code how;
+        bool done = false;
+        std::string received;
+        asio::async_read(
+            caller, asio::dynamic_buffer(received),
+            [&](boost::system::error_code const& error, std::size_t)
+            {
+                how = error;
+                done = true;
+            });
+        run_until([&] { return done; });
+        REQUIRE(done);
+        return how;
+    }
+
     /// Reads until the connection closes. \return the number of bytes, and
     /// whether the close was orderly.
     std::pair<std::size_t, bool> read_all()
@@ -113,3 +171,40 @@
     CHECK(size == 0);
     CHECK(orderly);
 }
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: bytes read behind a broken-off answer are reported")
+{
+    send(request + "POST /second");
+    REQUIRE(run_until([&] { return requests == 1; }));
+    link->abort();
+    CHECK(unanswered_bytes == std::string("POST /second").size());
+    CHECK(unanswered_why == "behind a broken-off answer");
+}
+
+TEST_CASE_METHOD(
+    link_fixture, "caller link: a request cut by the exit is reported")
+{
+    send(request);
+    REQUIRE(run_until([&] { return requests == 1; }));
+    link->close_for_exit();
+    CHECK(ended);
+    CHECK(unanswered_bytes == request.size());
+    CHECK(unanswered_why == "process exit");
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a body that comes behind its refusal is discarded, reported, "
+    "and does not cut off the refusal")
+{
+    std::string const too_large =
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n";
+    send(too_large);
+    REQUIRE(run_until([&] { return refusals == 1; }));
+    send(std::string(1'000, 'x'));
+    REQUIRE(run_until([&] { return unanswered_bytes >= 1'000; }));
+    CHECK(unanswered_why == "rest of a refused request");
+    CHECK(closed_how() == asio::error::eof);
+}
