--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/socket.h>
+
 #include <chrono>
 #include <memory>
 #include <string>
@@ -94,6 +96,15 @@
             io.run_one_until(end);
     }
 
+    /// \return whether the node has shut its sending side
+    bool caller_sees_close()
+    {
+        char one = 0;
+        auto const size =
+            ::recv(caller.native_handle(), &one, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0;
+    }
+
     /// Runs the event loop until the caller can read.
     /// \return how reading ends once all bytes that came before were read
     boost::system::error_code closed_how()
@@ -208,3 +219,31 @@
     CHECK(unanswered_why == "rest of a refused request");
     CHECK(closed_how() == asio::error::eof);
 }
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that arrives behind an unannounced close is not "
+    "read and dropped")
+{
+    send_request();
+    link->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    link->close_when_idle();
+    link->finish_answer(false);
+    send(request);
+    CHECK(run_until([&] { return requests == 2 || unanswered_bytes > 0; }));
+    CHECK(requests == 2);
+    CHECK(unanswered_bytes == 0);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that crosses the close of an idle connection is "
+    "reset, not read")
+{
+    link->close_when_idle();
+    REQUIRE(run_until([&] { return caller_sees_close(); }));
+    send(request);
+    CHECK(closed_how() == asio::error::connection_reset);
+    CHECK(requests == 0);
+    CHECK(unanswered_why == "left unread");
+}
