caller_link: decide the close of a connection once, and read nothing behind it

What callers saw: a whole request on a kept connection that ended with neither an answer nor a refusal, mostly beside a stop.

Cause: whether a connection closes was decided in the head of an answer, which the caller sees, and again at the answer's end, which it does not. A stream begun before a stop was followed by a close that its head had not announced; the caller's next request, sent at once, was read behind the node's own FIN and dropped.

Change: begin_answer() decides when the head is encoded, and finish_answer() takes no decision of its own. A stop announces the close on each answer whose head is written from then on, and closes other connections only after 250 ms without a request. A connection whose next request has already been read stays open for it. Readiness is awaited without reading, so that bytes which arrive behind an announced close or a FIN stay in the kernel; once all that was sent is acknowledged, the socket is closed over them, which resets the connection: the request was not read. They are reported as "left unread". The rest of a refused request is still read and discarded, since a reset would reach its caller before the refusal. An abort no longer resets a connection whose last bytes are in transit. At the end of the grace period a request that is half read is refused with 503, and answers already written are given up to 300 ms.

The test of the idle connection looked for the reset in place of the end of file; the end of file comes first, so it now asks whether the connection was reset. The test of the refused body reads the report when the connection has ended, where it is now written once. finish_answer(false) became finish_answer() in the tests and the soak; nothing else in them changed.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -225,7 +225,7 @@
             "walnutmill_first_event_seconds",
             std::chrono::duration<double>(node_.clock() - arrived_).count());
         platform::answer_framing framing;
-        framing.close = node_.stopping;
+        framing.close = link_->begin_answer();
         link_->write(platform::encode_answer_head(attempt->answer, framing));
     }
     if (event.id)
@@ -454,7 +454,7 @@
         return;
     platform::answer_framing framing;
     framing.length = attempt->body.size();
-    framing.close = node_.stopping;
+    framing.close = link_->begin_answer();
     link_->write(
         platform::encode_answer_head(attempt->answer, framing) + attempt->body);
     log_fields_["status"] = attempt->answer.status;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -411,7 +411,7 @@
     answer.message = std::string(why);
     answer.retry_after = retry_after;
     answer.id = call_.id;
-    link_->write(platform::encode_local_answer(answer, node_.stopping));
+    link_->write(platform::encode_local_answer(answer, link_->begin_answer()));
     log_fields_["status"] = status;
     log_fields_["why"] = why;
     if (retry_after.count() > 0)
@@ -457,7 +457,7 @@
     stall_timer_.cancel();
     identity_timer_.cancel();
     if (outcome != "broken off" && !caller_disconnected_)
-        link_->finish_answer(node_.stopping);
+        link_->finish_answer();
     link_->on_disconnect = {};
     log_fields_["outcome"] = outcome;
     log_fields_["tokens"] = delivered_tokens_;
--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -6,6 +6,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <linux/sockios.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace walnutmill
@@ -26,9 +31,16 @@
 /// Added to the idle timeout that callers are given, because a caller starts
 /// its idle timer later than the node does.
 constexpr milliseconds idle_timeout_margin{1'000};
+/// Minimum idle time before a stop closes a connection. A caller sends its next
+/// request within a network round trip after an answer, if at once.
+constexpr milliseconds min_idle_time{250};
+/// Interval at which a link whose input stays unread looks whether the caller
+/// has closed its side, and one that is closing whether all has arrived there.
+constexpr milliseconds unread_check_interval{100};
+constexpr milliseconds close_check_interval{10};
 
 // Why bytes of a request get no answer.
-constexpr std::string_view read_after_close = "read after the close";
+constexpr std::string_view left_unread = "left unread";
 constexpr std::string_view behind_last_answer = "behind the last answer";
 constexpr std::string_view behind_broken_answer = "behind a broken-off answer";
 constexpr std::string_view rest_of_refused = "rest of a refused request";
@@ -38,6 +50,7 @@
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
+constexpr int status_unavailable = 503;
 
 int status_of(boost::system::error_code const& error)
 {
@@ -53,7 +66,7 @@
 
 caller_link::caller_link(asio::ip::tcp::socket socket, hooks to)
     : socket_(std::move(socket)), timer_(socket_.get_executor()),
-      hooks_(std::move(to))
+      input_timer_(socket_.get_executor()), hooks_(std::move(to))
 {
 }
 
@@ -62,9 +75,10 @@
     error_code ignored; // affects only latency
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     enable_dead_peer_detection(socket_);
+    socket_.non_blocking(true, ignored); // it is read only when readable
     start_parser();
-    arm_timer(hooks_.limits().idle_timeout + idle_timeout_margin);
-    read();
+    await_request();
+    await_input();
 }
 
 void caller_link::start_parser()
@@ -78,36 +92,106 @@
     continue_sent_ = false;
 }
 
-void caller_link::read()
+/// Starts the time after which the connection closes if no request comes.
+void caller_link::await_request()
+{
+    idle_since_ = clock::now();
+    arm_timer(idle_close_at() - idle_since_);
+}
+
+/// \return false while bytes that arrive could not be answered.
+bool caller_link::accepts_input() const
 {
-    if (read_pending_ || ended_ || incoming_.size() > max_read_ahead_bytes)
+    return !closes_after_answer_ && !shutting_down_ &&
+           incoming_.size() <= max_read_ahead_bytes;
+}
+
+/// Waits until the socket is readable. Whether its bytes are read is decided
+/// only then.
+void caller_link::await_input()
+{
+    if (input_awaited_ || ended_)
         return;
-    read_pending_ = true;
-    socket_.async_read_some(
-        asio::buffer(chunk_),
-        [self = shared_from_this()](error_code const& error, std::size_t size)
-        { self->handle_read(error, size); });
+    input_awaited_ = true;
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](error_code const& error)
+        {
+            self->input_awaited_ = false;
+            if (self->ended_)
+                return;
+            if (error)
+                self->handle_disconnect();
+            else
+                self->handle_input();
+        });
 }
 
-void caller_link::handle_read(error_code const& error, std::size_t size)
+void caller_link::handle_input()
 {
-    read_pending_ = false;
-    if (ended_)
+    // The rest of a refused request is discarded: a reset would reach the
+    // caller before it has read the refusal.
+    if (refused_ || accepts_input())
+        read();
+    else
+        watch_unread_input();
+}
+
+void caller_link::read()
+{
+    error_code error;
+    auto const size = socket_.read_some(asio::buffer(chunk_), error);
+    if (error == asio::error::would_block || error == asio::error::try_again)
+    {
+        await_input();
         return;
+    }
     if (error)
     {
         handle_disconnect();
         return;
     }
-    if (shutting_down_)
-        report_unanswered(size, refused_ ? rest_of_refused : read_after_close);
+    if (refused_)
+        discarded_bytes_ += size;
     else
     {
         incoming_.append(chunk_.data(), size);
         if (!answering_)
             parse();
     }
-    read();
+    await_input();
+}
+
+/// Notices that the caller has closed its side, without reading its bytes. A
+/// connection that is closing ends once the caller has received all that was
+/// sent.
+void caller_link::watch_unread_input()
+{
+    pollfd state{socket_.native_handle(), POLLRDHUP, 0};
+    auto const caller_closed = ::poll(&state, 1, 0) > 0;
+    auto const is_broken = (state.revents & POLLERR) != 0;
+    auto const unread = unread_bytes();
+    if (is_broken || (caller_closed && (unread == 0 || !shutting_down_)))
+    {
+        handle_disconnect();
+        return;
+    }
+    if (shutting_down_ && unread > 0 && all_acknowledged())
+    {
+        close_leaving_unread();
+        return;
+    }
+    // Unread bytes keep the socket readable, so that waiting for it would
+    // return at once.
+    input_awaited_ = true;
+    input_timer_.expires_after(
+        shutting_down_ ? close_check_interval : unread_check_interval);
+    input_timer_.async_wait(
+        [self = shared_from_this()](error_code const&)
+        {
+            self->input_awaited_ = false;
+            self->await_input();
+        });
 }
 
 void caller_link::parse()
@@ -127,7 +211,7 @@
         request_bytes_ += used;
         if (error && error != http::error::need_more)
         {
-            refuse_request(error);
+            refuse_request(status_of(error), error.message());
             return;
         }
         if (used == 0)
@@ -149,20 +233,31 @@
     timer_.cancel();
     answering_ = true;
     auto request = parser_->release();
-    wants_close_ = !request.keep_alive();
+    closes_after_answer_ = !request.keep_alive();
     start_parser();
     hooks_.on_request(shared_from_this(), std::move(request));
 }
 
-void caller_link::refuse_request(error_code const& error)
+void caller_link::refuse_request(int status, std::string_view why)
 {
-    auto const status = status_of(error);
     answering_ = true;
     refused_ = true;
-    report_unanswered(incoming_.size(), rest_of_refused);
+    head_begun_ = false;
+    closes_after_answer_ = true;
+    discarded_bytes_ += incoming_.size();
     incoming_.clear();
-    write(hooks_.refuse(status, error.message()));
-    finish_answer(true);
+    write(hooks_.refuse(status, why));
+    finish_answer();
+}
+
+bool caller_link::begin_answer()
+{
+    auto const stopping =
+        closes_when_idle_ || (hooks_.is_stopping && hooks_.is_stopping());
+    // A request that was read behind this one is still answered.
+    if (stopping && incoming_.empty())
+        closes_after_answer_ = true;
+    return closes_after_answer_;
 }
 
 void caller_link::write(std::string_view bytes)
@@ -195,25 +290,28 @@
         return;
     }
     flush();
-    if (in_flight_.empty() && close_after_answer_ && !answering_)
+    if (answering_ || unsent() > 0)
+        return;
+    if (closes_after_answer_)
         end_gracefully();
+    else if (idle())
+        await_request();
 }
 
-void caller_link::finish_answer(bool close)
+void caller_link::finish_answer()
 {
     answering_ = false;
     request_bytes_ = 0;
     on_disconnect = {};
     if (ended_)
         return;
-    close_after_answer_ = close_after_answer_ || close || wants_close_;
-    if (close_after_answer_)
+    if (closes_after_answer_)
     {
-        if (in_flight_.empty() && outgoing_.empty())
+        if (unsent() == 0)
             end_gracefully();
         return;
     }
-    arm_timer(hooks_.limits().idle_timeout + idle_timeout_margin);
+    await_request();
     // Deferred, because this may run inside the parse of the previous request.
     asio::post(
         socket_.get_executor(),
@@ -222,7 +320,8 @@
             if (self->ended_ || self->answering_)
                 return;
             self->parse();
-            self->read();
+            self->input_timer_.cancel();
+            self->await_input();
         });
 }
 
@@ -231,20 +330,40 @@
     if (shutting_down_ || ended_)
         return;
     shutting_down_ = true;
-    report_unanswered(incoming_.size(), behind_last_answer);
-    incoming_.clear();
+    drop_read_ahead(behind_last_answer);
     error_code ignored; // the peer may already have disconnected
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     arm_timer(close_timeout);
-    read();
+    await_input();
 }
 
 void caller_link::close_when_idle()
 {
+    if (closes_when_idle_ || ended_ || shutting_down_)
+        return;
+    closes_when_idle_ = true;
     if (idle())
+        arm_timer(idle_close_at() - clock::now());
+}
+
+/// \return the time at which the connection closes if it stays idle.
+caller_link::clock::time_point caller_link::idle_close_at()
+{
+    if (closes_when_idle_)
+        return idle_since_ + min_idle_time;
+    idle_timeout_ = std::max(idle_timeout_, hooks_.limits().idle_timeout);
+    return idle_since_ + idle_timeout_ + idle_timeout_margin;
+}
+
+void caller_link::close_if_idle()
+{
+    auto const now = clock::now();
+    // The limits may have changed while the connection was idle.
+    auto const close_at = idle_close_at();
+    if (idle() && unread_bytes() == 0 && now >= close_at)
         end_gracefully();
     else
-        close_after_answer_ = true;
+        arm_timer(now < close_at ? close_at - now : min_idle_time);
 }
 
 void caller_link::abort()
@@ -252,16 +371,32 @@
     on_disconnect = {};
     answering_ = false;
     request_bytes_ = 0;
-    report_unanswered(incoming_.size(), behind_broken_answer);
-    incoming_.clear();
-    if (in_flight_.empty() && outgoing_.empty())
-    {
-        close_socket();
+    if (ended_)
         return;
-    }
+    drop_read_ahead(behind_broken_answer);
     // Bytes already queued are still sent. The caller detects the abort by the
     // missing end of the answer.
-    close_after_answer_ = true;
+    closes_after_answer_ = true;
+    if (unsent() > 0)
+        return;
+    // Closing with unread input would reset the connection and discard what
+    // the caller has not received yet.
+    if (unread_bytes() > 0)
+        end_gracefully();
+    else
+        close_socket();
+}
+
+void caller_link::end_for_exit()
+{
+    if (ended_ || shutting_down_ || answering_)
+        return;
+    if (reading_request())
+        refuse_request(status_unavailable, "this node is about to exit");
+    else if (unsent() > 0)
+        closes_after_answer_ = true;
+    else
+        end_gracefully();
 }
 
 void caller_link::close_for_exit()
@@ -273,6 +408,27 @@
     close_socket();
 }
 
+std::size_t caller_link::unread_bytes() const
+{
+    error_code error;
+    auto const bytes = socket_.available(error);
+    return error ? 0 : bytes;
+}
+
+/// \return true if the caller's system has acknowledged everything sent.
+bool caller_link::all_acknowledged()
+{
+    int bytes = 0;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 &&
+           bytes == 0;
+}
+
+void caller_link::drop_read_ahead(std::string_view why)
+{
+    report_unanswered(incoming_.size(), why);
+    incoming_.clear();
+}
+
 void caller_link::report_unanswered(
     std::size_t bytes, std::string_view why) const
 {
@@ -280,7 +436,7 @@
         hooks_.on_unanswered(bytes, why);
 }
 
-void caller_link::arm_timer(milliseconds after)
+void caller_link::arm_timer(clock::duration after)
 {
     timer_.expires_after(after);
     timer_.async_wait(
@@ -294,20 +450,17 @@
 void caller_link::timed_out()
 {
     // The timer may have expired just as its wait was replaced.
-    if (answering_ || timer_.expiry() > std::chrono::steady_clock::now())
+    if (answering_ || timer_.expiry() > clock::now())
         return;
-    if (head_begun_ && !shutting_down_)
-    {
-        answering_ = true;
-        refused_ = true;
-        write(hooks_.refuse(status_timeout, "the request came too slowly"));
-        finish_answer(true);
-        return;
-    }
-    if (!shutting_down_)
-        end_gracefully();
+    if (shutting_down_ && !refused_ && unread_bytes() > 0 &&
+        !all_acknowledged())
+        arm_timer(close_timeout);
+    else if (shutting_down_)
+        close_leaving_unread();
+    else if (head_begun_)
+        refuse_request(status_timeout, "the request came too slowly");
     else
-        close_socket();
+        close_if_idle();
 }
 
 void caller_link::handle_disconnect()
@@ -319,12 +472,22 @@
         notify();
 }
 
+/// Closes the connection after its sending side was shut. Bytes that have
+/// arrived since are not read, which resets the connection.
+void caller_link::close_leaving_unread()
+{
+    report_unanswered(unread_bytes(), left_unread);
+    close_socket();
+}
+
 void caller_link::close_socket()
 {
     if (ended_)
         return;
     ended_ = true;
     timer_.cancel();
+    input_timer_.cancel();
+    report_unanswered(discarded_bytes_, rest_of_refused);
     error_code ignored; // the connection is abandoned anyway
     socket_.close(ignored);
     hooks_.on_end(this);
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -252,8 +252,9 @@
             {
                 auto const link =
                     std::make_shared<caller_link>(std::move(socket), hooks);
-                if (&on == &caller_acceptor_)
-                    caller_links_.insert(link.get());
+                auto& links =
+                    &on == &caller_acceptor_ ? caller_links_ : service_links_;
+                links.insert(link.get());
                 link->start();
             }
             accept(on, hooks);
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -85,6 +85,7 @@
     void reload();
     void stop();
     void stop_step();
+    void end_connections();
     void tick();
     start_leases::hooks lease_hooks();
     quota_exchange::hooks quota_hooks();
@@ -146,6 +147,8 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     std::unordered_set<caller_link*> caller_links_;
+    /// Connections for readiness, from other nodes and for metrics.
+    std::unordered_set<caller_link*> service_links_;
     /// The registered engines; unset until they were read.
     std::optional<std::vector<engine_entry>> engines_;
     /// Continuations of calls that wait for a newer configuration.
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -26,12 +26,19 @@
 constexpr int status_unavailable = 503;
 constexpr int status_bad_request = 400;
 
-std::string text_answer(int status, std::string text)
+std::string text_answer(int status, std::string text, bool close)
 {
     platform::local_answer answer;
     answer.status = status;
     answer.message = std::move(text);
-    return platform::encode_local_answer(answer, false);
+    return platform::encode_local_answer(answer, close);
+}
+
+void send_text(
+    std::shared_ptr<caller_link> const& link, int status, std::string text)
+{
+    link->write(text_answer(status, std::move(text), link->begin_answer()));
+    link->finish_answer();
 }
 
 } // namespace
@@ -48,13 +55,11 @@
         log_.write(
             log_priority::important, "request.unreadable",
             {{"status", status}, {"why", why}});
-        platform::local_answer answer;
-        answer.status = status;
-        answer.message = std::string(why);
-        return platform::encode_local_answer(answer, true);
+        return text_answer(status, std::string(why), true);
     };
     to.limits = [this]
     { return services_.table ? services_.table->limits : caller_limits(); };
+    to.is_stopping = [this] { return services_.stopping; };
     to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
     to.on_unanswered = [this](std::size_t bytes, std::string_view why)
     { report_unanswered("callers", bytes, why); };
@@ -69,9 +74,10 @@
                         link_ptr const& link, request_type&& request)
     { answer(link, request); };
     to.refuse = [](int status, std::string_view why)
-    { return text_answer(status, std::string(why)); };
+    { return text_answer(status, std::string(why), true); };
     to.limits = [] { return caller_limits(); };
-    to.on_end = [](caller_link*) {};
+    to.on_end = [this](caller_link* link) { service_links_.erase(link); };
+    to.is_stopping = [this] { return services_.stopping; };
     to.on_unanswered = [this](std::size_t bytes, std::string_view why)
     { report_unanswered("services", bytes, why); };
     return to;
@@ -101,12 +107,11 @@
 void entry_node::answer_ready(link_ptr const& link)
 {
     auto const is_ready = ready();
-    link->write(text_answer(
-        is_ready ? status_ok : status_unavailable,
+    send_text(
+        link, is_ready ? status_ok : status_unavailable,
         is_ready             ? "ready"
         : services_.stopping ? "stopping"
-                             : "not in touch with the store"));
-    link->finish_answer(false);
+                             : "not in touch with the store");
 }
 
 void entry_node::answer_metrics(link_ptr const& link)
@@ -137,8 +142,7 @@
             "walnutmill_configuration_current_age_seconds",
             std::chrono::duration<double>(age).count());
     }
-    link->write(text_answer(status_ok, counters_.prometheus_text()));
-    link->finish_answer(false);
+    send_text(link, status_ok, counters_.prometheus_text());
 }
 
 void entry_node::answer_peer(link_ptr const& link, request_type const& request)
@@ -146,10 +150,7 @@
     std::string_view const target(
         request.target().data(), request.target().size());
     auto const reply = [link](int status, std::string body)
-    {
-        link->write(text_answer(status, std::move(body)));
-        link->finish_answer(false);
-    };
+    { send_text(link, status, std::move(body)); };
     if (budget_service::is_request(target))
         budgets_.serve(target, request.body(), reply);
     else if (history_exchange::is_request(target))
@@ -164,10 +165,9 @@
     link_ptr const& link, request_type const& request)
 {
     auto answer = view_.serve(request.body());
-    link->write(text_answer(
-        answer ? status_ok : status_unavailable,
-        answer ? std::move(*answer) : std::string("nothing was read yet")));
-    link->finish_answer(false);
+    send_text(
+        link, answer ? status_ok : status_unavailable,
+        answer ? std::move(*answer) : std::string("nothing was read yet"));
 }
 
 void entry_node::relay_store_call(
@@ -193,8 +193,7 @@
                 link->abort();
                 return;
             }
-            link->write(text_answer(reply.status, reply.body));
-            link->finish_answer(false);
+            send_text(link, reply.status, reply.body);
         });
 }
 
--- a/src/entry/entry_node_crashes.cpp
+++ b/src/entry/entry_node_crashes.cpp
@@ -173,8 +173,8 @@
     }
     else
         answer.message = suspects_text();
-    link->write(platform::encode_local_answer(answer, false));
-    link->finish_answer(false);
+    link->write(platform::encode_local_answer(answer, link->begin_answer()));
+    link->finish_answer();
 }
 
 } // namespace walnutmill
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -23,12 +23,14 @@
 /// Time for which the load balancer may still send callers after a shutdown
 /// began: it checks readiness once a second and needs two failed checks.
 constexpr milliseconds balancer_detection_time{2'600};
-/// Time before the end of the grace period at which the process exits, even
-/// with calls in flight.
-constexpr milliseconds exit_before_grace_end{700};
-/// Time before the exit at which the node stops accepting calls. The longest
-/// call on the configured routes takes 3 s.
-constexpr milliseconds last_accept_before_exit{3'100};
+/// Time before the end of the grace period at which calls in flight are ended.
+constexpr milliseconds end_calls_before_grace_end{700};
+/// Time before the end of the grace period at which the process exits, even if
+/// not all answers have been sent.
+constexpr milliseconds exit_before_grace_end{400};
+/// Time before calls are ended at which the node stops accepting calls. The
+/// longest call on the configured routes takes 3 s.
+constexpr milliseconds last_accept_before_end{3'100};
 constexpr milliseconds stop_step_interval{50};
 
 } // namespace
@@ -90,14 +92,24 @@
     stop_step();
 }
 
+/// Ends what is under way at the end of the grace period, so that the answers
+/// are sent before the process exits.
+void entry_node::end_connections()
+{
+    auto const open = caller_links_;
+    for (auto* link : open)
+        link->end_for_exit();
+}
+
 /// Serves callers that the load balancer still sends. Closes connections only
 /// once no request can be in transit on them.
 void entry_node::stop_step()
 {
     auto const since = clock_() - stop_began_;
+    auto const end_calls_at = settings_.stop_grace - end_calls_before_grace_end;
+    auto const ends_calls = since > end_calls_at;
     auto const last = since > settings_.stop_grace - exit_before_grace_end;
-    if (since >
-        settings_.stop_grace - exit_before_grace_end - last_accept_before_exit)
+    if (since > end_calls_at - last_accept_before_end)
     {
         services_.accepts_calls = false;
         boost::system::error_code ignored; // may be closed already
@@ -116,11 +128,16 @@
         for (auto* link : open)
             link->close_when_idle();
     }
-    auto const drained = left_cluster_ && services_.calls_in_flight == 0 &&
-                         caller_links_.empty() && !ledger_.busy();
+    if (ends_calls)
+        end_connections();
+    auto const quiet = left_cluster_ && !ledger_.busy();
+    auto const drained = (quiet || ends_calls) &&
+                         services_.calls_in_flight == 0 &&
+                         caller_links_.empty();
     if (drained || last)
     {
-        auto const open = caller_links_;
+        auto open = caller_links_;
+        open.insert(service_links_.begin(), service_links_.end());
         for (auto* link : open)
             link->close_for_exit();
         io_.stop();
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -269,7 +269,7 @@
     {
         count("target refused");
         link->write(standin_target::answer(503, "Not-Executed: 1\r\n", ""));
-        link->finish_answer(false);
+        link->finish_answer();
         return true;
     }
     auto const silent = dice_.chance(stays_silent);
@@ -335,7 +335,7 @@
         [link, text]
         {
             link->write(text);
-            link->finish_answer(false);
+            link->finish_answer();
         });
 }
 
@@ -359,7 +359,7 @@
         [link, text]
         {
             link->write(text);
-            link->finish_answer(false);
+            link->finish_answer();
         });
 }
 
--- a/test/budget_service-test.cpp
+++ b/test/budget_service-test.cpp
@@ -115,7 +115,7 @@
                     "HTTP/1.1 " + std::to_string(status) +
                     " X\r\nContent-Length: " + std::to_string(body.size()) +
                     "\r\n\r\n" + body);
-                link->finish_answer(false);
+                link->finish_answer();
             });
     }
 
--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <chrono>
@@ -27,8 +28,17 @@
 /// Exceeds the kernel's socket buffers of a loopback connection.
 constexpr std::size_t large_answer_bytes = 33'554'432;
 
+std::string const refusal =
+    "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
+caller_limits limits_with_idle_timeout(milliseconds timeout)
+{
+    caller_limits to;
+    to.idle_timeout = timeout;
+    return to;
+}
+
 /// A caller's socket and the node's side of its connection, on one event loop.
 /// The caller reads nothing before read_all().
 struct link_fixture
@@ -38,6 +48,9 @@
     std::shared_ptr<caller_link> link;
     int requests = 0;
     int refusals = 0;
+    int refused_with = 0;
+    caller_limits limits = limits_with_idle_timeout(milliseconds(1'000));
+    bool stopping = false;
     bool ended = false;
     std::size_t unanswered_bytes = 0;
     std::string unanswered_why;
@@ -51,12 +64,14 @@
         hooks.on_request = [this](
                                std::shared_ptr<caller_link> const&,
                                caller_link::request_type&&) { ++requests; };
-        hooks.refuse = [this](int, std::string_view)
+        hooks.refuse = [this](int status, std::string_view)
         {
             ++refusals;
-            return std::string();
+            refused_with = status;
+            return refusal;
         };
-        hooks.limits = [] { return caller_limits(); };
+        hooks.limits = [this] { return limits; };
+        hooks.is_stopping = [this] { return stopping; };
         hooks.on_end = [this](caller_link*) { ended = true; };
         hooks.on_unanswered = [this](std::size_t bytes, std::string_view why)
         {
@@ -105,6 +120,13 @@
         return size == 0;
     }
 
+    bool caller_is_reset()
+    {
+        pollfd state{caller.native_handle(), 0, 0};
+        ::poll(&state, 1, 0);
+        return (state.revents & POLLERR) != 0;
+    }
+
     /// Runs the event loop until the caller can read.
     /// \return how reading ends once all bytes that came before were read
     boost::system::error_code closed_how()
@@ -151,7 +173,7 @@
 {
     send_request();
     link->write(std::string(large_answer_bytes, 'x'));
-    link->finish_answer(false);
+    link->finish_answer();
     CHECK(link->unsent() > 0);
     CHECK_FALSE(link->idle());
     link->close_when_idle();
@@ -167,7 +189,7 @@
     link->write("first ");
     link->close_when_idle();
     link->write("last");
-    link->finish_answer(false);
+    link->finish_answer();
     auto const [size, orderly] = read_all();
     CHECK(size == 10);
     CHECK(orderly);
@@ -215,9 +237,12 @@
     send(too_large);
     REQUIRE(run_until([&] { return refusals == 1; }));
     send(std::string(1'000, 'x'));
-    REQUIRE(run_until([&] { return unanswered_bytes >= 1'000; }));
-    CHECK(unanswered_why == "rest of a refused request");
     CHECK(closed_how() == asio::error::eof);
+    send(std::string(1'000, 'x'));
+    caller.close();
+    REQUIRE(run_until([&] { return ended; }));
+    CHECK(unanswered_bytes >= 2'000);
+    CHECK(unanswered_why == "rest of a refused request");
 }
 
 TEST_CASE_METHOD(
@@ -228,7 +253,7 @@
     send_request();
     link->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     link->close_when_idle();
-    link->finish_answer(false);
+    link->finish_answer();
     send(request);
     CHECK(run_until([&] { return requests == 2 || unanswered_bytes > 0; }));
     CHECK(requests == 2);
@@ -243,7 +268,119 @@
     link->close_when_idle();
     REQUIRE(run_until([&] { return caller_sees_close(); }));
     send(request);
-    CHECK(closed_how() == asio::error::connection_reset);
+    CHECK(run_until([&] { return caller_is_reset(); }));
     CHECK(requests == 0);
     CHECK(unanswered_why == "left unread");
 }
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that crosses an announced close does not cut off "
+    "the answer")
+{
+    send_request();
+    stopping = true;
+    CHECK(link->begin_answer());
+    link->write(std::string(large_answer_bytes, 'x'));
+    send(request);
+    link->finish_answer();
+    CHECK(read_all().first == large_answer_bytes);
+    CHECK(run_until([&] { return ended; }));
+    CHECK(requests == 1);
+    CHECK(unanswered_why == "left unread");
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: an answer that began before a stop does not close its "
+    "connection")
+{
+    send_request();
+    CHECK_FALSE(link->begin_answer());
+    stopping = true;
+    link->finish_answer();
+    send(request);
+    REQUIRE(run_until([&] { return requests == 2; }));
+    CHECK(link->begin_answer());
+    link->finish_answer();
+    CHECK(closed_how() == asio::error::eof);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that was read behind another is answered before a "
+    "stop closes the connection")
+{
+    send(request + request);
+    REQUIRE(run_until([&] { return requests == 1; }));
+    stopping = true;
+    CHECK_FALSE(link->begin_answer());
+    link->finish_answer();
+    REQUIRE(run_until([&] { return requests == 2; }));
+    CHECK(link->begin_answer());
+    link->finish_answer();
+    CHECK(closed_how() == asio::error::eof);
+    CHECK(unanswered_bytes == 0);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a caller that leaves behind a request left unread is noticed")
+{
+    send_request();
+    bool left = false;
+    link->on_disconnect = [&] { left = true; };
+    stopping = true;
+    CHECK(link->begin_answer());
+    link->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    send(request);
+    run_for(milliseconds(20));
+    CHECK_FALSE(left);
+    caller.close();
+    CHECK(run_until([&] { return left; }));
+    CHECK(requests == 1);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that is half read at the exit is refused")
+{
+    send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+    REQUIRE(run_until([&] { return !link->idle(); }));
+    link->end_for_exit();
+    link->end_for_exit();
+    CHECK(refusals == 1);
+    CHECK(refused_with == 503);
+    auto const [size, orderly] = read_all();
+    CHECK(size == refusal.size());
+    CHECK(orderly);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a connection is held for the idle timeout that its caller "
+    "knows")
+{
+    send_request();
+    link->finish_answer();
+    limits.idle_timeout = milliseconds(0);
+    send(request);
+    REQUIRE(run_until([&] { return requests == 2; }));
+    link->finish_answer();
+    run_for(milliseconds(1'500));
+    CHECK_FALSE(caller_sees_close());
+    CHECK(run_until([&] { return caller_sees_close(); }));
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: an aborted answer is not discarded for input behind it")
+{
+    send_request();
+    link->write("12345678");
+    send(request);
+    link->abort();
+    CHECK(read_all().first == 8);
+    CHECK(run_until([&] { return ended; }));
+    CHECK(requests == 1);
+}
--- a/test/connection_close-test.cpp
+++ b/test/connection_close-test.cpp
@@ -53,7 +53,7 @@
         if (released)
         {
             link->write(chunk(standin_target::event(2)) + "0\r\n\r\n");
-            link->finish_answer(false);
+            link->finish_answer();
             return;
         }
         engine.server().later(
--- a/test/entry_node-test.cpp
+++ b/test/entry_node-test.cpp
@@ -95,7 +95,7 @@
         [](link_ptr const& link, http_request const&)
         {
             link->write(standin_target::answer(503, "Not-Executed: 1\r\n", ""));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -117,7 +117,7 @@
         [](link_ptr const& link, http_request const&)
         {
             link->write(standin_target::answer(503, "Not-Executed: 1\r\n", ""));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -199,7 +199,7 @@
             }
             CHECK(request["Last-Event-Id"] == "2");
             link->write(standin_target::stream(id, 3, 3, true));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -226,7 +226,7 @@
                 bytes.erase(from, bytes.find("id: 3") - 4 - from);
             }
             link->write(bytes);
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -268,7 +268,7 @@
                     200, "Request-Id: " + to + "\r\nResponse-Stamp: s\r\n", by);
             };
             link->write(answer("stale", "wrong") + answer(id, "right"));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -291,7 +291,7 @@
                     200, "Request-Id: " + id + "\r\nResponse-Stamp: s\r\n",
                     "for " + id) +
                 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -312,7 +312,7 @@
             std::string const id(request["Request-Id"]);
             link->write(standin_target::answer(
                 200, "Request-Id: " + id + "\r\n", "forged"));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     test_caller caller(node.settings.listen_callers);
@@ -612,7 +612,7 @@
                 [link, id]
                 {
                     link->write(standin_target::stream(id, 1, 3, true));
-                    link->finish_answer(false);
+                    link->finish_answer();
                 });
             return true;
         });
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -253,7 +253,7 @@
         return;
     }
     link->write(standin_target::answer(answer.status, {}, answer.body));
-    link->finish_answer(false);
+    link->finish_answer();
 }
 
 standin_target::standin_target(std::string id) : id_(std::move(id))
@@ -300,7 +300,7 @@
             200,
             "Request-Id: " + one.id + "\r\nResponse-Stamp: s." + id_ + "\r\n",
             "done by " + id_));
-    link->finish_answer(false);
+    link->finish_answer();
 }
 
 std::string standin_target::event(int number)
--- a/test/exchange-test.cpp
+++ b/test/exchange-test.cpp
@@ -49,7 +49,7 @@
     {
         if (left == 0)
         {
-            link->finish_answer(false);
+            link->finish_answer();
             return;
         }
         link->write(part);
--- a/test/request_crashes-test.cpp
+++ b/test/request_crashes-test.cpp
@@ -274,7 +274,7 @@
                 {
                     link->write(standin_target::answer(
                         421, "Request-Id: " + id + "\r\n", ""));
-                    link->finish_answer(false);
+                    link->finish_answer();
                 }
                 return true;
             });
@@ -304,7 +304,7 @@
                 {
                     link->write(
                         standin_target::answer(503, "Not-Executed: 1\r\n", ""));
-                    link->finish_answer(false);
+                    link->finish_answer();
                 }
                 return true;
             });
--- a/test/stalled_call-test.cpp
+++ b/test/stalled_call-test.cpp
@@ -157,7 +157,7 @@
                 }
                 CHECK(sent["Last-Event-Id"] == "2");
                 link->write(standin_target::stream(id, 3, 3, true));
-                link->finish_answer(false);
+                link->finish_answer();
                 return true;
             });
     }
@@ -208,7 +208,7 @@
                 [link, id]
                 {
                     link->write(standin_target::stream(id, 1, 3, true));
-                    link->finish_answer(false);
+                    link->finish_answer();
                 });
             return true;
         });
--- a/test/store_return-test.cpp
+++ b/test/store_return-test.cpp
@@ -185,7 +185,7 @@
     other.on_request = [](link_ptr const& link, http_request const&)
     {
         link->write(standin_target::answer(status_bad_request, {}, "{}"));
-        link->finish_answer(false);
+        link->finish_answer();
     };
     client.set_address(other.address());
     bool ended = false;
--- a/test/stream_version-test.cpp
+++ b/test/stream_version-test.cpp
@@ -73,7 +73,7 @@
         link->write(standin_target::stream(
             id, first, whole ? last_event : first + 1, whole));
         if (whole)
-            link->finish_answer(false);
+            link->finish_answer();
         else if (end == ending::cut)
             standin_target::cut(link);
     }
@@ -185,7 +185,7 @@
     {
         ++refusals;
         link->write(standin_target::answer(503, "Not-Executed: 1\r\n", ""));
-        link->finish_answer(false);
+        link->finish_answer();
     };
     // Streams begin at one version only, which then refuses them.
     for (auto* engine : {&engine_a, &engine_b, &engine_c, &engine_d})
--- a/test/workspace_calls-test.cpp
+++ b/test/workspace_calls-test.cpp
@@ -173,7 +173,7 @@
                     std::string(request["Request-Id"]), resumed ? 3 : 1,
                     resumed ? 3 : 2, resumed));
                 if (resumed)
-                    link->finish_answer(false);
+                    link->finish_answer();
                 return true;
             });
     }
