entry_node: hold idle connections for the timeout that their callers know

What callers saw: a request on an idle connection crossed its close after a change of the idle timeout. Callers go by the timeout that they know, and no answer tells them of another one; the node took the one in force when its last answer ended.

A connection is now held for the longest timeout in force during it or in the minute before, and the margin. When the time is up, the limits are read anew, so that a longer one counts at once. Answers announce no Keep-Alive: in whole seconds it would be a second limit beside the configured one, and a stop would not keep it.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -305,6 +305,11 @@
 
 void entry_node::set_configuration(std::shared_ptr<routing_table const> table)
 {
+    if (services_.table)
+    {
+        former_idle_timeouts_.add(
+            services_.table->limits.idle_timeout, clock_());
+    }
     services_.table = std::move(table);
     // Total call times are kept by route, and the routes may have changed.
     services_.max_call_times.clear();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -16,6 +16,7 @@
 #include "entry/origin_exchange.hpp"
 #include "entry/platform_view.hpp"
 #include "entry/quota_exchange.hpp"
+#include "entry/recent_idle_timeouts.hpp"
 #include "entry/row_sweeper.hpp"
 #include "entry/section_client.hpp"
 #include "entry/store_client.hpp"
@@ -65,6 +66,7 @@
     bool listen(acceptor& on, std::string const& address);
     void accept(acceptor& on, caller_link::hooks hooks);
     caller_link::hooks caller_hooks();
+    caller_limits limits_for_callers() const;
     caller_link::hooks service_hooks(
         std::function<void(link_ptr const&, request_type const&)> answer);
     void report_unanswered(
@@ -149,6 +151,7 @@
     std::unordered_set<caller_link*> caller_links_;
     /// Connections for readiness, from other nodes and for metrics.
     std::unordered_set<caller_link*> service_links_;
+    recent_idle_timeouts former_idle_timeouts_;
     /// The registered engines; unset until they were read.
     std::optional<std::vector<engine_entry>> engines_;
     /// Continuations of calls that wait for a newer configuration.
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -57,8 +57,7 @@
             {{"status", status}, {"why", why}});
         return text_answer(status, std::string(why), true);
     };
-    to.limits = [this]
-    { return services_.table ? services_.table->limits : caller_limits(); };
+    to.limits = [this] { return limits_for_callers(); };
     to.is_stopping = [this] { return services_.stopping; };
     to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
     to.on_unanswered = [this](std::size_t bytes, std::string_view why)
@@ -66,6 +65,14 @@
     return to;
 }
 
+caller_limits entry_node::limits_for_callers() const
+{
+    auto limits = services_.table ? services_.table->limits : caller_limits();
+    limits.idle_timeout =
+        former_idle_timeouts_.longest(limits.idle_timeout, clock_());
+    return limits;
+}
+
 caller_link::hooks entry_node::service_hooks(
     std::function<void(link_ptr const&, request_type const&)> answer)
 {
--- a/test/connection_close-test.cpp
+++ b/test/connection_close-test.cpp
@@ -132,3 +132,31 @@
         CHECK(order.headers.count("Connection") == 0);
     }
 }
+
+TEST_CASE_METHOD(
+    close_fixture,
+    "connection close: a shorter idle timeout does not close connections whose "
+    "callers go by the former one")
+{
+    auto& node = start_node();
+    auto shorter = configuration();
+    shorter["version"] = 4;
+    shorter["limits"]["idle_timeout_ms"] = 100;
+    auto added = shorter["routes"].back();
+    added["name"] = "added";
+    added["prefix"] = "/added/";
+    shorter["routes"].push_back(added);
+    store.put("op", "config", shorter);
+    int probes = 0;
+    REQUIRE(eventually(
+        [&]
+        {
+            test_caller probe(node.settings.listen_callers);
+            auto const id = "p" + std::to_string(++probes);
+            return probe.call(post("/added/x", id)).status == 200;
+        }));
+    test_caller caller(node.settings.listen_callers);
+    CHECK(caller.call(post("/orders/x", "o1")).status == 200);
+    std::this_thread::sleep_for(milliseconds(1'600));
+    CHECK(caller.call(post("/orders/x", "o2")).status == 200);
+}
