http_caller: reuse no connection that has been idle for ten seconds

Idle connections to other nodes were used again at any age, while nodes close theirs after 16 s: a request could cross that close and be lost without a line. They are now given up after 10 s.

--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -44,7 +44,11 @@
     return out.append(body);
 }
 
-http_caller::http_caller(boost::asio::io_context& io) : io_(io) {}
+http_caller::http_caller(
+    boost::asio::io_context& io, std::chrono::milliseconds max_idle_time)
+    : io_(io), max_idle_time_(max_idle_time)
+{
+}
 
 http_caller::~http_caller()
 {
@@ -151,7 +155,9 @@
     {
         auto link = std::move(links.back());
         links.pop_back();
-        if (link->reusable())
+        auto const idle_time =
+            std::chrono::steady_clock::now() - link->idle_since;
+        if (link->reusable() && idle_time < max_idle_time_)
             return link;
         link->close();
     }
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,7 +39,14 @@
 public:
     using done_fn = std::function<void(exchange_reply)>;
 
-    explicit http_caller(boost::asio::io_context& io);
+    /// Idle time after which a connection is not used again. It is below the
+    /// time for which nodes hold their idle connections to others, so that no
+    /// request crosses their close.
+    static constexpr std::chrono::milliseconds default_max_idle_time{10'000};
+
+    explicit http_caller(
+        boost::asio::io_context& io,
+        std::chrono::milliseconds max_idle_time = default_max_idle_time);
     ~http_caller();
     http_caller(http_caller const&) = delete;
     http_caller& operator=(http_caller const&) = delete;
@@ -58,6 +66,7 @@
     void keep_or_close_link(std::string const& address, link_ptr link);
 
     boost::asio::io_context& io_;
+    std::chrono::milliseconds max_idle_time_;
     std::unordered_map<std::string, std::vector<link_ptr>> idle_;
     /// Links with a call in progress. Their handlers keep them alive, so the
     /// destructor closes them explicitly.
