--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -256,8 +256,9 @@
             {
                 auto const link =
                     std::make_shared<caller_link>(std::move(socket), hooks);
-                if (&on == &caller_acceptor_)
-                    caller_links_.insert(link.get());
+                auto& links =
+                    &on == &caller_acceptor_ ? caller_links_ : service_links_;
+                links.insert(link.get());
                 link->start();
             }
             accept(on, hooks);
@@ -308,6 +309,11 @@
 
 void entry_node::set_configuration(std::shared_ptr<routing_table const> table)
 {
+    if (services_.table)
+    {
+        former_idle_timeouts_.add(
+            services_.table->limits.idle_timeout, clock_());
+    }
     services_.table = std::move(table);
     // Total call times are kept by route, and the routes may have changed.
     services_.max_call_times.clear();
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -16,6 +16,7 @@
 #include "entry/origin_exchange.hpp"
 #include "entry/platform_view.hpp"
 #include "entry/quota_exchange.hpp"
+#include "entry/recent_idle_timeouts.hpp"
 #include "entry/row_sweeper.hpp"
 #include "entry/section_client.hpp"
 #include "entry/store_client.hpp"
@@ -32,6 +33,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 #include <vector>
 
@@ -64,8 +66,11 @@
     bool listen(acceptor& on, std::string const& address);
     void accept(acceptor& on, caller_link::hooks hooks);
     caller_link::hooks caller_hooks();
+    caller_limits limits_for_callers() const;
     caller_link::hooks service_hooks(
         std::function<void(link_ptr const&, request_type const&)> answer);
+    void report_unanswered(
+        std::string_view listener, std::size_t bytes, std::string_view why);
     void answer_ready(link_ptr const& link);
     void answer_metrics(link_ptr const& link);
     void answer_peer(link_ptr const& link, request_type const& request);
@@ -82,6 +87,7 @@
     void reload();
     void stop();
     void stop_step();
+    void end_connections();
     void tick();
     start_leases::hooks lease_hooks();
     quota_exchange::hooks quota_hooks();
@@ -144,6 +150,9 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer stop_timer_;
     std::unordered_set<caller_link*> caller_links_;
+    /// Connections for readiness, from other nodes and for metrics.
+    std::unordered_set<caller_link*> service_links_;
+    recent_idle_timeouts former_idle_timeouts_;
     /// The registered engines; unset until they were read.
     std::optional<std::vector<engine_entry>> engines_;
     /// Continuations of calls that wait for a newer configuration.
