byte_limits: state what servers may send in one exchange

A server in trouble may send bytes without end in a head or a body. Nothing stated how much of a node's memory and processor time such bytes may take, so no place that reads them could be checked against it.

A quarter of the memory is for answers that are sent whole, a quarter for streams, a tenth for replies of the store and of other nodes.

--- /dev/null
+++ b/src/entry/byte_limits.hpp
@@ -0,0 +1,54 @@
+#ifndef WALNUTMILL_SRC_ENTRY_BYTE_LIMITS_HPP
+#define WALNUTMILL_SRC_ENTRY_BYTE_LIMITS_HPP
+
+/// \file
+/// Limits of what a server may send in one exchange. A server in trouble may
+/// send bytes without end; each place that reads them has a limit here.
+///
+/// The smallest supported node has 88 MB and 0.12 cores, and a call ends after
+/// some 3 s. A quarter of its memory is for answers that are sent whole, a
+/// quarter for streams and a tenth for replies of the store and of other nodes.
+
+#include <cstddef>
+#include <cstdint>
+
+namespace walnutmill
+{
+
+/// Heads, interim heads, trailers and framing of the chunks in one exchange.
+/// Heads are below 1 KB.
+constexpr std::size_t max_framing_bytes = 16'384;
+/// Framing that each byte of a body may add to that: a chunk of a single byte
+/// with its size in eight digits takes 12 bytes.
+constexpr std::size_t max_framing_per_body_byte = 16;
+/// Body of an answer that is not streamed.
+constexpr std::size_t max_answer_bytes = 8'388'608;
+/// Bodies of answers to earlier requests in one exchange: one late answer.
+constexpr std::size_t max_skipped_bytes = max_answer_bytes;
+/// One event of a stream. Events hold some 22 tokens, below 1 KB.
+constexpr std::size_t max_event_bytes = 262'144;
+/// Bytes of a stream since its last new event: comments, unknown fields and
+/// events that were forwarded before.
+constexpr std::size_t max_idle_stream_bytes = 1'048'576;
+/// Such events; the shortest of them has two bytes.
+constexpr std::size_t max_idle_stream_events = 1'024;
+/// Text of a turn that is stored once it is complete.
+constexpr std::size_t max_turn_output_bytes = max_answer_bytes;
+/// Body of a reply of the store or of another node. A page of rows has at most
+/// 1 MB, a configuration 1.1 MB, both in base64.
+constexpr std::size_t max_reply_bytes = 4'194'304;
+/// Replies that are being received, of all calls of one client.
+constexpr std::size_t max_held_reply_bytes = 2 * max_reply_bytes;
+/// Answers that a node holds until they are complete, of all calls.
+constexpr std::size_t max_held_answer_bytes = 20'971'520;
+
+/// Bytes that one read of a connection takes.
+constexpr std::size_t read_chunk_bytes = 16'384;
+/// What a stream may hold: an incomplete event, an incomplete head or chunk
+/// header, and three copies of what was read last.
+constexpr std::size_t max_held_stream_bytes =
+    max_event_bytes + max_framing_bytes + 3 * read_chunk_bytes;
+
+} // namespace walnutmill
+
+#endif
