--- a/test/decoder_fuzz-test.cpp
+++ b/test/decoder_fuzz-test.cpp
@@ -19,6 +19,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -255,6 +256,43 @@
         });
 }
 
+TEST_CASE_METHOD(
+    fuzz_fixture, "fuzz: events of a stream, divided at random, with a limit")
+{
+    static constexpr std::size_t limit = 40;
+    run_mutated(
+        {"id: 1\ndata: some\n\nid: 2\r\ndata: more\r\ndata: lines\r\n\r\n: "
+         "comment\n\n"},
+        [this](std::string const& bytes)
+        {
+            event_splitter whole(limit);
+            event_splitter divided(limit);
+            auto const expected = whole.feed(bytes);
+            std::vector<server_sent_event> got;
+            for (std::string_view rest = bytes; !rest.empty();)
+            {
+                auto const size = std::min(1 + below(9), rest.size());
+                for (auto& one : divided.feed(rest.substr(0, size)))
+                    got.push_back(std::move(one));
+                rest.remove_prefix(size);
+                if (divided.buffered_bytes() > limit)
+                    throw std::runtime_error("more bytes held than allowed");
+            }
+            if (got.size() != expected.size() ||
+                whole.too_long() != divided.too_long() ||
+                whole.partial() != divided.partial())
+                throw std::runtime_error("the division changes the events");
+            for (std::size_t i = 0; i < got.size(); ++i)
+            {
+                if (got[i].text != expected[i].text ||
+                    got[i].id != expected[i].id ||
+                    got[i].data != expected[i].data ||
+                    got[i].text.size() > limit)
+                    throw std::runtime_error("the division changes an event");
+            }
+        });
+}
+
 TEST_CASE_METHOD(fuzz_fixture, "fuzz: the nodes' own rows")
 {
     stored_turn turn;
