http_link: limit what one exchange may receive

An engine in trouble may send bytes without end. Every place of an exchange read them until the deadline: interim heads restarted the parser without a count, answers to other requests were skipped without end, chunk headers and trailers were buffered and searched without a limit, and a body had none. A head that declared a length of some hundred GB ended the whole node, as the parser reserved it at once. A plain answer beyond 8 MiB was cut and delivered as whole, with the length of the cut.

All bytes of an exchange that belong to no body now count together, bodies of skipped answers count together, and a body that declares or sends more than its limit ends the exchange as too_long, apart from a broken connection. The body no longer reserves what a head declares. The parser's own limit is not enough: it forgets a declared length beyond it if bytes of the body come with the head. Streams lift the limit of the body, as their events are limited.

The attempt ends as failed with the outcome "too long": it counts for the engine's health, not as a crash under the request, and is retried as after a broken answer, or ends with 502 or a broken-off stream.

--- a/src/entry/byte_limits.hpp
+++ b/src/entry/byte_limits.hpp
@@ -9,18 +9,27 @@
 /// some 3 s. A quarter of its memory is for answers that are sent whole, a
 /// quarter for streams and a tenth for replies of the store and of other nodes.
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
 namespace walnutmill
 {
 
-/// Heads, interim heads, trailers and framing of the chunks in one exchange.
-/// Heads are below 1 KB.
+/// Heads, interim heads and trailers in one exchange. Heads are below 1 KB.
 constexpr std::size_t max_framing_bytes = 16'384;
-/// Framing that each byte of a body may add to that: a chunk of a single byte
-/// with its size in eight digits takes 12 bytes.
-constexpr std::size_t max_framing_per_body_byte = 16;
+
+/// \return the limit of all bytes of an exchange that belong to no body. It
+/// grows with the body, which may come in chunks of a few bytes at first, and
+/// later in chunks that exceed their own framing.
+constexpr std::uint64_t max_framing_with_body(std::uint64_t body_bytes)
+{
+    constexpr std::uint64_t chunk_framing_bytes = 16;
+    constexpr std::uint64_t small_chunks_bytes = 65'536;
+    return max_framing_bytes + body_bytes +
+           chunk_framing_bytes * std::min(body_bytes, small_chunks_bytes);
+}
+
 /// Body of an answer that is not streamed.
 constexpr std::size_t max_answer_bytes = 8'388'608;
 /// Bodies of answers to earlier requests in one exchange: one late answer.
@@ -32,8 +41,9 @@
 constexpr std::size_t max_idle_stream_bytes = 1'048'576;
 /// Such events; the shortest of them has two bytes.
 constexpr std::size_t max_idle_stream_events = 1'024;
-/// Text of a turn that is stored once it is complete.
-constexpr std::size_t max_turn_output_bytes = max_answer_bytes;
+/// Text of a turn that is stored once it is complete: some thousand tokens take
+/// a hundredth of it.
+constexpr std::size_t max_turn_output_bytes = 1'048'576;
 /// Body of a reply of the store or of another node. A page of rows has at most
 /// 1 MB, a configuration 1.1 MB, both in base64.
 constexpr std::size_t max_reply_bytes = 4'194'304;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -26,8 +26,6 @@
 constexpr milliseconds min_useful_time{25};
 /// Limit of buffered output for a caller that does not read.
 constexpr std::size_t max_unsent_bytes = 1'048'576;
-/// Limit of one answer that is not streamed; bytes beyond it are dropped.
-constexpr std::size_t max_body_bytes = 8'388'608;
 
 constexpr int status_success_end = 300;
 constexpr int status_misdirected = 421;
@@ -177,26 +175,30 @@
     if (attempt->answer.idle_timeout)
         attempt->link->idle_timeout = *attempt->answer.idle_timeout;
     attempt->accepted_by_engine = !attempt->answer.not_run;
+    attempt->streams = route_->streams && attempt->accepted_by_engine &&
+                       attempt->answer.status < status_success_end &&
+                       attempt->answer.signed_by_engine;
+    if (attempt->streams)
+        attempt->link->lift_body_limit();
 }
 
 void call_flow::on_body(attempt_ptr const& attempt, std::string_view bytes)
 {
-    attempt->last_progress_at = node_.clock();
-    auto const streams = route_->streams && attempt->accepted_by_engine &&
-                         attempt->answer.status < status_success_end &&
-                         attempt->answer.signed_by_engine;
-    if (!streams)
+    if (!attempt->streams)
     {
-        if (attempt->body.size() + bytes.size() <= max_body_bytes)
-            attempt->body.append(bytes);
+        attempt->last_progress_at = node_.clock();
+        attempt->body.append(bytes);
         return;
     }
+    attempt->last_progress_at = node_.clock();
     for (auto const& event : attempt->events.feed(bytes))
     {
+        forward_event(attempt, event);
         if (done_ || attempt->ended)
             return;
-        forward_event(attempt, event);
     }
+    if (attempt->events.too_long())
+        attempt_too_long(attempt, engine_outcome::failed, "too long");
 }
 
 void call_flow::forward_event(
@@ -236,6 +238,8 @@
     link_->write(chunk_of(event.text));
     if (link_->unsent() > max_unsent_bytes)
         abort_call("the caller does not read");
+    else if (output_.size() > max_turn_output_bytes)
+        attempt_too_long(attempt, engine_outcome::failed, "too long");
 }
 
 void call_flow::on_end(attempt_ptr const& attempt, link_end how)
@@ -253,6 +257,11 @@
         try_engine();
         return;
     }
+    if (how == link_end::too_long)
+    {
+        attempt_too_long(attempt, engine_outcome::failed, "too long");
+        return;
+    }
     if (how == link_end::broken)
     {
         run_interrupted(attempt, "connection closed");
@@ -318,11 +327,27 @@
     end_attempt(
         attempt, no_answer ? engine_outcome::closed_without_answer
                            : engine_outcome::failed);
+    attempt->body.clear();
     log_failed_attempt(
         attempt, no_answer ? "ended without a word" : "broke off");
     retry_or_fail(attempt, false);
 }
 
+/// Ends an attempt whose engine sends more than an answer may have. The engine
+/// has not ended, so the request is not to blame.
+void call_flow::attempt_too_long(
+    attempt_ptr const& attempt, engine_outcome outcome, std::string_view why)
+{
+    if (done_ || attempt->ended)
+        return;
+    run_survived(attempt);
+    end_attempt(attempt, outcome);
+    attempt->body.clear();
+    log_failed_attempt(attempt, why);
+    attempt->link->close();
+    retry_or_fail(attempt, false);
+}
+
 void call_flow::attempt_completed(attempt_ptr const& attempt)
 {
     auto const status = attempt->answer.status;
@@ -455,8 +480,10 @@
     platform::answer_framing framing;
     framing.length = attempt->body.size();
     framing.close = node_.stopping;
-    link_->write(
-        platform::encode_answer_head(attempt->answer, framing) + attempt->body);
+    auto answer = platform::encode_answer_head(attempt->answer, framing);
+    answer.append(attempt->body);
+    attempt->body.clear();
+    link_->write(answer);
     log_fields_["status"] = attempt->answer.status;
     finish("answered", attempt->answer.status >= status_server_error);
 }
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -129,6 +129,8 @@
         engine_answer answer;
         std::string body;
         event_splitter events;
+        /// The answer is a stream of events.
+        bool streams = false;
         run_id run = 0;
         /// The response head has arrived and says that the engine runs the
         /// call.
@@ -189,6 +191,9 @@
     bool may_abandon(attempt_ptr const& attempt);
     void refused_by_engine(attempt_ptr const& attempt);
     void attempt_interrupted(attempt_ptr const& attempt);
+    void attempt_too_long(
+        attempt_ptr const& attempt, engine_outcome outcome,
+        std::string_view why);
     void attempt_completed(attempt_ptr const& attempt);
     bool check_crashes(void (call_flow::*again)());
     bool await_crash_records(void (call_flow::*again)());
--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -30,8 +30,14 @@
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 2;
 
-/// Maximum size of an answer's head; heads from engines are below 1 KB.
-constexpr std::uint32_t max_head_bytes = 65'536;
+link_end end_of(boost::system::error_code const& error)
+{
+    namespace http = boost::beast::http;
+    return error == http::error::body_limit ||
+                   error == http::error::header_limit
+               ? link_end::too_long
+               : link_end::broken;
+}
 
 void set_option(tcp::socket& socket, int level, int name, int value)
 {
@@ -82,6 +88,9 @@
     expected_ = std::move(expected);
     handlers_ = std::make_shared<handlers>(std::move(to));
     busy_ = true;
+    parsed_bytes_ = 0;
+    body_bytes_ = 0;
+    skipped_bytes_ = 0;
     start_parser();
     if (connected_)
         send();
@@ -100,12 +109,10 @@
     close_socket();
 }
 
-void http_link::fail_exchange()
+void http_link::fail_exchange(link_end how)
 {
-    if (closed_)
-        return;
-    close_socket();
-    finish(link_end::broken);
+    if (!closed_)
+        fail(how);
 }
 
 void http_link::close_socket()
@@ -207,8 +214,7 @@
     {
         // Bytes that arrive outside an exchange belong to no request.
         not_reusable_ = true;
-        close_socket();
-        finish(link_end::broken);
+        fail(link_end::broken);
         return;
     }
     auto const self = shared_from_this();
@@ -221,34 +227,59 @@
 {
     parser_.emplace();
     parser_->eager(true);
-    parser_->header_limit(max_head_bytes);
-    // Without a limit, the parser rejects an answer whose head arrives alone.
-    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser_->header_limit(max_framing_bytes);
+    parser_->body_limit(handlers_->max_body_bytes);
     head_received_ = false;
     skipping_ = false;
 }
 
+void http_link::lift_body_limit()
+{
+    // Without a limit, the parser rejects an answer that declares its length.
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
 void http_link::parse()
 {
-    while (busy_ && !closed_ && !incoming_.empty())
+    bool goes_on = true;
+    while (goes_on && busy_ && !closed_ && !incoming_.empty())
     {
-        if (!parse_some())
-            return;
+        goes_on = parse_some();
+        if (busy_ && !closed_ && exceeds_limits(!goes_on))
+            fail(link_end::too_long);
     }
 }
 
+/// The parser limits single heads, but not their number, chunk headers and
+/// trailers.
+/// \param is_incomplete the bytes that are left belong to an incomplete head,
+/// chunk header or trailer
+bool http_link::exceeds_limits(bool is_incomplete) const
+{
+    auto const framing =
+        parsed_bytes_ - body_bytes_ + (is_incomplete ? incoming_.size() : 0);
+    return framing > max_framing_with_body(body_bytes_) ||
+           skipped_bytes_ > max_skipped_bytes;
+}
+
+void http_link::fail(link_end how)
+{
+    close_socket();
+    finish(how);
+}
+
 /// \return false if more bytes are needed or the exchange has ended.
 bool http_link::parse_some()
 {
     error_code error;
     auto const used = parser_->put(asio::buffer(incoming_), error);
     incoming_.erase(0, used);
+    parsed_bytes_ += used;
     if (error == boost::beast::http::error::need_more)
         error = {};
     if (error)
     {
-        close_socket();
-        finish(link_end::broken);
+        fail(end_of(error));
         return false;
     }
     if (parser_->is_header_done() && !head_received_ && !process_head())
@@ -265,7 +296,8 @@
     return used > 0;
 }
 
-/// \return false if the head is an interim (1xx) one and the parser was reset.
+/// \return false if the head is an interim (1xx) one and the parser was reset,
+/// or if the exchange has ended.
 bool http_link::process_head()
 {
     constexpr unsigned first_final_status = 200;
@@ -274,6 +306,14 @@
         start_parser();
         return false;
     }
+    // The parser forgets that a length exceeds its limit if bytes of the body
+    // have come with the head.
+    auto const length = parser_->content_length();
+    if (length && *length > handlers_->max_body_bytes && !parser_->is_done())
+    {
+        fail(link_end::too_long);
+        return false;
+    }
     head_received_ = true;
     skipping_ = !platform::answers_request(parser_->get(), expected_);
     auto const to = handlers_;
@@ -289,6 +329,9 @@
         return;
     std::string piece;
     piece.swap(body);
+    body_bytes_ += piece.size();
+    if (skipping_)
+        skipped_bytes_ += piece.size();
     auto const to = handlers_;
     if (!skipping_ && to && to->on_body)
         to->on_body(piece);
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -11,14 +11,21 @@
 
 #include <walnutmill/ids.hpp>
 
+#include "entry/byte_limits.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/optional/optional.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,7 +44,51 @@
     not_connected,
     /// The connection closed, or invalid bytes arrived, before the answer was
     /// complete. The server may have read the request.
-    broken
+    broken,
+    /// The server sent more than it may before the answer was complete. It may
+    /// have read the request, and has not ended.
+    too_long
+};
+
+/// Body of an answer as it arrives. Unlike \c http::string_body, it reserves no
+/// memory for the length that the head declares.
+struct partial_body
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template<bool IsRequest, class Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>&, value_type& to)
+            : to_(to)
+        {
+        }
+
+        void init(
+            boost::optional<std::uint64_t> const&,
+            boost::system::error_code& error)
+        {
+            error = {};
+        }
+
+        template<class ConstBufferSequence>
+        std::size_t
+        put(ConstBufferSequence const& buffers,
+            boost::system::error_code& error)
+        {
+            error = {};
+            auto const before = to_.size();
+            for (auto const one : boost::beast::buffers_range_ref(buffers))
+                to_.append(static_cast<char const*>(one.data()), one.size());
+            return to_.size() - before;
+        }
+
+        void finish(boost::system::error_code& error) { error = {}; }
+
+    private:
+        value_type& to_;
+    };
 };
 
 /// \return the endpoint of an address IP:PORT (IPv4); empty if it is invalid.
@@ -67,6 +118,9 @@
         std::function<void(std::string_view)> on_body;
         /// Called once, after the other handlers, and never after close().
         std::function<void(link_end)> on_end;
+        /// Limit of the answer's body. An answer that declares or sends more
+        /// ends the exchange as too long.
+        std::uint64_t max_body_bytes = max_answer_bytes;
     };
 
     http_link(
@@ -79,17 +133,26 @@
     /// id are skipped. If empty, any answer is accepted.
     void exchange(std::string bytes, request_id expected, handlers to);
 
+    /// Lifts the limit of the current answer's body, for a stream whose parts
+    /// its reader limits. Called by on_head.
+    void lift_body_limit();
+
     /// Closes the connection at once; no handler is called afterwards.
     void close();
 
-    /// Closes the connection and ends the exchange as if the peer had closed
-    /// it. For a peer that is known to have failed and may never send a reset.
-    void fail_exchange();
+    /// Closes the connection and ends the exchange, by default as if the peer
+    /// had closed it. For a peer that is known to have failed and may never
+    /// send a reset.
+    void fail_exchange(link_end how = link_end::broken);
 
     /// \return true while connected, with no exchange in progress and
     /// nothing pending that would corrupt the next answer.
     bool reusable() const { return connected_ && !busy_ && !not_reusable_; }
 
+    /// \return the number of bytes held that belong to no complete head, chunk
+    /// or answer
+    std::size_t unparsed_bytes() const { return incoming_.size(); }
+
     /// Called when an idle connection closes or can no longer be used.
     std::function<void()> on_idle_close;
 
@@ -99,8 +162,7 @@
     std::optional<std::chrono::milliseconds> idle_timeout;
 
 private:
-    using parser_type =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser_type = boost::beast::http::response_parser<partial_body>;
     using error_code = boost::system::error_code;
 
     void connect();
@@ -110,6 +172,8 @@
     void handle_read(error_code const& error, std::size_t size);
     void parse();
     bool parse_some();
+    bool exceeds_limits(bool is_incomplete) const;
+    void fail(link_end how);
     void start_parser();
     bool process_head();
     void deliver_body();
@@ -124,8 +188,12 @@
     std::chrono::milliseconds connect_timeout_;
     std::string outgoing_;
     std::string incoming_;
-    std::array<char, 16'384> chunk_{};
+    std::array<char, read_chunk_bytes> chunk_{};
     std::optional<parser_type> parser_;
+    /// Bytes of the exchange that were parsed, by kind.
+    std::uint64_t parsed_bytes_ = 0;
+    std::uint64_t body_bytes_ = 0;
+    std::uint64_t skipped_bytes_ = 0;
     request_id expected_;
     /// Shared, so that a handler may end the exchange that called it.
     std::shared_ptr<handlers> handlers_;
--- a/test/decoder_fuzz-test.cpp
+++ b/test/decoder_fuzz-test.cpp
@@ -6,6 +6,7 @@
 
 #include "entry/crash_message.hpp"
 #include "entry/event_stream.hpp"
+#include "entry/http_link.hpp"
 #include "entry/origin_message.hpp"
 #include "entry/quota_message.hpp"
 #include "entry/version_register.hpp"
@@ -293,6 +294,48 @@
         });
 }
 
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: bodies of answers, divided at random")
+{
+    namespace http = boost::beast::http;
+    std::string const head = "HTTP/1.1 200 OK\r\nRequest-Id: t1\r\n";
+    static constexpr std::uint64_t limit = 60;
+    run_mutated(
+        {head + "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n"
+                "0;x\r\nTrailer: t\r\n\r\n",
+         head + "Content-Length: 5\r\n\r\nhello", head + "\r\nhello",
+         "HTTP/1.1 103 Early\r\n\r\n" + head + "\r\nhello"},
+        [this](std::string bytes)
+        {
+            http::response_parser<partial_body> parser;
+            parser.eager(true);
+            parser.header_limit(100);
+            parser.body_limit(limit);
+            boost::system::error_code error;
+            std::string held;
+            std::uint64_t body = 0;
+            while (!bytes.empty() && !parser.is_done() &&
+                   (!error || error == http::error::need_more))
+            {
+                auto const size = std::min(1 + below(40), bytes.size());
+                held.append(bytes, 0, size);
+                bytes.erase(0, size);
+                std::size_t used = 1;
+                while (used > 0 && !held.empty() && !parser.is_done())
+                {
+                    used = parser.put(boost::asio::buffer(held), error);
+                    held.erase(0, used);
+                    if (error && error != http::error::need_more)
+                        return;
+                }
+                std::string piece;
+                piece.swap(parser.get().body());
+                body += piece.size();
+            }
+            if (body > limit)
+                throw std::runtime_error("a longer body than allowed");
+        });
+}
+
 TEST_CASE_METHOD(fuzz_fixture, "fuzz: the nodes' own rows")
 {
     stored_turn turn;
--- /dev/null
+++ b/test/endless_answer-test.cpp
@@ -0,0 +1,256 @@
+/// \file
+/// What becomes of a call, of its engine and of other calls when an engine
+/// sends bytes without end.
+
+#include "entry/byte_limits.hpp"
+
+#include "endless_server.hpp"
+#include "entry_world.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using std::chrono::milliseconds;
+
+std::string const answer_head =
+    "HTTP/1.1 200 OK\r\nRequest-Id: $id\r\nResponse-Stamp: s\r\n";
+std::string const stream_head = answer_head +
+                                "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(std::string const& text)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+/// Engine `ia` and plain service `da` are in trouble, `ib` and `db` are sound.
+/// Those in trouble are chosen first, as the others are in another zone.
+struct endless_answer_fixture : entry_world
+{
+    std::optional<endless_server> trouble;
+
+    void begin_trouble(endless_answer const& answer, bool sound_ones_remain)
+    {
+        trouble.emplace(answer);
+        for (auto const* id : {"ia", "da"})
+        {
+            store.put(
+                "servers", id,
+                engine_row(
+                    id == std::string("ia") ? "llm" : "desk",
+                    trouble->address(), 1'700'000'000'000));
+        }
+        if (!sound_ones_remain)
+        {
+            store.remove("servers", "ib");
+            store.remove("servers", "db");
+            return;
+        }
+        auto far_engine =
+            engine_row("llm", engine_b.address(), 1'700'000'000'000);
+        far_engine["zone"] = "z2";
+        store.put("servers", "ib", far_engine);
+        auto far_service =
+            engine_row("desk", service_b.address(), 1'700'000'000'000);
+        far_service["zone"] = "z2";
+        store.put("servers", "db", far_service);
+    }
+
+    static caller_answer call(node const& at, std::string const& bytes)
+    {
+        test_caller caller(at.settings.listen_callers);
+        return caller.call(bytes);
+    }
+
+    /// Sends calls until one of them has reached the server in trouble.
+    /// \return its answer
+    caller_answer call_trouble(
+        node const& at,
+        std::function<std::string(std::string const&)> const& of)
+    {
+        caller_answer got;
+        for (int i = 0; i < 40 && trouble->connections() == 0; ++i)
+            got = call(at, of("r" + std::to_string(i)));
+        REQUIRE(trouble->connections() > 0);
+        return got;
+    }
+
+    double failed(node const& at, std::string const& outcome) const
+    {
+        return metric(
+                   at, "walnutmill_attempts_failed_total{outcome=\"" + outcome +
+                           "\"}")
+            .value_or(0);
+    }
+
+    bool counts_crashes(node const& at) const
+    {
+        for (auto const* evidence : {"connection closed", "silent"})
+        {
+            if (metric(
+                    at, std::string("walnutmill_request_crashes_total{"
+                                    "evidence=\"") +
+                            evidence + "\"}"))
+                return true;
+        }
+        return false;
+    }
+
+    void check_too_long(node const& at) const
+    {
+        CHECK(failed(at, "too long") >= 1);
+        CHECK_FALSE(counts_crashes(at));
+    }
+
+    /// Checks that calls go elsewhere once the engine has failed some.
+    void check_others_are_served(node const& at)
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            auto const got = call(at, post("/safe/x", "s" + std::to_string(i)));
+            CHECK(got.status == 200);
+        }
+        auto const before = trouble->connections();
+        for (int i = 0; i < 10; ++i)
+            CHECK(
+                call(at, post("/orders/x", "o" + std::to_string(i))).status ==
+                200);
+        CHECK(trouble->connections() <= before + 1);
+    }
+};
+
+endless_answer const endless_plain_answer{
+    answer_head + "Transfer-Encoding: chunked\r\n\r\n",
+    "1000\r\n" + std::string(4'096, 'x') + "\r\n"};
+
+endless_answer const endless_head{answer_head, "X-Trouble: aaaa\r\n"};
+
+/// Two events, then bytes that are no event.
+endless_answer endless_stream(std::string const& piece)
+{
+    return {
+        stream_head + chunk(standin_target::event(1)) +
+            chunk(standin_target::event(2)),
+        piece};
+}
+
+/// Turns share no prefix, so that any engine may be chosen.
+std::string turn_on(std::string const& prefix, std::string const& id)
+{
+    return entry_world::post(
+        prefix + "x", id,
+        "Token-Usage: 100,30\r\nPrompt-Prefix: " + id.substr(1) + "f:100\r\n",
+        "input of " + id);
+}
+
+std::string turn_of(std::string const& id)
+{
+    return turn_on("/turns/", id);
+}
+
+std::string kept_turn_of(std::string const& id)
+{
+    return turn_on("/kept/", id);
+}
+
+std::string safe_call(std::string const& id)
+{
+    return entry_world::post("/safe/x", id);
+}
+
+std::string order(std::string const& id)
+{
+    return entry_world::post("/orders/x", id);
+}
+
+} // namespace
+
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: a call that may be repeated is answered elsewhere")
+{
+    std::vector<endless_answer> const answers{
+        endless_plain_answer,
+        endless_head,
+        {"", "HTTP/1.1 102 Processing\r\n\r\n"}};
+    begin_trouble(answers[GENERATE(0U, 1U, 2U)], true);
+    auto& node = start_node();
+    auto const got = call_trouble(node, safe_call);
+    CHECK(got.status == 200);
+    CHECK(got.body == "done by db");
+    check_too_long(node);
+    check_others_are_served(node);
+}
+
+TEST_CASE_METHOD(
+    endless_answer_fixture, "endless answer: an order ends with 502, not cut")
+{
+    std::vector<endless_answer> const answers{
+        endless_plain_answer,
+        endless_head,
+        {answer_head + "Content-Length: 8388609\r\n\r\nx",
+         std::string(4'096, 'x'), 2'048},
+        {answer_head + "Content-Length: 64000000000\r\n\r\n", "x"}};
+    begin_trouble(answers[GENERATE(0U, 1U, 2U, 3U)], false);
+    auto& node = start_node();
+    auto const got = call_trouble(node, order);
+    CHECK(got.status == 502);
+    check_too_long(node);
+}
+
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: an honest answer of the greatest size is delivered whole")
+{
+    begin_trouble(
+        {answer_head + "Transfer-Encoding: chunked\r\n\r\n",
+         "1000\r\n" + std::string(4'096, 'x') + "\r\n",
+         max_answer_bytes / 4'096, "0\r\n\r\n"},
+        false);
+    auto& node = start_node();
+    auto const got = call_trouble(node, order);
+    CHECK(got.status == 200);
+    CHECK(got.whole);
+    CHECK(got.body.size() == max_answer_bytes);
+    CHECK(failed(node, "too long") == 0);
+}
+
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: a turn that can't be resumed is broken off")
+{
+    begin_trouble(
+        endless_stream(chunk("data: " + std::string(4'000, 'x') + "\n")),
+        false);
+    auto& node = start_node();
+    auto const got = call_trouble(node, kept_turn_of);
+    CHECK(got.status == 200);
+    CHECK_FALSE(got.whole);
+    check_too_long(node);
+}
+
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: the text of a kept turn is limited")
+{
+    begin_trouble(
+        {stream_head,
+         chunk("id: $counter\ndata: " + std::string(4'000, 'x') + "\n\n")},
+        false);
+    auto& node = start_node();
+    auto const got = call_trouble(node, kept_turn_of);
+    CHECK(got.status == 200);
+    CHECK_FALSE(got.whole);
+    CHECK(got.body.size() <= 2 * max_turn_output_bytes);
+}
