http_caller: limit replies of the store and of other nodes

A reply was kept as far as it came, so one server without end filled the node's memory. A reply beyond 4 MiB, four times a page of rows and twice a configuration of the supported size in base64, now counts as unanswered, and so does one that would take all replies of a client beyond 8 MiB.

--- a/src/entry/http_caller.cpp
+++ b/src/entry/http_caller.cpp
@@ -66,6 +66,8 @@
     }
 
     exchange_reply reply;
+    /// Bytes of the reply that count towards those held by all calls.
+    std::size_t held = 0;
     link_ptr link;
     exchange_watch watch;
     boost::asio::steady_timer timer;
@@ -102,14 +104,27 @@
     };
     to.on_head = [pending](http_link::response_head const& head)
     { pending->reply.status = static_cast<int>(head.result_int()); };
-    to.on_body = [pending](std::string_view part)
-    { pending->reply.body.append(part); };
+    to.max_body_bytes = max_reply_bytes;
+    to.on_body = [this, alive = alive_, pending](std::string_view part)
+    {
+        if (pending->ended || !*alive)
+            return;
+        if (held_bytes_ + part.size() > max_held_reply_bytes)
+        {
+            pending->link->fail_exchange(link_end::too_long);
+            return;
+        }
+        held_bytes_ += part.size();
+        pending->held += part.size();
+        pending->reply.body.append(part);
+    };
     to.on_end =
         [this, alive = alive_, pending, address = request.address](link_end how)
     {
         if (pending->ended || !*alive)
             return;
         pending->ended = true;
+        held_bytes_ -= std::exchange(pending->held, 0);
         pending->timer.cancel();
         pending->reply.answered = how == link_end::complete;
         pending->reply.sent = how != link_end::not_connected;
@@ -136,6 +151,7 @@
                 return;
             }
             pending->ended = true;
+            held_bytes_ -= std::exchange(pending->held, 0);
             in_use_.erase(pending->link);
             std::exchange(pending->link, {})->close();
             pending->reply.sent = true;
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +44,8 @@
     http_caller(http_caller const&) = delete;
     http_caller& operator=(http_caller const&) = delete;
 
+    /// A reply that exceeds \c max_reply_bytes, or the limit of all replies
+    /// being received, counts as unanswered.
     /// \param done called once, asynchronously; not called after the
     /// http_caller is destroyed
     void call(exchange_request request, done_fn done);
@@ -62,6 +65,8 @@
     /// Links with a call in progress. Their handlers keep them alive, so the
     /// destructor closes them explicitly.
     std::unordered_set<link_ptr> in_use_;
+    /// Bytes of replies that are being received.
+    std::size_t held_bytes_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/test/endless_bytes-test.cpp
+++ b/test/endless_bytes-test.cpp
@@ -3,6 +3,7 @@
 /// read them: the exchange ends, and holds no more than is stated before.
 
 #include "entry/byte_limits.hpp"
+#include "entry/exchange.hpp"
 #include "entry/http_link.hpp"
 
 #include "endless_server.hpp"
@@ -282,3 +283,99 @@
     CHECK(body == max_answer_bytes);
     CHECK(most_unparsed <= max_framing_bytes + 2 * read_chunk_bytes);
 }
+
+namespace
+{
+
+/// Calls of the store or of another node, on the test's own event loop.
+struct endless_reply_fixture
+{
+    boost::asio::io_context io;
+    exchange_runtime runtime = network_runtime(io);
+    std::vector<exchange_reply> replies;
+
+    void call(std::string const& address)
+    {
+        runtime.exchange(
+            {address, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", {seconds(5)}},
+            [this](exchange_reply reply)
+            { replies.push_back(std::move(reply)); });
+    }
+
+    bool await(std::size_t count)
+    {
+        auto const end = std::chrono::steady_clock::now() + seconds(6);
+        while (replies.size() < count && std::chrono::steady_clock::now() < end)
+        {
+            io.run_for(milliseconds(2));
+            io.restart();
+        }
+        return replies.size() == count;
+    }
+};
+
+endless_answer const endless_reply{
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "400\r\n" + std::string(1'024, 'x') + "\r\n"};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    endless_reply_fixture,
+    "endless bytes: a reply of the store without end counts as none")
+{
+    endless_server server(endless_reply);
+    call(server.address());
+    REQUIRE(await(1));
+    CHECK_FALSE(replies[0].answered);
+    CHECK(replies[0].sent);
+    CHECK(replies[0].body.size() <= max_reply_bytes);
+    CHECK(server.sent() <= 2 * max_reply_bytes + endless_server::kernel_bytes);
+}
+
+TEST_CASE_METHOD(
+    endless_reply_fixture, "endless bytes: a reply of the greatest size "
+                           "counts, one byte more does not")
+{
+    auto const extra = GENERATE(std::size_t(0), std::size_t(1));
+    auto const length = max_reply_bytes + extra;
+    endless_server server(
+        {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+             "\r\n\r\n",
+         "x", length});
+    call(server.address());
+    REQUIRE(await(1));
+    CHECK(replies[0].answered == (extra == 0));
+    if (extra == 0)
+        CHECK(replies[0].body.size() == max_reply_bytes);
+}
+
+TEST_CASE_METHOD(
+    endless_reply_fixture,
+    "endless bytes: replies that come at a time share their limit")
+{
+    // Each ends below its own limit, if at all.
+    std::vector<std::unique_ptr<endless_server>> servers;
+    constexpr std::size_t count = 6;
+    constexpr std::size_t piece_bytes = 65'536;
+    auto const piece = std::string(piece_bytes, 'x');
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        servers.push_back(std::make_unique<endless_server>(endless_answer{
+            "HTTP/1.1 200 OK\r\nContent-Length: " +
+                std::to_string(60 * piece_bytes) + "\r\n\r\n",
+            piece,
+            59,
+            {},
+            milliseconds(5)}));
+        call(servers.back()->address());
+    }
+    REQUIRE(await(count));
+    std::size_t held = 0;
+    for (auto const& one : replies)
+    {
+        CHECK_FALSE(one.answered);
+        held += one.body.size();
+    }
+    CHECK(held <= 2 * max_held_reply_bytes);
+}
