call_flow: limit the sum of the answers that are held

Each answer is limited to 8 MiB, but twelve calls at one engine that sends without end hold 96 MiB, more than a small node has. All answers of a node that are not complete now share 20 MiB. The longest gives way, so that short answers of other engines still come through; its attempt is retried or ends with 502, its engine does not count as failed.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -186,8 +186,7 @@
 {
     if (!attempt->streams)
     {
-        attempt->last_progress_at = node_.clock();
-        attempt->body.append(bytes);
+        append_to_body(attempt, bytes);
         return;
     }
     attempt->last_progress_at = node_.clock();
@@ -201,6 +200,25 @@
         attempt_too_long(attempt, engine_outcome::failed, "too long");
 }
 
+void call_flow::append_to_body(
+    attempt_ptr const& attempt, std::string_view bytes)
+{
+    attempt->last_progress_at = node_.clock();
+    attempt->body.append(
+        node_.answers, bytes,
+        [self = weak_from_this(), dropped = std::weak_ptr(attempt)]
+        {
+            auto const flow = self.lock();
+            auto const one = dropped.lock();
+            if (flow && one)
+            {
+                // The others take the room, so the engine has not failed.
+                flow->attempt_too_long(
+                    one, engine_outcome::abandoned, "no room for the answer");
+            }
+        });
+}
+
 void call_flow::forward_event(
     attempt_ptr const& attempt, server_sent_event const& event)
 {
@@ -478,10 +496,10 @@
     if (done_)
         return;
     platform::answer_framing framing;
-    framing.length = attempt->body.size();
+    framing.length = attempt->body.text().size();
     framing.close = node_.stopping;
     auto answer = platform::encode_answer_head(attempt->answer, framing);
-    answer.append(attempt->body);
+    answer.append(attempt->body.text());
     attempt->body.clear();
     link_->write(answer);
     log_fields_["status"] = attempt->answer.status;
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -16,6 +16,7 @@
 #include <walnutmill/turn_history.hpp>
 
 #include "entry/admission_control.hpp"
+#include "entry/answer_memory.hpp"
 #include "entry/budget_service.hpp"
 #include "entry/caller_link.hpp"
 #include "entry/crash_exchange.hpp"
@@ -99,6 +100,7 @@
     version_register* versions = nullptr;
     /// Requests under which engines ended. Null: they are not told apart.
     crash_exchange* crashes = nullptr;
+    answer_memory answers{};
 };
 
 /// State machine of one call. Its pending callbacks share ownership of it.
@@ -127,7 +129,7 @@
         /// Silence after which the engine counts as stalled.
         duration silence_timeout{0};
         engine_answer answer;
-        std::string body;
+        held_answer body;
         event_splitter events;
         /// The answer is a stream of events.
         bool streams = false;
@@ -210,6 +212,7 @@
     bool may_have_run_at(engine_ref const& engine) const;
     bool may_run_elsewhere(engine_ref const& previous) const;
 
+    void append_to_body(attempt_ptr const& attempt, std::string_view bytes);
     void
     forward_event(attempt_ptr const& attempt, server_sent_event const& event);
     void stream_completed();
--- a/test/endless_answer-test.cpp
+++ b/test/endless_answer-test.cpp
@@ -254,3 +254,60 @@
     CHECK_FALSE(got.whole);
     CHECK(got.body.size() <= 2 * max_turn_output_bytes);
 }
+
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: answers that come at a time share the node's memory")
+{
+    // Each ends below its own limit; together they exceed the node's.
+    static constexpr std::size_t calls = 4;
+    static constexpr std::size_t piece_bytes = 65'536;
+    static constexpr std::size_t pieces = 100;
+    static_assert(pieces * piece_bytes < max_answer_bytes);
+    static_assert(calls * pieces * piece_bytes > max_held_answer_bytes);
+    std::atomic<int> begun{0};
+    for (auto* one : {&service_a, &service_b})
+    {
+        one->set_handler(
+            [&, one](link_ptr const& link, http_request const& request)
+            {
+                if (request.target() != "/orders/x")
+                    return false;
+                ++begun;
+                link->write(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                    std::string(request["Request-Id"]) +
+                    "\r\nResponse-Stamp: s\r\nContent-Length: " +
+                    std::to_string(pieces * piece_bytes) + "\r\n\r\n");
+                link->write(std::string((pieces - 1) * piece_bytes, 'x'));
+                one->server().later(
+                    milliseconds(1'200),
+                    [link]
+                    {
+                        link->write(std::string(piece_bytes, 'x'));
+                        link->finish_answer(false);
+                    });
+                return true;
+            });
+    }
+    auto& node = start_node();
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (std::size_t i = 0; i < calls; ++i)
+    {
+        callers.push_back(
+            std::make_unique<test_caller>(node.settings.listen_callers));
+        callers.back()->send(order("r" + std::to_string(i)));
+    }
+    // A short answer is not the one that gives way.
+    REQUIRE(eventually([&] { return begun == int(calls); }));
+    CHECK(call(node, safe_call("short")).status == 200);
+    int whole = 0;
+    for (auto const& one : callers)
+    {
+        auto const got = one->receive();
+        whole += got.status == 200 && got.whole ? 1 : 0;
+        CHECK((got.status == 200 || got.status == 502));
+    }
+    CHECK(whole == max_held_answer_bytes / (pieces * piece_bytes));
+    CHECK(failed(node, "no room for the answer") == calls - whole);
+}
--- a/test/endless_bytes-test.cpp
+++ b/test/endless_bytes-test.cpp
@@ -2,6 +2,7 @@
 /// Bytes that are no answer and do not end, in the places of a connection that
 /// read them: the exchange ends, and holds no more than is stated before.
 
+#include "entry/answer_memory.hpp"
 #include "entry/byte_limits.hpp"
 #include "entry/exchange.hpp"
 #include "entry/http_link.hpp"
@@ -379,3 +380,66 @@
     }
     CHECK(held <= 2 * max_held_reply_bytes);
 }
+
+namespace
+{
+
+struct answer_memory_fixture
+{
+    static constexpr std::size_t limit = 1'000;
+    answer_memory memory{limit};
+    std::vector<std::string> dropped;
+
+    void append(held_answer& to, std::string const& name, std::size_t bytes)
+    {
+        to.append(
+            memory, std::string(bytes, 'x'),
+            [this, name] { dropped.push_back(name); });
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    answer_memory_fixture,
+    "answer memory: the longest answer gives way to the others")
+{
+    held_answer longest;
+    held_answer other;
+    append(longest, "longest", 600);
+    append(other, "other", 300);
+    CHECK(memory.size() == 900);
+    append(other, "other", 101);
+    CHECK(dropped == std::vector<std::string>{"longest"});
+    CHECK(longest.text().empty());
+    CHECK(other.text().size() == 401);
+    CHECK(memory.size() == 401);
+}
+
+TEST_CASE_METHOD(
+    answer_memory_fixture, "answer memory: one that ends makes room")
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        held_answer one;
+        append(one, "one", 900);
+        held_answer cleared;
+        append(cleared, "cleared", 100);
+        cleared.clear();
+        append(cleared, "cleared", 100);
+    }
+    CHECK(dropped.empty());
+    CHECK(memory.size() == 0);
+}
+
+TEST_CASE_METHOD(
+    answer_memory_fixture,
+    "answer memory: an answer that alone exceeds the limit gives way")
+{
+    held_answer one;
+    append(one, "one", limit);
+    CHECK(dropped.empty());
+    append(one, "one", 1);
+    CHECK(dropped == std::vector<std::string>{"one"});
+    CHECK(memory.size() == 0);
+}
