call_flow: count only new events as progress of a stream

Any byte renewed the time of the last progress, so an engine that sent comments, unknown fields or events that had been forwarded before never counted as stalled, and its calls waited until their deadline.

Progress is now a new event, or part of one that has data and no old id. What comes between new events is limited by bytes and by number, since small events cost more than their bytes. Comments are still forwarded, but no longer count as tokens of a program's budget or as text of a kept turn.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -189,14 +189,18 @@
         append_to_body(attempt, bytes);
         return;
     }
-    attempt->last_progress_at = node_.clock();
+    attempt->idle_bytes += bytes.size();
     for (auto const& event : attempt->events.feed(bytes))
     {
         forward_event(attempt, event);
         if (done_ || attempt->ended)
             return;
     }
-    if (attempt->events.too_long())
+    if (attempt->events.receives_event_after(last_event_))
+        attempt->last_progress_at = node_.clock();
+    if (attempt->events.too_long() ||
+        attempt->idle_bytes > max_idle_stream_bytes ||
+        attempt->idle_events > max_idle_stream_events)
         attempt_too_long(attempt, engine_outcome::failed, "too long");
 }
 
@@ -225,7 +229,10 @@
     if (event.id && last_event_)
     {
         if (*event.id <= *last_event_)
+        {
+            ++attempt->idle_events;
             return;
+        }
         if (*event.id != *last_event_ + 1)
         {
             // An event is missing, so later events must not be forwarded.
@@ -236,6 +243,16 @@
             return;
         }
     }
+    // A comment is forwarded, but says nothing about the run.
+    auto const is_comment = !event.id && !event.has_data;
+    if (!is_comment)
+    {
+        attempt->last_progress_at = node_.clock();
+        attempt->idle_bytes = 0;
+        attempt->idle_events = 0;
+    }
+    else
+        ++attempt->idle_events;
     record_origin(attempt);
     if (!head_written_)
     {
@@ -250,9 +267,12 @@
     }
     if (event.id)
         last_event_ = event.id;
-    delivered_tokens_ += tokens_per_event_;
-    if (route_->keeps_turns)
-        output_.append(event.data).append("\n");
+    if (!is_comment)
+    {
+        delivered_tokens_ += tokens_per_event_;
+        if (route_->keeps_turns)
+            output_.append(event.data).append("\n");
+    }
     link_->write(chunk_of(event.text));
     if (link_->unsent() > max_unsent_bytes)
         abort_call("the caller does not read");
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -123,7 +123,8 @@
         engine_placement at;
         engine_links::link_ptr link;
         time_point sent_at{};
-        /// Time of the last bytes received; before the first, of the last bytes
+        /// Time of the last new event or part of one, or of the last bytes of
+        /// an answer that is not a stream; before the first, of the last bytes
         /// sent.
         time_point last_progress_at{};
         /// Silence after which the engine counts as stalled.
@@ -133,6 +134,9 @@
         event_splitter events;
         /// The answer is a stream of events.
         bool streams = false;
+        /// Bytes and events since the last new event of the stream.
+        std::size_t idle_bytes = 0;
+        std::size_t idle_events = 0;
         run_id run = 0;
         /// The response head has arrived and says that the engine runs the
         /// call.
--- a/test/endless_answer-test.cpp
+++ b/test/endless_answer-test.cpp
@@ -226,6 +226,44 @@
     CHECK(failed(node, "too long") == 0);
 }
 
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: a stream goes on elsewhere after endless bytes")
+{
+    std::string small_comments;
+    while (small_comments.size() < 4'000)
+        small_comments += ":\n\n";
+    auto const piece = GENERATE_COPY(
+        chunk(std::string(4'000, 'x')), chunk("data: xxxx\n"),
+        chunk(": a comment\n\n"), chunk(small_comments), chunk("retry: 3\n\n"),
+        chunk(standin_target::event(2)), chunk("id: 1\n\n"), std::string("a"),
+        std::string("1;x=a"));
+    engine_b.set_handler(
+        [](link_ptr const& link, http_request const& request)
+        {
+            std::string const id(request["Request-Id"]);
+            auto const from = request["Last-Event-Id"] == "2" ? 3 : 1;
+            link->write(standin_target::stream(id, from, 3, true));
+            link->finish_answer(false);
+            return true;
+        });
+    begin_trouble(endless_stream(piece), true);
+    auto& node = start_node();
+    auto const got = call_trouble(node, turn_of);
+    CHECK(got.status == 200);
+    CHECK(got.whole);
+    // Comments are passed on; all events come once and in order.
+    std::string events;
+    for (auto const* event : {"id: 1\n", "id: 2\n", "id: 3\n"})
+    {
+        auto const at = got.body.find(event);
+        REQUIRE(at != std::string::npos);
+        CHECK(got.body.find(event, at + 1) == std::string::npos);
+    }
+    CHECK_FALSE(counts_crashes(node));
+    CHECK(failed(node, "too long") + failed(node, "broke off") >= 1);
+}
+
 TEST_CASE_METHOD(
     endless_answer_fixture,
     "endless answer: a turn that can't be resumed is broken off")
@@ -311,3 +349,76 @@
     CHECK(whole == max_held_answer_bytes / (pieces * piece_bytes));
     CHECK(failed(node, "no room for the answer") == calls - whole);
 }
+
+namespace
+{
+
+struct slow_bytes_fixture : endless_answer_fixture
+{
+    slow_bytes_fixture() { min_stall_timeout = milliseconds(300); }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    slow_bytes_fixture,
+    "endless answer: bytes that are no new event do not hold up a stalled call")
+{
+    auto const piece = GENERATE(
+        chunk(": a comment\n\n"), chunk("id: 1\ndata: old\n\n"),
+        chunk("retry: 3\n"));
+    auto trickle = endless_stream(piece);
+    trickle.pause = milliseconds(50);
+    begin_trouble(trickle, true);
+    engine_b.set_handler(
+        [](link_ptr const& link, http_request const& request)
+        {
+            std::string const id(request["Request-Id"]);
+            auto const from = request["Last-Event-Id"] == "2" ? 3 : 1;
+            link->write(standin_target::stream(id, from, 3, true));
+            link->finish_answer(false);
+            return true;
+        });
+    auto& node = start_node();
+    auto const got = call_trouble(node, turn_of);
+    CHECK(got.whole);
+    CHECK(failed(node, "stalled, left") >= 1);
+}
+
+TEST_CASE_METHOD(
+    slow_bytes_fixture,
+    "endless answer: a long event over a slow link is progress")
+{
+    constexpr std::size_t parts = 12;
+    constexpr std::size_t part_bytes = 20'000;
+    static_assert(parts * part_bytes < max_event_bytes);
+    begin_trouble(
+        {stream_head + chunk("id: 1\ndata: "),
+         chunk(std::string(part_bytes, 'x')), parts,
+         chunk("\n\n") + "0\r\n\r\n", milliseconds(120)},
+        false);
+    auto& node = start_node();
+    auto const got = call_trouble(node, turn_of);
+    CHECK(got.whole);
+    CHECK(got.body.size() > parts * part_bytes);
+    CHECK(trouble->connections() == 1);
+}
+
+TEST_CASE_METHOD(
+    slow_bytes_fixture,
+    "endless answer: comments of a queueing engine shorten no stall timeout")
+{
+    // It is silent for less than the timeout between its events.
+    begin_trouble(
+        {stream_head + chunk(": waiting\n\n"), chunk(": waiting\n\n"), 4,
+         chunk(standin_target::event(1)) + chunk(standin_target::event(2)) +
+             "0\r\n\r\n",
+         milliseconds(50)},
+        false);
+    auto& node = start_node();
+    auto const got = call_trouble(node, turn_of);
+    CHECK(got.whole);
+    CHECK(trouble->connections() == 1);
+    CHECK(
+        failed(node, "stalled, left") + failed(node, "stalled, waits on") == 0);
+}
