--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -26,8 +26,6 @@
 constexpr milliseconds min_useful_time{25};
 /// Limit of buffered output for a caller that does not read.
 constexpr std::size_t max_unsent_bytes = 1'048'576;
-/// Limit of one answer that is not streamed; bytes beyond it are dropped.
-constexpr std::size_t max_body_bytes = 8'388'608;
 
 constexpr int status_success_end = 300;
 constexpr int status_misdirected = 421;
@@ -179,26 +177,52 @@
     if (attempt->answer.idle_timeout)
         attempt->link->idle_timeout = *attempt->answer.idle_timeout;
     attempt->accepted_by_engine = !attempt->answer.not_run;
+    attempt->streams = route_->streams && attempt->accepted_by_engine &&
+                       attempt->answer.status < status_success_end &&
+                       attempt->answer.signed_by_engine;
+    if (attempt->streams)
+        attempt->link->lift_body_limit();
 }
 
 void call_flow::on_body(attempt_ptr const& attempt, std::string_view bytes)
 {
-    attempt->last_progress_at = node_.clock();
-    auto const streams = route_->streams && attempt->accepted_by_engine &&
-                         attempt->answer.status < status_success_end &&
-                         attempt->answer.signed_by_engine;
-    if (!streams)
+    if (!attempt->streams)
     {
-        if (attempt->body.size() + bytes.size() <= max_body_bytes)
-            attempt->body.append(bytes);
+        append_to_body(attempt, bytes);
         return;
     }
+    attempt->idle_bytes += bytes.size();
     for (auto const& event : attempt->events.feed(bytes))
     {
+        forward_event(attempt, event);
         if (done_ || attempt->ended)
             return;
-        forward_event(attempt, event);
     }
+    if (attempt->events.receives_event_after(last_event_))
+        attempt->last_progress_at = node_.clock();
+    if (attempt->events.too_long() ||
+        attempt->idle_bytes > max_idle_stream_bytes ||
+        attempt->idle_events > max_idle_stream_events)
+        attempt_too_long(attempt, engine_outcome::failed, "too long");
+}
+
+void call_flow::append_to_body(
+    attempt_ptr const& attempt, std::string_view bytes)
+{
+    attempt->last_progress_at = node_.clock();
+    attempt->body.append(
+        node_.answers, bytes,
+        [self = weak_from_this(), dropped = std::weak_ptr(attempt)]
+        {
+            auto const flow = self.lock();
+            auto const one = dropped.lock();
+            if (flow && one)
+            {
+                // The others take the room, so the engine has not failed.
+                flow->attempt_too_long(
+                    one, engine_outcome::abandoned, "no room for the answer");
+            }
+        });
 }
 
 void call_flow::forward_event(
@@ -207,7 +231,10 @@
     if (event.id && last_event_)
     {
         if (*event.id <= *last_event_)
+        {
+            ++attempt->idle_events;
             return;
+        }
         if (*event.id != *last_event_ + 1)
         {
             // An event is missing, so later events must not be forwarded.
@@ -218,6 +245,16 @@
             return;
         }
     }
+    // A comment is forwarded, but says nothing about the run.
+    auto const is_comment = !event.id && !event.has_data;
+    if (!is_comment)
+    {
+        attempt->last_progress_at = node_.clock();
+        attempt->idle_bytes = 0;
+        attempt->idle_events = 0;
+    }
+    else
+        ++attempt->idle_events;
     record_origin(attempt);
     if (!head_written_)
     {
@@ -232,12 +269,17 @@
     }
     if (event.id)
         last_event_ = event.id;
-    delivered_tokens_ += tokens_per_event_;
-    if (route_->keeps_turns)
-        output_.append(event.data).append("\n");
+    if (!is_comment)
+    {
+        delivered_tokens_ += tokens_per_event_;
+        if (route_->keeps_turns)
+            output_.append(event.data).append("\n");
+    }
     link_->write(chunk_of(event.text));
     if (link_->unsent() > max_unsent_bytes)
         abort_call("the caller does not read");
+    else if (output_.size() > max_turn_output_bytes)
+        attempt_too_long(attempt, engine_outcome::failed, "too long");
 }
 
 void call_flow::on_end(attempt_ptr const& attempt, link_end how)
@@ -255,6 +297,11 @@
         try_engine();
         return;
     }
+    if (how == link_end::too_long)
+    {
+        attempt_too_long(attempt, engine_outcome::failed, "too long");
+        return;
+    }
     if (how == link_end::broken)
     {
         run_interrupted(attempt, "connection closed");
@@ -322,11 +369,27 @@
     end_attempt(
         attempt, no_answer ? engine_outcome::closed_without_answer
                            : engine_outcome::failed);
+    attempt->body.clear();
     log_failed_attempt(
         attempt, no_answer ? "ended without a word" : "broke off");
     retry_or_fail(attempt, false);
 }
 
+/// Ends an attempt whose engine sends more than an answer may have. The engine
+/// has not ended, so the request is not to blame.
+void call_flow::attempt_too_long(
+    attempt_ptr const& attempt, engine_outcome outcome, std::string_view why)
+{
+    if (done_ || attempt->ended)
+        return;
+    run_survived(attempt);
+    end_attempt(attempt, outcome);
+    attempt->body.clear();
+    log_failed_attempt(attempt, why);
+    attempt->link->close();
+    retry_or_fail(attempt, false);
+}
+
 void call_flow::attempt_completed(attempt_ptr const& attempt)
 {
     auto const status = attempt->answer.status;
@@ -458,10 +521,12 @@
     if (done_)
         return;
     platform::answer_framing framing;
-    framing.length = attempt->body.size();
+    framing.length = attempt->body.text().size();
     framing.close = link_->begin_answer();
-    link_->write(
-        platform::encode_answer_head(attempt->answer, framing) + attempt->body);
+    auto answer = platform::encode_answer_head(attempt->answer, framing);
+    answer.append(attempt->body.text());
+    attempt->body.clear();
+    link_->write(answer);
     log_fields_["status"] = attempt->answer.status;
     finish("answered", attempt->answer.status >= status_server_error);
 }
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -16,6 +16,7 @@
 #include <walnutmill/turn_history.hpp>
 
 #include "entry/admission_control.hpp"
+#include "entry/answer_memory.hpp"
 #include "entry/budget_service.hpp"
 #include "entry/caller_link.hpp"
 #include "entry/crash_exchange.hpp"
@@ -112,6 +113,7 @@
     /// Requests under which engines ended. Null: they are not told apart.
     crash_exchange* crashes = nullptr;
     std::shared_ptr<call_registry> calls = std::make_shared<call_registry>();
+    answer_memory answers{};
 };
 
 /// Ends all calls whose callers wait, since the process is about to exit. A
@@ -140,14 +142,20 @@
         engine_placement at;
         engine_links::link_ptr link;
         time_point sent_at{};
-        /// Time of the last bytes received; before the first, of the last bytes
+        /// Time of the last new event or part of one, or of the last bytes of
+        /// an answer that is not a stream; before the first, of the last bytes
         /// sent.
         time_point last_progress_at{};
         /// Silence after which the engine counts as stalled.
         duration silence_timeout{0};
         engine_answer answer;
-        std::string body;
+        held_answer body;
         event_splitter events;
+        /// The answer is a stream of events.
+        bool streams = false;
+        /// Bytes and events since the last new event of the stream.
+        std::size_t idle_bytes = 0;
+        std::size_t idle_events = 0;
         run_id run = 0;
         /// The response head has arrived and says that the engine runs the
         /// call.
@@ -208,6 +216,9 @@
     bool may_abandon(attempt_ptr const& attempt);
     void refused_by_engine(attempt_ptr const& attempt);
     void attempt_interrupted(attempt_ptr const& attempt);
+    void attempt_too_long(
+        attempt_ptr const& attempt, engine_outcome outcome,
+        std::string_view why);
     void attempt_completed(attempt_ptr const& attempt);
     bool check_crashes(void (call_flow::*again)());
     bool await_crash_records(void (call_flow::*again)());
@@ -224,6 +235,7 @@
     bool may_have_run_at(engine_ref const& engine) const;
     bool may_run_elsewhere(engine_ref const& previous) const;
 
+    void append_to_body(attempt_ptr const& attempt, std::string_view bytes);
     void
     forward_event(attempt_ptr const& attempt, server_sent_event const& event);
     void stream_completed();
