--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -159,7 +159,7 @@
                       "done")
             : sends_first_event ? whole.substr(begun.size())
                                 : whole);
-        link->finish_answer(false);
+        link->finish_answer();
     }
 
     std::atomic<int>& breaks_;
--- a/test/changes_under_calls-test.cpp
+++ b/test/changes_under_calls-test.cpp
@@ -129,7 +129,7 @@
                                               "Request-Id: " + id +
                                                   "\r\nResponse-Stamp: s\r\n",
                                               "done"));
-                            link->finish_answer(false);
+                            link->finish_answer();
                         });
                     return true;
                 });
--- a/test/endless_answer-test.cpp
+++ b/test/endless_answer-test.cpp
@@ -244,7 +244,7 @@
             std::string const id(request["Request-Id"]);
             auto const from = request["Last-Event-Id"] == "2" ? 3 : 1;
             link->write(standin_target::stream(id, from, 3, true));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     begin_trouble(endless_stream(piece), true);
@@ -323,7 +323,7 @@
                     [link]
                     {
                         link->write(std::string(piece_bytes, 'x'));
-                        link->finish_answer(false);
+                        link->finish_answer();
                     });
                 return true;
             });
@@ -376,7 +376,7 @@
             std::string const id(request["Request-Id"]);
             auto const from = request["Last-Event-Id"] == "2" ? 3 : 1;
             link->write(standin_target::stream(id, from, 3, true));
-            link->finish_answer(false);
+            link->finish_answer();
             return true;
         });
     auto& node = start_node();
