--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -25,6 +25,8 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+/// Fits into the kernel's send buffer, but not into a small receive buffer.
+constexpr std::size_t buffered_answer_bytes = 200'000;
 /// Exceeds the kernel's socket buffers of a loopback connection.
 constexpr std::size_t large_answer_bytes = 33'554'432;
 
@@ -376,11 +378,13 @@
     link_fixture,
     "caller link: an aborted answer is not discarded for input behind it")
 {
+    caller.set_option(tcp::socket::receive_buffer_size(4'096));
     send_request();
-    link->write("12345678");
+    link->write(std::string(buffered_answer_bytes, 'x'));
+    REQUIRE(run_until([&] { return link->unsent() == 0; }));
     send(request);
     link->abort();
-    CHECK(read_all().first == 8);
+    CHECK(read_all().first == buffered_answer_bytes);
     CHECK(run_until([&] { return ended; }));
     CHECK(requests == 1);
 }
