call_flow: test what changes while a call waits

Each wait of a call (place, budget, history, store, quota, a newer configuration, crash records, origin, engine: order, safe call, turn, kept turn, begun stream) is held back while each of 15 things changes: limits, timeouts, weights, routes, services, keys, workspaces, engines, a reload, a stop, the end of the grace period, the exit. The caller must get an answer, a true refusal, or the end of a stream that has begun, and call.ended must say which.

--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -464,7 +464,29 @@
     }
 };
 
+/// Each kind of wait, and how it ends.
+struct wait_case
+{
+    std::string name;
+    /// Sends a call that comes to wait.
+    std::function<void(call_flow_fixture&)> begin;
+    /// \return true once the call waits
+    std::function<bool(call_flow_fixture&)> waits;
+    std::function<void(call_flow_fixture&)> release;
+};
+
 std::string const key = "X-Api-Key: key-of-archive\r\n";
+std::string const key_text = "key-of-archive";
+
+void require_keys(routing_table& to)
+{
+    workspace archive;
+    archive.name = workspace_name("archive");
+    archive.limit.per_second = 100;
+    archive.limit.burst = 100;
+    to.workspaces.emplace();
+    to.workspaces->add(archive, {digest_of_key(key_text)});
+}
 
 void release_held(call_flow_fixture& at)
 {
@@ -473,8 +495,284 @@
         one();
 }
 
+bool waits_for_store(call_flow_fixture& at)
+{
+    return at.accepted_calls > 0;
+}
+
+void answer_store(call_flow_fixture& at)
+{
+    at.store_answers = true;
+}
+
+wait_case engine_wait(std::string const& name, std::string const& request)
+{
+    return {
+        "engine, " + name,
+        [request](call_flow_fixture& at)
+        {
+            at.set_silent(true);
+            at.send(request);
+        },
+        [](call_flow_fixture& at) { return at.engine_calls() == 1; },
+        [](call_flow_fixture& at) { at.set_silent(false); }};
+}
+
+std::vector<wait_case> waits()
+{
+    std::vector<wait_case> all;
+    all.push_back(
+        {"place",
+         [](call_flow_fixture& at)
+         {
+             at.services.before_choice = [&at](std::function<void()> choose)
+             { at.held.push_back(std::move(choose)); };
+             at.send(entry_world::turn("t1"));
+         },
+         [](call_flow_fixture& at) { return !at.held.empty(); }, release_held});
+    all.push_back(
+        {"budget",
+         [](call_flow_fixture& at)
+         {
+             at.store_answers = false;
+             at.send(entry_world::turn(
+                 "t1", "Program-Id: p1\r\nToken-Budget: 900\r\n"));
+         },
+         waits_for_store, answer_store});
+    all.push_back(
+        {"history",
+         [](call_flow_fixture& at)
+         {
+             turn_history other(at.store.calls());
+             stored_turn before;
+             before.id = request_id("t0");
+             before.input = "earlier input;";
+             other.store_turn(std::move(before), seconds(1), [](bool) {});
+             at.store.run();
+             at.store_answers = false;
+             at.send(
+                 entry_world::turn("t1", "Previous-Turn: t0\r\n", "/kept/"));
+         },
+         waits_for_store, answer_store});
+    all.push_back(
+        {"store",
+         [](call_flow_fixture& at)
+         {
+             at.store_answers = false;
+             at.send(entry_world::turn("t1", {}, "/kept/"));
+         },
+         [](call_flow_fixture& at)
+         { return at.caller->received().find("piece 3") < std::string::npos; },
+         answer_store});
+    all.push_back(
+        {"quota",
+         [](call_flow_fixture& at)
+         {
+             at.change(require_keys);
+             at.services.quotas = &at.quotas;
+             at.quotas.set_nodes({{"silent", "127.0.0.1:9", 100}});
+             at.send(entry_world::post("/safe/x", "t1", key));
+         },
+         [](call_flow_fixture& at) { return !at.sent_datagrams.empty(); },
+         [](call_flow_fixture&) {}});
+    all.push_back(
+        {"configuration",
+         [](call_flow_fixture& at)
+         {
+             at.change([](routing_table& to) { to.workspaces.emplace(); });
+             at.services.configuration_age = [] { return seconds(1); };
+             at.services.after_confirmation =
+                 [&at](std::function<void()> confirmed)
+             {
+                 at.held.push_back(std::move(confirmed));
+                 return true;
+             };
+             at.send(entry_world::post("/safe/x", "t1", key));
+         },
+         [](call_flow_fixture& at) { return !at.held.empty(); },
+         [](call_flow_fixture& at)
+         {
+             at.services.configuration_age = [] { return seconds(0); };
+             release_held(at);
+         }});
+    all.push_back(
+        {"records",
+         [](call_flow_fixture& at)
+         {
+             at.services.crashes = &at.crashes;
+             at.crashes.set_nodes({{"silent", "127.0.0.1:9", "z1", "s.1", 1}});
+             at.breaks = 1;
+             at.send(entry_world::turn("t1"));
+         },
+         [](call_flow_fixture& at)
+         {
+             return at.counters.counter(
+                        "walnutmill_calls_awaiting_crash_records_total") > 0;
+         },
+         [](call_flow_fixture&) {}});
+    all.push_back(
+        {"origin",
+         [](call_flow_fixture& at)
+         {
+             at.store_answers = false;
+             at.services.origins = &at.origins;
+             at.origins.set_nodes({{"silent", "127.0.0.1:9", "z1", "s.1", 1}});
+             at.send(entry_world::turn(
+                 "t1", "Resumes: t0\r\nLast-Event-Id: 1\r\n"));
+         },
+         [](call_flow_fixture& at) { return !at.sent_datagrams.empty(); },
+         answer_store});
+    all.push_back(engine_wait("order", entry_world::post("/orders/x", "t1")));
+    all.push_back(engine_wait("safe", entry_world::post("/safe/x", "t1")));
+    all.push_back(engine_wait("turn", entry_world::turn("t1")));
+    all.push_back(
+        engine_wait("kept turn", entry_world::turn("t1", {}, "/kept/")));
+    auto begun = engine_wait("begun stream", entry_world::turn("t1"));
+    begun.begin = [begin = begun.begin](call_flow_fixture& at)
+    {
+        at.engine_a.sends_first_event = true;
+        at.engine_b.sends_first_event = true;
+        begin(at);
+    };
+    begun.waits = [](call_flow_fixture& at)
+    { return at.caller->received().find("piece 1") < std::string::npos; };
+    all.push_back(begun);
+    return all;
+}
+
+/// What changes while a call waits.
+struct change_case
+{
+    std::string name;
+    std::function<void(call_flow_fixture&)> apply;
+};
+
+change_case
+table_change(std::string name, std::function<void(routing_table&)> what)
+{
+    return {std::move(name), [what = std::move(what)](call_flow_fixture& at) {
+                at.change(what);
+            }};
+}
+
+std::vector<change_case> changes()
+{
+    return {
+        {"nothing", [](call_flow_fixture&) {}},
+        table_change(
+            "idle timeout", [](routing_table& to)
+            { to.limits.idle_timeout = milliseconds(10); }),
+        table_change(
+            "shorter timeout",
+            [](routing_table& to)
+            {
+                for (auto& one : to.routes)
+                    one.timeout = milliseconds(400);
+            }),
+        table_change(
+            "longer timeout",
+            [](routing_table& to)
+            {
+                for (auto& one : to.routes)
+                    one.timeout = seconds(20);
+            }),
+        table_change(
+            "weights",
+            [](routing_table& to)
+            {
+                for (auto& one : to.routes)
+                    one.shares = {
+                        {service_name("llm"), 1}, {service_name("desk"), 3}};
+            }),
+        table_change(
+            "route gone", [](routing_table& to) { to.routes.clear(); }),
+        table_change(
+            "service gone", [](routing_table& to) { to.services.clear(); }),
+        table_change(
+            "keys required",
+            [](routing_table& to)
+            {
+                to.workspaces.reset();
+                require_keys(to);
+            }),
+        table_change(
+            "workspace gone",
+            [](routing_table& to) { to.workspaces.emplace(); }),
+        {"engines gone",
+         [](call_flow_fixture& at) { at.balancer.set_engines({}); }},
+        {"engines restarted", [](call_flow_fixture& at) { at.set_engines(2); }},
+        {"reload",
+         [](call_flow_fixture& at)
+         {
+             at.quotas.set_bounds({});
+             at.services.revoke_within = seconds(3);
+         }},
+        {"stop",
+         [](call_flow_fixture& at)
+         {
+             at.services.stopping = true;
+             at.ledger.settle_all();
+         }},
+        {"end of grace",
+         [](call_flow_fixture& at)
+         {
+             at.services.stopping = true;
+             at.services.accepts_calls = false;
+         }},
+        {"exit",
+         [](call_flow_fixture& at) { end_calls_for_exit(at.services); }}};
+}
+
 } // namespace
 
+TEST_CASE(
+    "call: whatever changes while it waits, a call ends with an answer, a true "
+    "refusal or a logged end of its stream")
+{
+    constexpr int status_refused = 503;
+    for (auto const& wait : waits())
+    {
+        for (auto const& change : changes())
+        {
+            INFO(wait.name << " beside " << change.name);
+            call_flow_fixture at;
+            wait.begin(at);
+            if (!at.run_until([&] { return wait.waits(at); }))
+            {
+                FAIL_CHECK("the call does not wait");
+                continue;
+            }
+            at.run_for(milliseconds(10));
+            CHECK_FALSE(at.caller_knows());
+            change.apply(at);
+            if (change.name != "exit")
+                wait.release(at);
+            INFO(at.caller->received());
+            auto const known = at.run_until([&] { return at.caller_knows(); });
+            auto const line = at.last_line("call.ended");
+            INFO(line);
+            CHECK(known);
+            CHECK(at.count("\"event\":\"call.ended\"") == 1);
+            CHECK(line.find("\"request\":\"t1\"") != std::string::npos);
+            CHECK(line.find("\"limit_ms\":") != std::string::npos);
+            if (!at.caller->whole())
+            {
+                CHECK(at.caller->status() == 200);
+                CHECK(line.find("\"why\":") != std::string::npos);
+            }
+            if (at.caller->status() == status_refused)
+                CHECK(at.engine_calls() == 0);
+            if (wait.name == "engine, order")
+                CHECK(at.engine_calls() == 1);
+            if (change.name == "nothing" && wait.name != "quota" &&
+                wait.name != "origin" && wait.name != "configuration")
+                CHECK(at.caller->status() == 200);
+            CHECK(
+                at.counters.counter("walnutmill_unanswered_calls_total") == 0);
+        }
+    }
+}
+
 TEST_CASE_METHOD(
     call_flow_fixture,
     "call: one that nothing continues is logged and its connection closed")
