call_flow: tell bytes that are no answer from an engine that ended

Bytes that are no HTTP ended an attempt as a closed connection did, so the request counted a crash of an engine that was alive. Three such answers of engines in trouble had a harmless request quarantined.

The exchange now ends as malformed, which counts for the engine's health and not for the request, with an outcome of that name in call.attempt.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -201,7 +201,7 @@
     if (attempt->events.too_long() ||
         attempt->idle_bytes > max_idle_stream_bytes ||
         attempt->idle_events > max_idle_stream_events)
-        attempt_too_long(attempt, engine_outcome::failed, "too long");
+        give_up_answer(attempt, engine_outcome::failed, "too long");
 }
 
 void call_flow::append_to_body(
@@ -217,7 +217,7 @@
             if (flow && one)
             {
                 // The others take the room, so the engine has not failed.
-                flow->attempt_too_long(
+                flow->give_up_answer(
                     one, engine_outcome::abandoned, "no room for the answer");
             }
         });
@@ -277,7 +277,7 @@
     if (link_->unsent() > max_unsent_bytes)
         abort_call("the caller does not read");
     else if (output_.size() > max_turn_output_bytes)
-        attempt_too_long(attempt, engine_outcome::failed, "too long");
+        give_up_answer(attempt, engine_outcome::failed, "too long");
 }
 
 void call_flow::on_end(attempt_ptr const& attempt, link_end how)
@@ -295,9 +295,11 @@
         try_engine();
         return;
     }
-    if (how == link_end::too_long)
+    if (how == link_end::too_long || how == link_end::malformed)
     {
-        attempt_too_long(attempt, engine_outcome::failed, "too long");
+        give_up_answer(
+            attempt, engine_outcome::failed,
+            how == link_end::too_long ? "too long" : "malformed");
         return;
     }
     if (how == link_end::broken)
@@ -371,9 +373,9 @@
     retry_or_fail(attempt, false);
 }
 
-/// Ends an attempt whose engine sends more than an answer may have. The engine
-/// has not ended, so the request is not to blame.
-void call_flow::attempt_too_long(
+/// Ends an attempt whose answer can't be used. The engine has not ended, so the
+/// request is not to blame.
+void call_flow::give_up_answer(
     attempt_ptr const& attempt, engine_outcome outcome, std::string_view why)
 {
     if (done_ || attempt->ended)
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -197,7 +197,7 @@
     bool may_abandon(attempt_ptr const& attempt);
     void refused_by_engine(attempt_ptr const& attempt);
     void attempt_interrupted(attempt_ptr const& attempt);
-    void attempt_too_long(
+    void give_up_answer(
         attempt_ptr const& attempt, engine_outcome outcome,
         std::string_view why);
     void attempt_completed(attempt_ptr const& attempt);
--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -36,7 +36,7 @@
     return error == http::error::body_limit ||
                    error == http::error::header_limit
                ? link_end::too_long
-               : link_end::broken;
+               : link_end::malformed;
 }
 
 void set_option(tcp::socket& socket, int level, int name, int value)
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -42,9 +42,12 @@
     complete,
     /// The connection was not established; no byte of the request was sent.
     not_connected,
-    /// The connection closed, or invalid bytes arrived, before the answer was
-    /// complete. The server may have read the request.
+    /// The connection closed before the answer was complete. The server may
+    /// have read the request.
     broken,
+    /// Bytes arrived that are no answer. The server may have read the request,
+    /// and has not ended.
+    malformed,
     /// The server sent more than it may before the answer was complete. It may
     /// have read the request, and has not ended.
     too_long
--- a/test/endless_answer-test.cpp
+++ b/test/endless_answer-test.cpp
@@ -209,6 +209,28 @@
     check_too_long(node);
 }
 
+TEST_CASE_METHOD(
+    endless_answer_fixture,
+    "endless answer: bytes that are no HTTP are not the request's fault")
+{
+    std::vector<endless_answer> const answers{
+        {"", "\x01\x02 no answer "},
+        {answer_head, "no field\r\n"},
+        {answer_head + "Transfer-Encoding: chunked\r\n\r\n", "no chunk\r\n"}};
+    auto const which = GENERATE(0U, 1U, 2U);
+    begin_trouble(answers[which], true);
+    auto& node = start_node();
+    auto const got = call_trouble(node, safe_call);
+    CHECK(got.status == 200);
+    CHECK(got.body == "done by db");
+    // Fields are read at once or at the end of their head, whichever way the
+    // bytes arrive.
+    auto const too_long = which == 1 ? failed(node, "too long") : 0;
+    CHECK(failed(node, "malformed") + too_long >= 1);
+    CHECK_FALSE(counts_crashes(node));
+    check_others_are_served(node);
+}
+
 TEST_CASE_METHOD(
     endless_answer_fixture,
     "endless answer: an honest answer of the greatest size is delivered whole")
