balancer: end the probation of an engine that answers other nodes

An engine that fell silent for a second was ejected for up to six seconds once that had happened a few times: each ejection lasts twice as long as the one before until the node's own call is answered there, and most nodes have no call at a given engine for seconds. So its share went to the others.

The sum of all nodes' outcomes that causes the ejection also tells that the engine answers again: failures and answers fade at the same rate, so their ratio falls only through new answers. Ejections for a node's own failed connections are as before.

--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -332,6 +332,8 @@
         time_point outcomes_at{};
         time_point ejected_until{};
         duration ejection_time{0};
+        /// The latest ejection was for the outcomes of all nodes' calls.
+        bool ejected_for_outcomes = false;
         /// Time at which a restart was detected; the epoch if never.
         time_point restarted_at{};
     };
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -353,6 +353,7 @@
             ? first
             : std::min(record.ejection_time * 2, options_.max_ejection_time);
     record.ejected_until = now + record.ejection_time;
+    record.ejected_for_outcomes = false;
 }
 
 void engine_balancer::ended(
@@ -474,6 +475,14 @@
         if (is_new)
             continue;
         auto const all = at(id);
+        // Failures and answers fade alike, so the ratio changes only if the
+        // engine has answered since. Most nodes have no call there so soon.
+        auto const answers_again =
+            record.ejected_for_outcomes && record.ejected_until <= now &&
+            all.answered >= 1 &&
+            all.failed < all.answered * options_.ejection_failure_ratio;
+        if (answers_again)
+            record.ejection_time = duration(0);
         // An engine that has not answered since its last ejection is on
         // probation and needs fewer failures.
         auto const enough = record.ejection_time.count() > 0
@@ -483,6 +492,7 @@
             all.failed < all.answered * options_.ejection_failure_ratio)
             continue;
         eject(record, options_.reported_ejection_time, now);
+        record.ejected_for_outcomes = true;
         // Nodes return to the engine one after the other, so that few calls
         // probe it.
         record.ejected_until += scaled(record.ejection_time, random_());
--- a/test/engine_ejection_load-test.cpp
+++ b/test/engine_ejection_load-test.cpp
@@ -1,7 +1,9 @@
 #include <walnutmill/engine_balancer.hpp>
+#include <walnutmill/stall_policy.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -10,7 +12,8 @@
 /// \file
 /// Load test: many nodes place calls on a fleet of engines, each node a few a
 /// second. Engines go down for seconds while still registered and close each
-/// connection without an answer. Other engines lose one answer in twenty.
+/// connection without an answer. Other engines lose one answer in twenty, or
+/// fall silent for a second and go on.
 
 namespace
 {
@@ -27,6 +30,7 @@
 constexpr milliseconds call_duration{350};
 constexpr milliseconds exchange_interval{200};
 constexpr milliseconds tick{10};
+constexpr milliseconds stall_time{400};
 
 struct pending_call
 {
@@ -35,6 +39,7 @@
     time_point ends_at{};
     time_point sent_at{};
     bool fails = false;
+    bool is_watched = true;
 };
 
 /// Nodes with real load balancers, and simulated engines that only decide
@@ -50,7 +55,13 @@
     bool down = false;
     /// Fraction of the answers that all other engines lose.
     double lost_fraction = 0;
+    /// Engines that are silent, and until when.
+    std::vector<int> silent;
+    time_point silent_until{};
+    std::vector<retry_budget> budgets{node_count};
+    int left = 0;
     int sent = 0;
+    std::unordered_map<int, int> sent_to;
     int sent_to_down = 0;
     int ejections = 0;
 
@@ -91,13 +102,77 @@
         balancer.sent(at->ref(), need);
         auto const is_down = down && index_of(at->engine) < down_engine_count;
         auto const fails = is_down || random() < lost_fraction;
-        auto const call_time = is_down ? tick : call_duration;
+        duration call_time = is_down ? tick : call_duration;
+        if (is_silent(at->engine))
+            call_time += silent_until - clock.now();
+        budgets[static_cast<std::size_t>(node)].call_sent();
         ++sent;
+        ++sent_to[index_of(at->engine)];
         sent_to_down += is_down ? 1 : 0;
         calls.push_back(
             {node, at->engine, clock.now() + call_time, clock.now(), fails});
     }
 
+    bool is_silent(target_name const& engine) const
+    {
+        return clock.now() < silent_until &&
+               std::find(silent.begin(), silent.end(), index_of(engine)) !=
+                   silent.end();
+    }
+
+    /// Lets the engines fall silent for a second in the midst of their calls.
+    void fall_silent(std::vector<int> engines)
+    {
+        silent = std::move(engines);
+        silent_until = clock.now() + seconds(1);
+        for (auto& one : calls)
+        {
+            if (is_silent(one.engine))
+                one.ends_at += seconds(1);
+        }
+    }
+
+    /// Calls leave silent engines as far as their node's retry budget allows.
+    void leave_silent_engines()
+    {
+        for (std::size_t i = 0; i < calls.size(); ++i)
+        {
+            auto const one = calls[i];
+            if (!one.is_watched || !is_silent(one.engine) ||
+                clock.now() - one.sent_at < stall_time)
+                continue;
+            auto const node = static_cast<std::size_t>(one.node);
+            calls[i].is_watched = false;
+            balancers[node]->call_stalled(one.engine);
+            if (!budgets[node].try_spend())
+                continue;
+            balancer_request need;
+            need.service = service_name("llm");
+            balancers[node]->ended(
+                one.engine, need, engine_outcome::abandoned,
+                clock.now() - one.sent_at);
+            calls[i] = calls.back();
+            calls.pop_back();
+            --i;
+            ++left;
+            send(one.node);
+        }
+    }
+
+    /// \return calls sent to the given engines for the given time, as a
+    /// multiple of their share
+    double share_sent_to(std::vector<int> const& engines, duration length)
+    {
+        sent_to.clear();
+        sent = 0;
+        run_for(length);
+        int there = 0;
+        for (auto const one : engines)
+            there += sent_to[one];
+        return static_cast<double>(there) / sent * engine_count /
+               static_cast<double>(engines.size());
+    }
+
     void end_calls()
     {
         balancer_request need;
@@ -162,6 +237,7 @@
         {
             clock.advance(tick);
             end_calls();
+            leave_silent_engines();
             for (int i = 0; i < node_count; ++i)
             {
                 auto& at = next[static_cast<std::size_t>(i)];
@@ -234,3 +310,31 @@
     run_for(seconds(10));
     CHECK(ejections == 0);
 }
+
+TEST_CASE_METHOD(
+    fleet_fixture,
+    "board: engines that fall silent for a second soon get their share again")
+{
+    // One engine, a failure domain, a third of all.
+    auto const step = GENERATE(44, 4, 3);
+    std::vector<int> engines;
+    for (int i = 0; i < engine_count; i += step)
+        engines.push_back(i);
+    run_for(seconds(2));
+    double share = 0;
+    constexpr int rounds = 8;
+    for (int round = 0; round < rounds; ++round)
+    {
+        fall_silent(engines);
+        left = 0;
+        sent = 0;
+        run_for(seconds(1));
+        INFO("of " << sent << " calls " << left << " went on elsewhere");
+        CHECK(left * 4 < sent);
+        // What remains of the ejection that the silence caused.
+        run_for(milliseconds(400));
+        share += share_sent_to(engines, milliseconds(1'600)) / rounds;
+    }
+    INFO("step " << step << ", share " << share);
+    CHECK(share > 0.5);
+}
