call_flow: take no silence of a second for an engine's end

Callers saw calls broken off or refused beside sound engines that fell silent for a second: a call that met three of them ended with 504 or in the middle of its stream, and calls of the same content were refused for ten minutes after three had been given up there.

Each call that left a silent engine, or was given up at one, counted at once as a crash of its request. Silence alone is no evidence of that. Now such a run stays undecided, and takes a place among the three engines that a request may have, at all nodes. It counts as a crash only if the node finds the engine's connection refused, its entry gone or replaced within ten seconds, or still silent four seconds after it was last heard of; any byte of a signed answer at the node takes it back. At the limit a request is sent only to engines that have it, so that a call waits for a sound engine there rather than being refused, and a deadly request reaches no fourth engine. A call leaves two silent engines at most. Before it leaves one, other nodes are asked, and the engine may answer meanwhile. A connection that was not accepted in time is no end of an engine for the record either.

An order at a silent engine waits until its deadline as before; its line tells engine_silent_ms. request.crash has the evidence "engine ended" or "silent" once that is known; walnutmill_given_up_runs_total counts what became of the engines. /suspects lists requests that have a run that may have ended an engine.

--- a/include/walnutmill/crash_record.hpp
+++ b/include/walnutmill/crash_record.hpp
@@ -37,8 +37,10 @@
 /// one when records merge.
 enum class run_state : std::uint8_t
 {
+    /// The run goes on, or was given up at a silent engine of which nobody
+    /// knows yet whether it has ended.
     running = 1,
-    /// The engine broke off or fell silent, and may have ended.
+    /// The engine broke off or is known to have ended.
     ended = 2,
     /// The engine has answered since.
     survived = 3
@@ -87,6 +89,9 @@
     allowed,
     /// Engines ended under it: it may be sent, apart from other calls.
     suspect,
+    /// As many engines as may end under it have ended or run it: it may be sent
+    /// to those that run it.
+    limited_to_its_engines,
     /// Another run of it has to end first.
     awaits_other_run,
     /// What other nodes know of it has to arrive first.
@@ -126,13 +131,24 @@
     /// \return the number of engines that ended under the request; those of
     /// runs at the same time count, too
     std::size_t crashes(request_digest request) const;
+    /// \return the names of the engines that run the request as far as is
+    /// known, those that fell silent included; each once
+    std::vector<std::string> running_engines(request_digest request) const;
+    /// \return true if as many engines as may end under the request have ended
+    /// or run it, the given one included
+    bool is_at_limit(request_digest request, std::string const& engine) const;
 
     /// Records a run that begins. \return true if the record changed, as in all
     /// functions below
     bool began(
         request_digest request, request_label label, run_id run,
         std::string engine);
-    /// Records that a run broke off, or was given up at a silent engine.
+    /// Records that a run was given up at a silent engine, which may have ended
+    /// or go on.
+    bool fell_silent(
+        request_digest request, request_label label, run_id run,
+        std::string engine, time_point began);
+    /// Records that a run broke off, or that its engine has ended.
     bool interrupted(
         request_digest request, request_label label, run_id run,
         std::string engine, time_point began, time_point ended);
@@ -175,7 +191,16 @@
 
     bool is_over(engine_run const& run, time_point now) const;
     bool merge_run(suspect_request& into, engine_run run) const;
+    struct crash_series
+    {
+        /// Number of engines that ended one after the other.
+        std::size_t length = 0;
+        time_point last_ended = time_point::min();
+    };
+
     std::size_t crashes_of(suspect_request const& one) const;
+    crash_series series_of(suspect_request const& one) const;
+    std::vector<std::string> running_at(suspect_request const& one) const;
     std::optional<time_point> quarantine_end(suspect_request const& one) const;
     entry& entry_of(request_digest request);
     void drop_least();
--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -150,6 +150,9 @@
     std::vector<target_name> avoid;
     /// The only engine that may be chosen; empty for any.
     target_name only;
+    /// Names of the engine runs that may be chosen, as of run_engine_name();
+    /// empty for any.
+    std::vector<std::string> among;
     /// Software version that the engine must have; unset for any.
     std::optional<std::string> version;
     /// Engines ended under this call, so other calls should not be with it.
--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -57,12 +57,9 @@
 /// Engines that end together under copies of a request may have another cause
 /// in common, such as the loss of a failure domain. So only runs count that
 /// began after the end of the one before.
-/// \return empty if the request has not reached the limit
-std::optional<time_point>
-crash_record::quarantine_end(suspect_request const& one) const
+crash_record::crash_series
+crash_record::series_of(suspect_request const& one) const
 {
-    if (crashes_of(one) < max_request_crashes)
-        return std::nullopt;
     auto const now = clock_();
     std::vector<engine_run> crashed;
     for (auto run : one.runs)
@@ -77,18 +74,65 @@
         crashed.begin(), crashed.end(),
         [](engine_run const& a, engine_run const& b)
         { return a.ended < b.ended; });
-    std::size_t count = 0;
-    auto last_ended = time_point::min();
+    crash_series series;
+    auto counted_until = time_point::min();
     for (auto const& run : crashed)
     {
-        if (count > 0 && run.began + report_delay < last_ended)
+        series.last_ended = run.ended;
+        if (series.length > 0 && run.began + report_delay < counted_until)
             continue;
-        ++count;
-        last_ended = run.ended;
+        ++series.length;
+        counted_until = run.ended;
     }
-    if (count < max_request_crashes)
+    return series;
+}
+
+/// \return empty if the request has not reached the limit
+std::optional<time_point>
+crash_record::quarantine_end(suspect_request const& one) const
+{
+    if (crashes_of(one) < max_request_crashes)
+        return std::nullopt;
+    auto const series = series_of(one);
+    if (series.length < max_request_crashes)
         return std::nullopt;
-    return crashed.back().ended + options_.quarantine;
+    return series.last_ended + options_.quarantine;
+}
+
+std::vector<std::string>
+crash_record::running_at(suspect_request const& one) const
+{
+    auto const now = clock_();
+    std::vector<std::string> engines;
+    for (auto const& run : one.runs)
+    {
+        auto const is_new =
+            std::find(engines.begin(), engines.end(), run.engine) ==
+            engines.end();
+        if (is_new && run.state == run_state::running && !is_over(run, now))
+            engines.push_back(run.engine);
+    }
+    return engines;
+}
+
+std::vector<std::string>
+crash_record::running_engines(request_digest request) const
+{
+    auto const* const found = find(request);
+    return found == nullptr ? std::vector<std::string>() : running_at(*found);
+}
+
+bool crash_record::is_at_limit(
+    request_digest request, std::string const& engine) const
+{
+    auto const* const found = find(request);
+    if (found == nullptr)
+        return max_request_crashes <= 1;
+    auto const running = running_at(*found);
+    auto const is_counted =
+        std::find(running.begin(), running.end(), engine) != running.end();
+    return series_of(*found).length + running.size() + (is_counted ? 0 : 1) >=
+           max_request_crashes;
 }
 
 duration crash_record::quarantined_for(request_digest request) const
@@ -103,18 +147,17 @@
     auto const* const found = find(request);
     if (found == nullptr)
         return send_verdict::allowed;
-    auto const now = clock_();
     auto const count = crashes_of(*found);
-    if (count == 0)
+    auto const running = running_at(*found).size();
+    if (count + running == 0)
         return send_verdict::allowed;
     if (quarantined_for(request) > duration(0))
         return send_verdict::quarantined;
-    auto const runs_elsewhere = std::any_of(
-        found->runs.begin(), found->runs.end(),
-        [&](engine_run const& run)
-        { return run.state == run_state::running && !is_over(run, now); });
-    if (count + 1 >= max_request_crashes && runs_elsewhere)
+    if (count + 1 >= max_request_crashes && running > 0)
         return send_verdict::awaits_other_run;
+    if (running > 0 &&
+        series_of(*found).length + running >= max_request_crashes)
+        return send_verdict::limited_to_its_engines;
     return send_verdict::suspect;
 }
 
@@ -227,6 +270,16 @@
         one, {run, std::move(engine), run_state::running, now, now});
 }
 
+bool crash_record::fell_silent(
+    request_digest request, request_label label, run_id run, std::string engine,
+    time_point began)
+{
+    auto& one = entry_of(request).request;
+    one.label = std::move(label);
+    return merge_run(
+        one, {run, std::move(engine), run_state::running, began, began});
+}
+
 bool crash_record::interrupted(
     request_digest request, request_label label, run_id run, std::string engine,
     time_point began, time_point ended)
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -95,6 +95,11 @@
     if (done_ || !check_crashes(&call_flow::try_engine))
         return;
     auto const chosen = node_.balancer.choose(need_);
+    if (!chosen && !need_.among.empty())
+    {
+        choose_again_later();
+        return;
+    }
     if (!chosen || sends_ >= max_sends)
     {
         if (!may_have_run_)
@@ -182,6 +187,8 @@
 void call_flow::on_body(attempt_ptr const& attempt, std::string_view bytes)
 {
     attempt->last_progress_at = node_.clock();
+    if (attempt->answer.signed_by_engine && node_.crashes != nullptr)
+        node_.crashes->engine_sent_bytes(attempt->at.ref());
     auto const streams = route_->streams && attempt->accepted_by_engine &&
                          attempt->answer.status < status_success_end &&
                          attempt->answer.signed_by_engine;
@@ -249,7 +256,7 @@
         end_attempt(attempt, engine_outcome::unreachable);
         log_failed_attempt(attempt, "unreachable");
         run_survived(attempt);
-        leave_ended_engine(attempt->at.ref());
+        leave_ended_engine(attempt->at.ref(), attempt->link->was_refused());
         try_engine();
         return;
     }
@@ -267,14 +274,15 @@
 
 /// Goes on without an engine that has ended or cannot be reached. An earlier
 /// run there no longer counts towards the route's limit of engines.
-void call_flow::leave_ended_engine(engine_ref const& engine)
+/// \param is_certain false if the engine may be one that fell silent
+void call_flow::leave_ended_engine(engine_ref const& engine, bool is_certain)
 {
     need_.only = target_name();
     possibly_run_at_.erase(
         std::remove(possibly_run_at_.begin(), possibly_run_at_.end(), engine),
         possibly_run_at_.end());
     need_.avoid.push_back(engine.id);
-    if (node_.crashes != nullptr)
+    if (is_certain && node_.crashes != nullptr)
         node_.crashes->engine_ended(engine);
 }
 
--- a/src/entry/call_crashes.cpp
+++ b/src/entry/call_crashes.cpp
@@ -18,6 +18,7 @@
 bool call_flow::check_crashes(void (call_flow::*again)())
 {
     need_.apart = false;
+    need_.among.clear();
     if (node_.crashes == nullptr || node_.crashes->record().empty())
         return true;
     auto const& record = node_.crashes->record();
@@ -28,8 +29,17 @@
     case send_verdict::suspect:
         need_.apart = true;
         return true;
+    case send_verdict::limited_to_its_engines:
+        need_.apart = true;
+        need_.among = record.running_engines(digest());
+        return true;
     case send_verdict::awaits_records:
-        if (await_crash_records(again))
+        if (await_crash_records(
+                [waiting = weak_from_this(), again]
+                {
+                    if (auto const self = waiting.lock())
+                        ((*self).*again)();
+                }))
             return false;
         refuse_or_abort(
             "engines ended under this request, and other nodes have not told "
@@ -55,16 +65,25 @@
     return false;
 }
 
-bool call_flow::await_crash_records(void (call_flow::*again)())
+bool call_flow::await_crash_records(std::function<void()> then)
 {
     log_fields_["awaited_crash_records"] = true;
     node_.counters.count("walnutmill_calls_awaiting_crash_records_total");
-    return node_.crashes->await_records(
-        digest(),
-        [waiting = weak_from_this(), again]
+    return node_.crashes->await_records(digest(), std::move(then));
+}
+
+/// The engines that have the request cannot be asked now. What becomes of them
+/// decides whether it may be sent to others.
+void call_flow::choose_again_later()
+{
+    constexpr std::chrono::milliseconds interval{100};
+    need_.avoid.clear();
+    stall_timer_.expires_after(interval);
+    stall_timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code const& error)
         {
-            if (auto const self = waiting.lock())
-                ((*self).*again)();
+            if (!error)
+                self->try_engine();
         });
 }
 
@@ -97,14 +116,27 @@
            attempt->silence_timeout;
 }
 
-/// Records that the engine broke off or fell silent under this call.
-void call_flow::run_interrupted(
-    attempt_ptr const& attempt, std::string_view evidence)
+void call_flow::add_crashed_engine(engine_ref const& engine)
 {
-    auto const engine = attempt->at.ref();
     if (std::find(crashed_at_.begin(), crashed_at_.end(), engine) ==
         crashed_at_.end())
         crashed_at_.push_back(engine);
+}
+
+/// Records that the call leaves a silent engine, which may be sound.
+void call_flow::run_fell_silent(attempt_ptr const& attempt)
+{
+    add_crashed_engine(attempt->at.ref());
+    if (node_.crashes != nullptr)
+        node_.crashes->run_fell_silent(
+            run_of(attempt), attempt->last_progress_at);
+}
+
+/// Records that the engine broke off under this call.
+void call_flow::run_interrupted(
+    attempt_ptr const& attempt, std::string_view evidence)
+{
+    add_crashed_engine(attempt->at.ref());
     if (node_.crashes == nullptr)
         return;
     auto const run = run_of(attempt);
@@ -141,11 +173,13 @@
 /// Records that the current attempt is given up without an answer.
 void call_flow::give_up_run()
 {
-    if (node_.crashes == nullptr)
-        return;
     if (is_silent(current_))
-        run_interrupted(current_, "silent");
-    else
+    {
+        log_fields_["engine_silent_ms"] =
+            ms_count(node_.clock() - current_->last_progress_at);
+        run_fell_silent(current_);
+    }
+    else if (node_.crashes != nullptr)
         node_.crashes->run_abandoned(run_of(current_));
 }
 
--- a/src/entry/call_stalls.cpp
+++ b/src/entry/call_stalls.cpp
@@ -5,6 +5,9 @@
 
 #include "entry/call_limits.hpp"
 
+#include <algorithm>
+#include <chrono>
+
 namespace walnutmill
 {
 
@@ -26,19 +29,47 @@
 
 void call_flow::check_progress(attempt_ptr const& one)
 {
-    if (node_.clock() - one->last_progress_at < one->silence_timeout)
+    if (!is_silent(one))
     {
         watch_for_stall(one);
         return;
     }
     node_.balancer.call_stalled(one->at.ref());
     node_.links.close_idle(one->at.engine);
-    auto const retries = may_abandon(one);
-    log_failed_attempt(one, retries ? "stalled, left" : "stalled, waits on");
-    if (!retries)
+    if (may_abandon(one))
+        leave_silent_engine(one);
+    else
+        log_failed_attempt(one, "stalled, waits on");
+}
+
+/// Leaves the engine once other nodes have told what they know of the request.
+/// Until then the engine may still answer.
+void call_flow::leave_silent_engine(attempt_ptr const& one)
+{
+    if (done_ || one->ended)
+        return;
+    if (!is_silent(one))
+    {
+        watch_for_stall(one);
+        return;
+    }
+    auto const asks =
+        node_.crashes != nullptr && node_.crashes->lacks_confirmation(digest());
+    if (asks && await_crash_records(
+                    [waiting = weak_from_this(), one]
+                    {
+                        if (auto const self = waiting.lock())
+                            self->leave_silent_engine(one);
+                    }))
         return;
+    if (asks || !may_abandon(one) || !node_.repeats.try_spend())
+    {
+        log_failed_attempt(one, "stalled, waits on");
+        return;
+    }
+    log_failed_attempt(one, "stalled, left");
     ++stalls_;
-    run_interrupted(one, "silent");
+    run_fell_silent(one);
     // The load balancer already knows of the stall, so the outcome is not
     // counted again.
     end_attempt(one, engine_outcome::abandoned);
@@ -52,13 +83,20 @@
 {
     if (route_->repeats != repeatability::idempotent || sends_ >= max_sends)
         return false;
+    // The engine may be sound, so the call must not be refused for leaving it.
+    auto const engine = one->at.ref();
+    auto const left_before = std::count_if(
+        crashed_at_.begin(), crashed_at_.end(),
+        [&engine](engine_ref const& other) { return !(other == engine); });
+    if (static_cast<std::size_t>(left_before) + 1 >= max_request_crashes ||
+        (node_.crashes != nullptr &&
+         !node_.crashes->may_leave(digest(), engine)))
+        return false;
     // Retrying a queued call at the same engine would only lose its position
     // in the queue.
     auto const is_queued = one->at.load >= one->at.slots;
-    auto const may_retry_there =
-        !is_queued && node_.balancer.known(one->at.ref());
-    return (may_run_elsewhere(one->at.ref()) || may_retry_there) &&
-           node_.repeats.try_spend();
+    auto const may_retry_there = !is_queued && node_.balancer.known(engine);
+    return may_run_elsewhere(engine) || may_retry_there;
 }
 
 } // namespace walnutmill
--- a/src/entry/crash_exchange.cpp
+++ b/src/entry/crash_exchange.cpp
@@ -169,6 +169,82 @@
     report_quarantine(run.request, before == send_verdict::quarantined);
 }
 
+bool crash_exchange::may_leave(
+    request_digest request, engine_ref const& engine) const
+{
+    return was_answered(request) ||
+           !record_.is_at_limit(request, run_engine_name(engine));
+}
+
+void crash_exchange::run_fell_silent(
+    request_run const& run, time_point heard_at)
+{
+    if (was_answered(run.request))
+    {
+        run_survived(run);
+        return;
+    }
+    if (record_.fell_silent(
+            run.request, run.label, run.id, run_engine_name(run.engine),
+            run.began))
+        changed(run.request);
+    if (silent_.size() >= options_.max_abandoned)
+    {
+        auto const oldest = silent_.front();
+        silent_.pop_front();
+        decide(oldest, run_decision::unknown);
+    }
+    silent_.push_back({run, heard_at, clock_()});
+    auto silent_since = heard_at;
+    for (auto const& one : silent_)
+    {
+        if (one.run.engine == run.engine)
+            silent_since = std::min(silent_since, one.heard_at);
+    }
+    if (clock_() - silent_since >= options_.longest_silence)
+        decide_silent_runs(run.engine, run_decision::silent_too_long);
+}
+
+void crash_exchange::engine_went_on(engine_ref const& engine)
+{
+    decide_silent_runs(engine, run_decision::engine_went_on);
+}
+
+void crash_exchange::decide_silent_runs(
+    engine_ref const& engine, run_decision what)
+{
+    auto const others = std::stable_partition(
+        silent_.begin(), silent_.end(),
+        [&engine](silent_run const& one) { return one.run.engine == engine; });
+    std::vector<silent_run> const decided(silent_.begin(), others);
+    silent_.erase(silent_.begin(), others);
+    for (auto const& one : decided)
+        decide(one, what);
+}
+
+void crash_exchange::decide(silent_run const& one, run_decision what)
+{
+    auto const has_ended = what == run_decision::engine_ended ||
+                           what == run_decision::silent_too_long;
+    if (has_ended)
+        run_interrupted(one.run, one.given_up_at);
+    else
+        run_survived(one.run);
+    if (hooks_.on_decided)
+        hooks_.on_decided(one.run, what);
+}
+
+void crash_exchange::expire_silent_runs()
+{
+    while (!silent_.empty() &&
+           clock_() - silent_.front().given_up_at > options_.abandoned_lifetime)
+    {
+        auto const oldest = silent_.front();
+        silent_.pop_front();
+        decide(oldest, run_decision::unknown);
+    }
+}
+
 void crash_exchange::run_abandoned(request_run const& run)
 {
     run_survived(run);
@@ -213,6 +289,12 @@
 {
     if (answered_.size() < options_.max_answered)
         answered_.insert(request);
+    silent_.erase(
+        std::remove_if(
+            silent_.begin(), silent_.end(),
+            [request](silent_run const& one)
+            { return one.run.request == request; }),
+        silent_.end());
     if (record_.clear(request))
         changed(request);
 }
@@ -220,6 +302,7 @@
 void crash_exchange::engine_responded(
     engine_ref const& engine, time_point sent_at)
 {
+    engine_sent_bytes(engine);
     if (suspected_engines_.empty())
         return;
     auto const found = suspected_engines_.find(run_engine_name(engine));
@@ -246,7 +329,12 @@
             [&engine](auto const& one) { return one.first.engine == engine; }),
         abandoned_.end());
     for (auto const& [run, abandoned_at] : runs)
+    {
         run_interrupted(run, abandoned_at);
+        if (hooks_.on_decided)
+            hooks_.on_decided(run, run_decision::engine_ended);
+    }
+    decide_silent_runs(engine, run_decision::engine_ended);
 }
 
 bool crash_exchange::release(request_digest request)
@@ -365,6 +453,7 @@
     while (!abandoned_.empty() &&
            now - abandoned_.front().second > options_.abandoned_lifetime)
         abandoned_.pop_front();
+    expire_silent_runs();
     if (now - answers_rotated_at_ >= options_.answer_memory)
     {
         answers_rotated_at_ = now;
--- a/src/entry/crash_exchange.hpp
+++ b/src/entry/crash_exchange.hpp
@@ -21,6 +21,11 @@
 /// others recorded, and datagrams get lost. So a request under which an engine
 /// has ended is sent only after another node has told what it knows of it,
 /// which takes a round trip. Calls without a crash wait for nothing.
+///
+/// A sound engine may fall silent for a second and go on, so a run given up at
+/// a silent engine counts as a crash only once the engine is known to have
+/// ended or has been silent for longer than that. Until then it counts towards
+/// the number of engines that have the request.
 
 #include <walnutmill/crash_record.hpp>
 #include <walnutmill/random.hpp>
@@ -80,9 +85,12 @@
     std::size_t message_bytes = 1'100;
     /// Maximum number of messages that answer a query.
     std::size_t max_answers = 64;
-    /// Runs that were given up at engines which had shown no sign of trouble:
-    /// for this time they count if the engine is found to have ended.
+    /// Runs that were given up: for this time they count if the engine is found
+    /// to have ended. The entry of an engine lapses within 5 s of its end.
     duration abandoned_lifetime = std::chrono::seconds(10);
+    /// Silence after which an engine counts as ended: twice the longest pause
+    /// of a sound engine.
+    duration longest_silence = std::chrono::seconds(4);
     std::size_t max_abandoned = 1'024;
     /// A request that was answered at this node counts as harmless for one to
     /// two times this, so that chance does not quarantine a popular one.
@@ -101,6 +109,19 @@
     time_point began;
 };
 
+/// What became of an engine at which a run was given up.
+enum class run_decision
+{
+    /// The engine went on.
+    engine_went_on,
+    /// Its connection was refused, its entry has gone or was replaced.
+    engine_ended,
+    /// It was silent for longer than a sound engine.
+    silent_too_long,
+    /// Nothing was heard of it, and nothing asked, in time.
+    unknown
+};
+
 class crash_exchange
 {
 public:
@@ -114,6 +135,9 @@
         /// A request reached the limit of crashes at this node; may be null.
         std::function<void(request_digest, suspect_request const&)>
             on_quarantined;
+        /// It is known what became of the engine of a run that was given up
+        /// there; may be null.
+        std::function<void(request_run const&, run_decision)> on_decided{};
     };
 
     crash_exchange(
@@ -140,7 +164,26 @@
 
     /// Announces a run of a suspect request before it is sent.
     void run_began(request_run const& run);
-    /// Records that a run broke off or was given up at a silent engine.
+    /// \return true if another node has to be asked before the request is sent
+    /// once more
+    bool lacks_confirmation(request_digest request) const
+    {
+        return !was_answered(request) && !is_confirmed(request);
+    }
+    /// \return true if a silent engine may be left for another one, which
+    /// then has the request, too
+    bool may_leave(request_digest request, engine_ref const& engine) const;
+    /// Records that a run was given up at a silent engine. It counts once the
+    /// engine is found to have ended.
+    /// \param heard_at when the engine last sent or took bytes
+    void run_fell_silent(request_run const& run, time_point heard_at);
+    /// Records that the engine sent bytes of an answer, to any call.
+    void engine_sent_bytes(engine_ref const& engine)
+    {
+        if (!silent_.empty())
+            engine_went_on(engine);
+    }
+    /// Records that a run broke off.
     void run_interrupted(request_run const& run)
     {
         run_interrupted(run, clock_());
@@ -188,6 +231,17 @@
         std::function<void(std::string)> const& reply);
     void answer_received(crash_message const& answer);
     void send_some_records();
+    struct silent_run
+    {
+        request_run run;
+        time_point heard_at;
+        time_point given_up_at;
+    };
+
+    void engine_went_on(engine_ref const& engine);
+    void decide_silent_runs(engine_ref const& engine, run_decision what);
+    void decide(silent_run const& one, run_decision what);
+    void expire_silent_runs();
     bool was_answered(request_digest request) const;
     bool clear_if_answered(request_digest request);
     void report_quarantine(request_digest request, bool was_quarantined);
@@ -225,6 +279,9 @@
     /// Engines that count as ended in some run until they respond.
     std::unordered_set<std::string> suspected_engines_;
     std::deque<std::pair<request_run, time_point>> abandoned_;
+    /// Runs given up at silent engines that are not known to have ended, the
+    /// oldest first.
+    std::deque<silent_run> silent_;
     /// Requests answered lately, and those of the time before.
     std::unordered_set<request_digest> answered_;
     std::unordered_set<request_digest> answered_before_;
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -8,6 +8,8 @@
 
 #include <walnutmill/engine_balancer.hpp>
 
+#include <walnutmill/crash_record.hpp>
+
 #include "entry/target_list.hpp"
 
 #include <algorithm>
@@ -40,6 +42,15 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+bool is_among(balancer_request const& need, engine_entry const& entry)
+{
+    return need.among.empty() ||
+           std::find(
+               need.among.begin(), need.among.end(),
+               run_engine_name({entry.id, entry.incarnation})) !=
+               need.among.end();
+}
+
 duration scaled(duration whole, double part)
 {
     return duration(
@@ -271,6 +282,7 @@
            record.entry.service == need.service &&
            !contains_target(need.avoid, record.entry.id) &&
            (need.only.empty() || need.only == record.entry.id) &&
+           is_among(need, record.entry) &&
            (!need.version || *need.version == record.entry.version) &&
            (!need.begins_resumable_stream || !may_begin_stream ||
             may_begin_stream(need.service, record.entry.version)) &&
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -96,6 +96,7 @@
     void register_versions();
     void connect_crashes();
     crash_exchange::hooks crash_hooks();
+    void given_up_run_decided(request_run const& run, run_decision what);
     void report_ended_engines(std::vector<engine_entry> const& engines);
     void answer_operator(link_ptr const& link, request_type const& request);
     std::string suspects_text() const;
--- a/src/entry/entry_node_crashes.cpp
+++ b/src/entry/entry_node_crashes.cpp
@@ -10,7 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
-#include <set>
+#include <map>
 #include <string_view>
 #include <utility>
 
@@ -25,6 +25,22 @@
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 
+std::string_view name_of(run_decision what)
+{
+    switch (what)
+    {
+    case run_decision::engine_went_on:
+        return "engine went on";
+    case run_decision::engine_ended:
+        return "engine ended";
+    case run_decision::silent_too_long:
+        return "silent";
+    case run_decision::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 std::string_view name_of(run_state state)
 {
     switch (state)
@@ -85,9 +101,30 @@
         fields["for_ms"] = ms_count(crashes_.record().quarantined_for(digest));
         log_.write(log_priority::important, "request.quarantined", fields);
     };
+    to.on_decided = [this](request_run const& run, run_decision what)
+    { given_up_run_decided(run, what); };
     return to;
 }
 
+void entry_node::given_up_run_decided(request_run const& run, run_decision what)
+{
+    auto const name = std::string(name_of(what));
+    counters_.count("walnutmill_given_up_runs_total{outcome=\"" + name + "\"}");
+    if (what != run_decision::engine_ended &&
+        what != run_decision::silent_too_long)
+        return;
+    counters_.count(
+        "walnutmill_request_crashes_total{evidence=\"" + name + "\"}");
+    auto fields = label_fields(run.request, run.label);
+    fields["engine"] = run.engine.id.str();
+    if (run.engine.incarnation)
+        fields["started_at_ms"] = run.engine.incarnation->started_at_ms;
+    fields["evidence"] = name;
+    fields["crashes"] = crashes_.record().crashes(run.request);
+    fields["ms"] = ms_count(clock_() - run.began);
+    log_.write(log_priority::important, "request.crash", fields);
+}
+
 void entry_node::connect_crashes()
 {
     services_.crashes = &crashes_;
@@ -98,12 +135,15 @@
 {
     if (!engines_)
         return;
-    std::set<target_name> present;
+    std::map<target_name, engine_incarnation> present;
     for (auto const& one : engines)
-        present.insert(one.id);
+        present[one.id] = one.incarnation;
     for (auto const& one : *engines_)
     {
-        if (present.count(one.id) == 0 && one.state != engine_state::draining)
+        auto const found = present.find(one.id);
+        auto const is_present =
+            found != present.end() && found->second == one.incarnation;
+        if (!is_present && one.state != engine_state::draining)
             crashes_.engine_ended({one.id, one.incarnation});
     }
 }
@@ -131,14 +171,16 @@
             fields["crashes"] = crashes_.record().crashes(digest);
             fields["quarantined_for_ms"] =
                 ms_count(crashes_.record().quarantined_for(digest));
+            auto is_suspect = false;
             for (auto const& run : one.runs)
             {
+                is_suspect |= run.state != run_state::survived;
                 fields["runs"].push_back(
                     {{"engine", run.engine},
                      {"state", name_of(run.state)},
                      {"ended_ms_ago", ms_count(now - run.ended)}});
             }
-            if (!one.runs.empty())
+            if (is_suspect)
                 all.push_back(std::move(fields));
         });
     return all.dump(2);
--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -137,6 +137,7 @@
         return;
     if (error || !socket_.is_open())
     {
+        refused_ = error == asio::error::connection_refused;
         close_socket();
         finish(link_end::not_connected);
         return;
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -86,6 +86,10 @@
     /// it. For a peer that is known to have failed and may never send a reset.
     void fail_exchange();
 
+    /// \return true if the peer refused the connection; false if it has not
+    /// answered in time
+    bool was_refused() const { return refused_; }
+
     /// \return true while connected, with no exchange in progress and
     /// nothing pending that would corrupt the next answer.
     bool reusable() const { return connected_ && !busy_ && !not_reusable_; }
@@ -130,6 +134,7 @@
     /// Shared, so that a handler may end the exchange that called it.
     std::shared_ptr<handlers> handlers_;
     bool connected_ = false;
+    bool refused_ = false;
     bool busy_ = false;
     bool not_reusable_ = false;
     bool closed_ = false;
--- a/test/crash_cluster-test.cpp
+++ b/test/crash_cluster-test.cpp
@@ -19,6 +19,39 @@
     return options;
 }
 
+/// No engine ends. Contents recur at nodes that have not answered them lately.
+crash_cluster_options sound_engines(std::uint64_t seed)
+{
+    auto options = options_of(seed);
+    options.crashes_per_s = 0;
+    options.broken_runs = 0;
+    options.deadly = 0;
+    options.nodes = 40;
+    options.popular = 0.3;
+    return options;
+}
+
+/// Lets one engine, a failure domain and a third of all engines fall silent for
+/// a second by turns.
+void pause_by_turns(crash_cluster& cluster, int round)
+{
+    auto const number = static_cast<std::size_t>(round);
+    constexpr std::size_t kinds = 3;
+    constexpr std::size_t domains = 4;
+    switch (number % kinds)
+    {
+    case 0:
+        cluster.pause(number % cluster.engine_count(), seconds(1));
+        return;
+    case 1:
+        cluster.pause_domain(number % domains, seconds(1));
+        return;
+    default:
+        for (auto i = number; i < cluster.engine_count() + number; i += 3)
+            cluster.pause(i % cluster.engine_count(), seconds(1));
+    }
+}
+
 } // namespace
 
 TEST_CASE("crash cluster: a deadly request ends three engines at most")
@@ -147,3 +180,74 @@
         CHECK(cluster.result().ended <= copies + 5);
     }
 }
+
+TEST_CASE("crash cluster: sound engines that fall silent harm no request")
+{
+    constexpr int rounds = 30;
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        INFO("seed " << seed);
+        crash_cluster cluster(sound_engines(seed));
+        cluster.run_for(seconds(3));
+        for (int i = 0; i < rounds; ++i)
+        {
+            pause_by_turns(cluster, i);
+            cluster.run_for(milliseconds(1'050 + 37 * (i * seed % 30)));
+        }
+        auto const result = cluster.result();
+        CHECK(result.answered > result.requests * 9 / 10);
+        CHECK(result.harmless_refused == 0);
+        CHECK(result.harmless_lost == 0);
+    }
+}
+
+TEST_CASE("crash cluster: sound engines that fall silent beside nodes that "
+          "stand still together harm no request")
+{
+    constexpr int rounds = 20;
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        INFO("seed " << seed);
+        crash_cluster cluster(sound_engines(seed));
+        cluster.run_for(seconds(3));
+        for (int i = 0; i < rounds; ++i)
+        {
+            pause_by_turns(cluster, i);
+            cluster.run_for(milliseconds(100 + 50 * (i * seed % 15)));
+            cluster.freeze_all(milliseconds(1'000 + 20 * (i * seed % 13)));
+            cluster.run_for(milliseconds(1'600));
+            pause_by_turns(cluster, i + 1);
+            cluster.run_for(milliseconds(1'200));
+        }
+        auto const result = cluster.result();
+        CHECK(result.answered > result.requests * 9 / 10);
+        CHECK(result.harmless_refused == 0);
+        CHECK(result.harmless_lost == 0);
+    }
+}
+
+TEST_CASE(
+    "crash cluster: deadly requests beside sound engines that fall silent")
+{
+    constexpr int rounds = 20;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        INFO("seed " << seed);
+        auto options = sound_engines(seed);
+        options.deadly = 0.005;
+        options.loss = 0;
+        crash_cluster cluster(options);
+        cluster.run_for(seconds(3));
+        for (int i = 0; i < rounds; ++i)
+        {
+            pause_by_turns(cluster, i);
+            cluster.run_for(milliseconds(1'050 + 37 * (i * seed % 30)));
+        }
+        auto const result = cluster.result();
+        CHECK(result.deadly > 0);
+        CHECK(result.most_ended <= max_request_crashes);
+        CHECK(result.sent_on == 0);
+        // Hardly any harmless one meets three engines that ended.
+        CHECK(result.harmless_refused * 1'000 <= result.requests);
+    }
+}
--- a/test/crash_cluster.cpp
+++ b/test/crash_cluster.cpp
@@ -17,6 +17,10 @@
 constexpr milliseconds tick_interval{200};
 constexpr milliseconds stall_time{450};
 constexpr milliseconds start_time{300};
+/// Time after which the entry of an engine that has ended is gone for a node.
+constexpr milliseconds entry_lapses_after{3'600};
+constexpr milliseconds entry_read_interval{60};
+constexpr milliseconds choose_again_after{100};
 /// Longest time for which a node serves before it has read the members.
 constexpr milliseconds members_known_after{1'200};
 constexpr milliseconds min_run{30};
@@ -224,6 +228,14 @@
     if (!engines_[index].alive)
         return;
     engines_[index].alive = false;
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        on_node(
+            i, nodes_[i].incarnation,
+            entry_lapses_after + i * entry_read_interval,
+            [this, i, id = engines_[index].id]
+            { nodes_[i].crashes->engine_ended(target_name(id)); });
+    }
     at(now() + between(seconds(1), seconds(3)),
        [this, index] { engines_[index] = {"e" + std::to_string(++last_id_)}; });
 }
@@ -252,6 +264,7 @@
     next->of = one;
     next->node = index;
     next->incarnation = on.incarnation;
+    next->began_at = now();
     next->id = "r" + std::to_string(++last_id_);
     if (!on.alive || now() < on.frozen_until)
         fail(next, milliseconds(300));
@@ -291,15 +304,32 @@
         if (!on.crashes->await_records(
                 request.digest, [this, one] { send_to_engine(one); }))
             fail(one, between(milliseconds(120), milliseconds(400)));
-        at(now() + caller_patience, [this, one] { fail(one, duration(0)); });
+        at(now() + caller_patience, [this, one] { give_up(one); });
         return;
     }
+    auto const is_limited = verdict == send_verdict::limited_to_its_engines;
+    auto const its_engines =
+        on.crashes->record().running_engines(request.digest);
     std::vector<std::size_t> candidates;
     for (std::size_t i = 0; i < engines_.size(); ++i)
     {
-        if (engines_[i].alive)
+        auto const has_it =
+            std::find(its_engines.begin(), its_engines.end(), engines_[i].id) !=
+            its_engines.end();
+        if (engines_[i].alive && (has_it || !is_limited))
             candidates.push_back(i);
     }
+    if (candidates.empty() && is_limited)
+    {
+        on_node(
+            one->node, one->incarnation, choose_again_after,
+            [this, one]
+            {
+                if (!one->over)
+                    send_to_engine(one);
+            });
+        return;
+    }
     if (candidates.empty() || ++one->sends > max_sends_of_attempt)
     {
         fail(one, between(milliseconds(10), milliseconds(600)));
@@ -312,7 +342,9 @@
         ++last_id_,
         target_name(engines_[engine].id),
         now()};
-    if (verdict == send_verdict::suspect)
+    one->current = run.id;
+    one->run = run;
+    if (verdict != send_verdict::allowed)
         on.crashes->run_began(run);
     if (request.deadly)
     {
@@ -326,47 +358,131 @@
                                ? 1
                                : 0;
                end_engine(engine);
+               if (of.silent)
+               {
+                   on_node(
+                       one->node, one->incarnation, stall_time,
+                       [this, one, run] { check_silence(one, run); });
+                   return;
+               }
                on_node(
-                   one->node, one->incarnation,
-                   of.silent ? duration(stall_time) : duration(one_way),
+                   one->node, one->incarnation, one_way,
                    [this, one, run] { interrupted(one, run); });
            });
     }
     else
-        run_harmless(one, engine, run);
+        run_harmless(one, engine, run, now() + between(min_run, max_run));
     // A caller whose node ends or stands still tries another one.
-    at(now() + caller_patience, [this, one] { fail(one, duration(0)); });
+    at(now() + caller_patience, [this, one] { give_up(one); });
 }
 
+/// \param until when the engine has run the request, if it is not silent then
 void crash_cluster::run_harmless(
-    attempt_ptr const& one, std::size_t engine, request_run const& run)
+    attempt_ptr const& one, std::size_t engine, request_run const& run,
+    time_point until)
 {
-    auto const takes = between(min_run, max_run);
     auto const breaks = draw() < options_.broken_runs;
-    at(now() + takes,
+    at(until,
        [this, one, engine, run, breaks]
        {
-           auto const is_up = engines_[engine].alive &&
-                              engines_[engine].id == run.engine.id.str();
-           on_node(
-               one->node, one->incarnation, one_way,
-               [this, one, run, answers = is_up && !breaks]
-               {
-                   auto& crashes = *nodes_[one->node].crashes;
-                   if (!answers)
-                   {
-                       interrupted(one, run);
-                       return;
-                   }
-                   crashes.engine_responded(run.engine, run.began);
-                   crashes.run_answered(run.request);
-                   result_.answered += std::exchange(one->over, true) ? 0 : 1;
-               });
+           auto const& at_work = engines_[engine];
+           auto const is_up =
+               at_work.alive && at_work.id == run.engine.id.str();
+           if (is_up && now() < at_work.silent_until)
+           {
+               on_node(
+                   one->node, one->incarnation,
+                   std::max(run.began + stall_time - now(), duration(0)),
+                   [this, one, run] { check_silence(one, run); });
+               at(at_work.silent_until, [this, one, engine, run, breaks]
+                  { end_harmless(one, engine, run, breaks); });
+               return;
+           }
+           end_harmless(one, engine, run, breaks);
        });
 }
 
+void crash_cluster::end_harmless(
+    attempt_ptr const& one, std::size_t engine, request_run const& run,
+    bool breaks)
+{
+    auto const is_up =
+        engines_[engine].alive && engines_[engine].id == run.engine.id.str();
+    on_node(
+        one->node, one->incarnation, one_way,
+        [this, one, run, answers = is_up && !breaks]
+        {
+            // The engine drops a request whose connection was closed.
+            if (one->current != run.id)
+                return;
+            auto& crashes = *nodes_[one->node].crashes;
+            if (!answers)
+            {
+                one->met_ended_engine = true;
+                interrupted(one, run);
+                return;
+            }
+            one->current = 0;
+            crashes.engine_responded(run.engine, run.began);
+            crashes.run_answered(run.request);
+            result_.answered += std::exchange(one->over, true) ? 0 : 1;
+        });
+}
+
+/// Follows call_flow::check_progress() and leave_silent_engine().
+void crash_cluster::check_silence(
+    attempt_ptr const& one, request_run const& run)
+{
+    if (one->current != run.id)
+        return;
+    auto& crashes = *nodes_[one->node].crashes;
+    // The route allows two engines.
+    if (!one->over &&
+        (one->sends >= 2 || !crashes.may_leave(run.request, run.engine)))
+        return;
+    if (!one->over && crashes.lacks_confirmation(run.request))
+    {
+        crashes.await_records(
+            run.request, [this, one, run] { check_silence(one, run); });
+        return;
+    }
+    fell_silent(one, run);
+    if (!one->over)
+        send_to_engine(one);
+}
+
+void crash_cluster::fell_silent(attempt_ptr const& one, request_run const& run)
+{
+    one->current = 0;
+    nodes_[one->node].crashes->run_fell_silent(run, run.began);
+}
+
+/// The caller leaves.
+void crash_cluster::give_up(attempt_ptr const& one)
+{
+    if (one->over)
+        return;
+    auto const& request = *one->of;
+    auto const& on = nodes_[one->node];
+    auto const is_served = on.alive && on.incarnation == one->incarnation &&
+                           on.frozen_until <= one->began_at;
+    if (!request.deadly && is_served && !one->met_ended_engine)
+        ++result_.harmless_lost;
+    fail(one, duration(0));
+    if (one->current == 0 || now() - one->run.began < stall_time)
+        return;
+    on_node(
+        one->node, one->incarnation, one_way,
+        [this, one, run = one->run]
+        {
+            if (one->current == run.id)
+                fell_silent(one, run);
+        });
+}
+
 void crash_cluster::interrupted(attempt_ptr const& one, request_run const& run)
 {
+    one->current = 0;
     // A node records the crash even if the caller has left.
     nodes_[one->node].crashes->run_interrupted(run);
     if (one->over)
@@ -378,6 +494,18 @@
         fail(one, between(milliseconds(3), milliseconds(600)));
 }
 
+void crash_cluster::pause(std::size_t engine, duration span)
+{
+    auto& one = engines_[engine];
+    one.silent_until = std::max(one.silent_until, now() + span);
+}
+
+void crash_cluster::pause_domain(std::size_t domain, duration span)
+{
+    for (std::size_t i = domain; i < engines_.size(); i += options_.domains)
+        pause(i, span);
+}
+
 void crash_cluster::kill(std::size_t index, duration down)
 {
     auto& one = nodes_[index];
@@ -398,6 +526,14 @@
         std::max(nodes_[index].frozen_until, now() + span);
 }
 
+/// Counts as one disturbance.
+void crash_cluster::freeze_all(duration span)
+{
+    disturbances_.push_back(now());
+    for (auto& one : nodes_)
+        one.frozen_until = std::max(one.frozen_until, now() + span);
+}
+
 void crash_cluster::cut_off(std::size_t index, duration span)
 {
     disturbances_.push_back(now());
--- a/test/crash_cluster.hpp
+++ b/test/crash_cluster.hpp
@@ -3,7 +3,8 @@
 
 /// \file
 /// Simulated cluster whose engines end by themselves, together, and under
-/// certain requests, on a clock that the test advances. Callers send each
+/// certain requests, or fall silent for a while and go on, on a clock that the
+/// test advances. Callers send each
 /// request again at any node. Nodes are killed, frozen and cut off from one
 /// another, and datagrams are lost.
 
@@ -59,6 +60,9 @@
         /// Harmless requests refused at least once for what happened to
         /// engines.
         std::size_t harmless_refused = 0;
+        /// Attempts of harmless requests that got no answer though their
+        /// engines were sound and their node at work.
+        std::size_t harmless_lost = 0;
         std::size_t deadly = 0;
         /// Engines that ended under deadly requests.
         std::size_t ended = 0;
@@ -86,9 +90,15 @@
     void lose_all_engines();
     void kill(std::size_t index, duration down);
     void freeze(std::size_t index, duration span);
+    /// Freezes all nodes at the same time.
+    void freeze_all(duration span);
     void cut_off(std::size_t index, duration span);
+    /// Lets sound engines fall silent for a while.
+    void pause(std::size_t engine, duration span);
+    void pause_domain(std::size_t domain, duration span);
     /// Draws a fault of a node.
     void disturb();
+    std::size_t engine_count() const { return engines_.size(); }
     std::size_t node_count() const { return nodes_.size(); }
     /// Sends one deadly request by many callers at the same time.
     void send_copies(std::size_t copies);
@@ -98,6 +108,7 @@
     {
         std::string id;
         bool alive = true;
+        time_point silent_until{};
     };
     /// A caller's request over all of its attempts.
     struct request
@@ -119,9 +130,14 @@
         request_ptr of;
         std::size_t node = 0;
         std::uint64_t incarnation = 0;
+        time_point began_at{};
         std::string id;
         int sends = 0;
         bool over = false;
+        /// Run that is waited for; zero if there is none.
+        run_id current = 0;
+        request_run run{0, {}, 0, target_name(), {}};
+        bool met_ended_engine = false;
     };
     using attempt_ptr = std::shared_ptr<attempt>;
     struct node
@@ -148,7 +164,14 @@
     void begin(request_ptr const& one);
     void send_to_engine(attempt_ptr const& one);
     void run_harmless(
-        attempt_ptr const& one, std::size_t engine, request_run const& run);
+        attempt_ptr const& one, std::size_t engine, request_run const& run,
+        time_point until);
+    void end_harmless(
+        attempt_ptr const& one, std::size_t engine, request_run const& run,
+        bool breaks);
+    void check_silence(attempt_ptr const& one, request_run const& run);
+    void fell_silent(attempt_ptr const& one, request_run const& run);
+    void give_up(attempt_ptr const& one);
     void interrupted(attempt_ptr const& one, request_run const& run);
     void fail(attempt_ptr const& one, duration after);
     void end_engine(std::size_t index);
--- a/test/crash_exchange-test.cpp
+++ b/test/crash_exchange-test.cpp
@@ -90,6 +90,20 @@
              began});
     }
 
+    /// A run is given up after a silence of 400 ms.
+    void fall_silent(crash_exchange& at, std::string const& engine)
+    {
+        auto const began = clock.now();
+        clock.advance(milliseconds(400));
+        at.run_fell_silent(
+            {request,
+             {"archive", "p1", "turns", "r1"},
+             ++last_run,
+             target_name(engine),
+             began},
+            began);
+    }
+
     bool wait(crash_exchange& at)
     {
         return at.await_records(request, [this] { ++resumed; });
@@ -267,3 +281,85 @@
     REQUIRE(wait(node));
     CHECK(resumed == 1);
 }
+
+TEST_CASE_METHOD(
+    crash_exchange_fixture,
+    "crash exchange: an engine that goes on after a silence ended under nobody")
+{
+    auto& peer = start("peer");
+    auto& node = start("node");
+    know(peer, {"node"});
+    know(node, {"peer"});
+    pass(seconds(2));
+    fall_silent(node, "e1");
+    CHECK(node.record().crashes(request) == 0);
+    CHECK(node.verdict(request) == send_verdict::awaits_records);
+    CHECK(peer.record().running_engines(request).size() == 1);
+    pass(seconds(1));
+    node.engine_sent_bytes(target_name("e1"));
+    CHECK(node.verdict(request) == send_verdict::allowed);
+    CHECK(peer.verdict(request) == send_verdict::allowed);
+    pass(seconds(40));
+    CHECK(peer.verdict(request) == send_verdict::allowed);
+}
+
+TEST_CASE_METHOD(
+    crash_exchange_fixture,
+    "crash exchange: a run counts once its silent engine is known to have "
+    "ended")
+{
+    auto& node = start("node");
+    know(node, {});
+    pass(seconds(2));
+    SECTION("it is found to have ended")
+    {
+        fall_silent(node, "e1");
+        CHECK(node.record().crashes(request) == 0);
+        node.engine_ended(target_name("e1"));
+    }
+    SECTION("it stays silent for longer than a sound engine")
+    {
+        fall_silent(node, "e1");
+        pass(milliseconds(3'600));
+        CHECK(node.record().crashes(request) == 0);
+        fall_silent(node, "e1");
+    }
+    CHECK(node.record().crashes(request) == 1);
+}
+
+TEST_CASE_METHOD(
+    crash_exchange_fixture,
+    "crash exchange: a silence that nothing explains is forgotten")
+{
+    auto& node = start("node");
+    know(node, {});
+    pass(seconds(2));
+    fall_silent(node, "e1");
+    pass(seconds(11));
+    CHECK(node.verdict(request) == send_verdict::allowed);
+    node.engine_ended(target_name("e1"));
+    CHECK(node.record().crashes(request) == 0);
+}
+
+TEST_CASE_METHOD(
+    crash_exchange_fixture,
+    "crash exchange: silent engines count towards the engines of a request")
+{
+    auto& node = start("node");
+    know(node, {});
+    pass(seconds(2));
+    CHECK(node.may_leave(request, target_name("e1")));
+    fall_silent(node, "e1");
+    CHECK(node.may_leave(request, target_name("e2")));
+    fall_silent(node, "e2");
+    CHECK(node.may_leave(request, target_name("e1")));
+    CHECK_FALSE(node.may_leave(request, target_name("e3")));
+    fall_silent(node, "e3");
+    CHECK(node.verdict(request) == send_verdict::limited_to_its_engines);
+    node.engine_ended(target_name("e1"));
+    CHECK(node.verdict(request) == send_verdict::limited_to_its_engines);
+    node.engine_ended(target_name("e2"));
+    CHECK(node.verdict(request) == send_verdict::awaits_other_run);
+    node.engine_ended(target_name("e3"));
+    CHECK(node.verdict(request) == send_verdict::quarantined);
+}
