call_stalls: read what arrived before judging an engine's silence

A node that stands still for longer than a stall timeout runs its timers before it has read all sockets that are ready: the runtime reads 128 at a time. So calls left sound engines whose answers had arrived. A timer that fires more than 100 ms late now allows 50 ms for reading first.

--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -185,6 +185,7 @@
     void on_end(attempt_ptr const& attempt, link_end how);
     void end_attempt(attempt_ptr const& attempt, engine_outcome outcome);
     void watch_for_stall(attempt_ptr const& attempt);
+    void check_progress_after(attempt_ptr const& attempt, duration wait);
     void check_progress(attempt_ptr const& attempt);
     bool may_abandon(attempt_ptr const& attempt);
     void leave_silent_engine(attempt_ptr const& attempt);
--- a/src/entry/call_stalls.cpp
+++ b/src/entry/call_stalls.cpp
@@ -11,18 +11,39 @@
 namespace walnutmill
 {
 
+namespace
+{
+
+/// A timer that fires later than this shows that the node itself stood still.
+constexpr std::chrono::milliseconds max_timer_delay{100};
+/// Time for reading what arrived meanwhile.
+constexpr std::chrono::milliseconds read_time{50};
+
+} // namespace
+
 /// Uses one timer per call and rearms it only when it fires, since events
 /// arrive every 30 ms.
 void call_flow::watch_for_stall(attempt_ptr const& one)
 {
     if (done_ || one->ended)
         return;
-    stall_timer_.expires_after(
-        one->silence_timeout - (node_.clock() - one->last_progress_at));
+    check_progress_after(
+        one, one->silence_timeout - (node_.clock() - one->last_progress_at));
+}
+
+void call_flow::check_progress_after(attempt_ptr const& one, duration wait)
+{
+    auto const due = node_.clock() + std::max(wait, duration(0));
+    stall_timer_.expires_after(wait);
     stall_timer_.async_wait(
-        [self = shared_from_this(), one](boost::system::error_code const& error)
+        [self = shared_from_this(), one,
+         due](boost::system::error_code const& error)
         {
-            if (!error && !self->done_ && !one->ended)
+            if (error || self->done_ || one->ended)
+                return;
+            if (self->node_.clock() - due > max_timer_delay)
+                self->check_progress_after(one, read_time);
+            else
                 self->check_progress(one);
         });
 }
--- a/test/engine_pause-test.cpp
+++ b/test/engine_pause-test.cpp
@@ -4,6 +4,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <csignal>
+#include <ctime>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -301,3 +303,60 @@
     CHECK(took > milliseconds(deadline_ms / 2));
     CHECK(runs_of("r1") == 1);
 }
+
+namespace
+{
+
+extern "C" void stand_still(int)
+{
+    timespec const left{1, 0};
+    nanosleep(&left, nullptr);
+}
+
+} // namespace
+
+TEST_CASE_METHOD(
+    engine_pause_fixture,
+    "engine pause: a node that stood still leaves no engine that answered")
+{
+    // More than the runtime reads at once.
+    constexpr int calls = 300;
+    constexpr milliseconds answer_time{100};
+    for (auto const& one : targets)
+    {
+        one->set_handler(
+            [&one = *one](link_ptr const& link, http_request const& request)
+            {
+                std::string const id(request["Request-Id"]);
+                one.server().later(
+                    answer_time,
+                    [link, id]
+                    {
+                        link->write(standin_target::answer(
+                            200,
+                            "Request-Id: " + id + "\r\nResponse-Stamp: s\r\n",
+                            "done"));
+                        link->finish_answer(false);
+                    });
+                return true;
+            });
+    }
+    auto& node = start_node();
+    std::vector<std::unique_ptr<test_caller>> callers;
+    for (int i = 0; i < calls; ++i)
+    {
+        callers.push_back(
+            std::make_unique<test_caller>(node.settings.listen_callers));
+    }
+    for (int i = 0; i < calls; ++i)
+        callers[static_cast<std::size_t>(i)]->send(
+            post("/safe/x", "r" + std::to_string(i), {}, std::to_string(i)));
+    std::this_thread::sleep_for(answer_time / 2);
+    auto const former = std::signal(SIGUSR2, stand_still);
+    pthread_kill(node.thread.native_handle(), SIGUSR2);
+    for (auto& one : callers)
+        CHECK(one->receive().status == 200);
+    std::signal(SIGUSR2, former);
+    CHECK_FALSE(metric(
+        node, "walnutmill_attempts_failed_total{outcome=\"stalled, left\"}"));
+}
