--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -212,8 +212,10 @@
     void on_end(attempt_ptr const& attempt, link_end how);
     void end_attempt(attempt_ptr const& attempt, engine_outcome outcome);
     void watch_for_stall(attempt_ptr const& attempt);
+    void check_progress_after(attempt_ptr const& attempt, duration wait);
     void check_progress(attempt_ptr const& attempt);
     bool may_abandon(attempt_ptr const& attempt);
+    void leave_silent_engine(attempt_ptr const& attempt);
     void refused_by_engine(attempt_ptr const& attempt);
     void attempt_interrupted(attempt_ptr const& attempt);
     void give_up_answer(
@@ -221,15 +223,18 @@
         std::string_view why);
     void attempt_completed(attempt_ptr const& attempt);
     bool check_crashes(void (call_flow::*again)());
-    bool await_crash_records(void (call_flow::*again)());
+    bool await_crash_records(std::function<void()> then);
+    void choose_again_later();
     void refuse_or_abort(std::string_view why, duration retry_after);
     request_run run_of(attempt_ptr const& attempt);
     bool is_silent(attempt_ptr const& attempt) const;
     void run_interrupted(attempt_ptr const& attempt, std::string_view evidence);
+    void run_fell_silent(attempt_ptr const& attempt);
+    void add_crashed_engine(engine_ref const& engine);
     void run_survived(attempt_ptr const& attempt);
     void run_answered();
     void give_up_run();
-    void leave_ended_engine(engine_ref const& engine);
+    void leave_ended_engine(engine_ref const& engine, bool has_ended = true);
     void retry_if_ended(attempt_ptr const& attempt);
     void retry_or_fail(attempt_ptr const& attempt, bool complete_failure);
     bool may_have_run_at(engine_ref const& engine) const;
