--- a/support/soak_kept_callers.cpp
+++ b/support/soak_kept_callers.cpp
@@ -36,10 +36,6 @@
 constexpr milliseconds wait_step{20};
 constexpr milliseconds longest_idle_time{3'000};
 constexpr int most_short_pause_ms = 60;
-/// Contents of harmless requests: programs send alike ones, some of them often
-/// and most now and then.
-constexpr int common_contents = 5;
-constexpr int all_contents = 60;
 constexpr int longest_body = 60'000;
 
 constexpr int status_ok = 200;
@@ -172,9 +168,12 @@
         call_kind::lookup};
     path = one.chances.between(0, 3);
     to.kind = kinds[path];
-    to.input = "harmless " + std::to_string(one.chances.between(
-                                 1, one.chances.chance(0.5) ? common_contents
-                                                            : all_contents));
+    // Programs send alike requests, some of them often and most only once.
+    constexpr int common_contents = 5;
+    to.input = "harmless ";
+    to.input += one.chances.chance(0.5)
+                    ? std::to_string(one.chances.between(1, common_contents))
+                    : std::to_string(++last_id_);
     if (one.chances.chance(0.1))
     {
         to.input.append(
--- a/support/soak_pauses.cpp
+++ b/support/soak_pauses.cpp
@@ -125,13 +125,14 @@
     for (auto const& one : pausing_)
         all.push_back(one.get());
     auto const last = static_cast<int>(all.size()) - 1;
+    constexpr int last_kind = 4;
     while (faults_)
     {
         std::this_thread::sleep_for(
             milliseconds(pause_dice_.between(least_gap_ms, most_gap_ms)));
         std::vector<standin_target*> chosen;
         auto times = 1;
-        switch (pause_dice_.between(0, 3))
+        switch (pause_dice_.between(0, last_kind))
         {
         case 0:
             count("fault: target pauses");
@@ -153,6 +154,11 @@
                 chosen.push_back(all[i]);
             break;
         }
+        case 3:
+            count("fault: all targets of two services pause");
+            for (auto const& one : pausing_)
+                chosen.push_back(one.get());
+            break;
         default:
             count("fault: third of the targets pauses");
             chosen = all;
--- a/test/soak_history.cpp
+++ b/test/soak_history.cpp
@@ -24,9 +24,11 @@
 /// Lines that a killed node has not yet written are lost.
 constexpr std::int64_t unwritten_lines_ms = 1'000;
 /// Why a node may refuse a harmless request whose targets pause: it has no such
-/// route, has just started, stops, or the time of the call is up.
+/// route or can't be sure of it, has just started, stops, or the time of the
+/// call is up.
 constexpr char const* allowed_refusals[] = {
     "no route for this host and path",
+    "the configuration is too old to deny the call",
     "no configuration is known yet",
     "this node is about to stop",
     "this node is about to exit",
