--- a/test/soak_history-test.cpp
+++ b/test/soak_history-test.cpp
@@ -337,4 +337,9 @@
         "this request, so it is quarantined: l1 at node-0"));
     one.body = "this node is about to stop";
     CHECK(broken_promises(history).empty());
+    set_end(attempt_end::broken_off);
+    add_line("call.ended", "engines ended under this request", true);
+    CHECK(breaks("a harmless request was broken off beside pauses"));
+    history.lines[0].why = "time is up";
+    CHECK(broken_promises(history).empty());
 }
--- a/test/soak_history.cpp
+++ b/test/soak_history.cpp
@@ -245,17 +245,17 @@
         });
 }
 
-/// Attempts that a line of their node says to have been broken off, by id.
-using broken_off_set = std::set<std::string>;
+/// Why attempts were broken off according to their nodes' lines, by id.
+using broken_off_reasons = std::map<std::string, std::string>;
 
-broken_off_set broken_off_by_lines(soak_history const& of)
+broken_off_reasons broken_off_by_lines(soak_history const& of)
 {
-    broken_off_set to;
+    broken_off_reasons to;
     for (auto const& one : of.lines)
     {
         if (one.event == "call.ended" && one.outcome == "broken off" &&
             !one.why.empty())
-            to.insert(one.request);
+            to[one.request] = one.why;
     }
     return to;
 }
@@ -264,7 +264,8 @@
 /// answer whose cause is in a line.
 void check_end(
     recorded_attempt const& one, run_counts const& runs,
-    broken_off_set const& in_lines, soak_history const& of, findings_list& to)
+    broken_off_reasons const& in_lines, soak_history const& of,
+    findings_list& to)
 {
     if (in_trouble(of, one.node, one.began_ms, one.ended_ms))
         return;
@@ -320,18 +321,26 @@
 
 /// A target's pause counts neither against the requests at it nor against
 /// those beside them.
-void check_pauses(recorded_attempt const& one, findings_list& to)
+void check_pauses(
+    recorded_attempt const& one, broken_off_reasons const& in_lines,
+    findings_list& to)
 {
-    if (!one.targets_only_pause || one.end != attempt_end::answered ||
-        one.status == status_ok)
+    auto const line = in_lines.find(one.id);
+    auto const is_refused =
+        one.end == attempt_end::answered && one.status != status_ok;
+    auto const is_broken_off =
+        one.end == attempt_end::broken_off && line != in_lines.end();
+    if (!one.targets_only_pause || (!is_refused && !is_broken_off))
         return;
+    auto const& why = is_refused ? one.body : line->second;
     auto const allowed = std::find(
-        std::begin(allowed_refusals), std::end(allowed_refusals), one.body);
+        std::begin(allowed_refusals), std::end(allowed_refusals), why);
     if (allowed == std::end(allowed_refusals))
         to.push_back(
-            "a harmless request was refused beside pauses, " +
-            std::to_string(one.status) + " " + one.body + ": " + one.id +
-            " at " + one.node);
+            std::string("a harmless request was ") +
+            (is_refused ? "refused" : "broken off") + " beside pauses, " +
+            std::to_string(one.status) + " " + why + ": " + one.id + " at " +
+            one.node);
 }
 
 } // namespace
@@ -406,7 +415,7 @@
         check_runs(one, runs, to);
         check_answer(one, to);
         check_end(one, runs, broken_off, of, to);
-        check_pauses(one, to);
+        check_pauses(one, broken_off, to);
     }
     check_unanswered(of, to);
     check_versions(of, to);
