--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -16,6 +16,7 @@
 #include <walnutmill/turn_history.hpp>
 
 #include "entry/admission_control.hpp"
+#include "entry/answer_memory.hpp"
 #include "entry/budget_service.hpp"
 #include "entry/caller_link.hpp"
 #include "entry/crash_exchange.hpp"
@@ -38,11 +39,23 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace walnutmill
 {
 
+class call_flow;
+
+/// Calls of a node. Shared with the calls, because the event loop may destroy
+/// the last of them after the node's services.
+struct call_registry
+{
+    std::unordered_set<call_flow*> calls;
+    /// The services of the node may be gone.
+    bool is_closed = false;
+};
+
 /// Services of the entry node that its calls use.
 struct entry_services
 {
@@ -99,8 +112,14 @@
     version_register* versions = nullptr;
     /// Requests under which engines ended. Null: they are not told apart.
     crash_exchange* crashes = nullptr;
+    std::shared_ptr<call_registry> calls = std::make_shared<call_registry>();
+    answer_memory answers{};
 };
 
+/// Ends all calls whose callers wait, since the process is about to exit. A
+/// call that no engine can have run is refused.
+void end_calls_for_exit(entry_services& node);
+
 /// State machine of one call. Its pending callbacks share ownership of it.
 class call_flow : public std::enable_shared_from_this<call_flow>
 {
@@ -114,6 +133,8 @@
 
     /// Decodes the request and starts the call.
     void start();
+    /// Ends the call, since the process is about to exit.
+    void end_for_exit();
 
 private:
     struct engine_attempt
@@ -121,14 +142,20 @@
         engine_placement at;
         engine_links::link_ptr link;
         time_point sent_at{};
-        /// Time of the last bytes received; before the first, of the last bytes
+        /// Time of the last new event or part of one, or of the last bytes of
+        /// an answer that is not a stream; before the first, of the last bytes
         /// sent.
         time_point last_progress_at{};
         /// Silence after which the engine counts as stalled.
         duration silence_timeout{0};
         engine_answer answer;
-        std::string body;
+        held_answer body;
         event_splitter events;
+        /// The answer is a stream of events.
+        bool streams = false;
+        /// Bytes and events since the last new event of the stream.
+        std::size_t idle_bytes = 0;
+        std::size_t idle_events = 0;
         run_id run = 0;
         /// The response head has arrived and says that the engine runs the
         /// call.
@@ -189,6 +216,9 @@
     bool may_abandon(attempt_ptr const& attempt);
     void refused_by_engine(attempt_ptr const& attempt);
     void attempt_interrupted(attempt_ptr const& attempt);
+    void attempt_too_long(
+        attempt_ptr const& attempt, engine_outcome outcome,
+        std::string_view why);
     void attempt_completed(attempt_ptr const& attempt);
     bool check_crashes(void (call_flow::*again)());
     bool await_crash_records(void (call_flow::*again)());
@@ -205,12 +235,18 @@
     bool may_have_run_at(engine_ref const& engine) const;
     bool may_run_elsewhere(engine_ref const& previous) const;
 
+    void append_to_body(attempt_ptr const& attempt, std::string_view bytes);
     void
     forward_event(attempt_ptr const& attempt, server_sent_event const& event);
     void stream_completed();
     void deliver(attempt_ptr const& attempt);
 
     void on_deadline();
+    void end_unanswered(
+        std::string_view why, std::string_view why_not_run,
+        std::chrono::milliseconds retry_after);
+    void abandon_attempt();
+    void release_unanswered();
     void on_caller_disconnected();
     outage_call current_outage() const;
     void refuse(std::string_view why, std::chrono::milliseconds retry_after);
@@ -227,6 +263,7 @@
     duration time_left() const;
 
     entry_services& node_;
+    std::shared_ptr<call_registry> calls_;
     std::shared_ptr<caller_link> link_;
     caller_link::request_type request_;
     std::shared_ptr<routing_table const> table_;
@@ -264,6 +301,8 @@
     request_id unscoped_previous_;
     bool head_written_ = false;
     bool done_ = false;
+    /// What the call waits for, or last waited for.
+    std::string_view waits_for_;
     /// Waits for a newer configuration.
     bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -149,6 +149,7 @@
             }))
     {
         awaits_confirmation_ = true;
+        waits_for_ = "configuration";
         identity_timer_.expires_after(max_confirmation_wait - waited);
         identity_timer_.async_wait(
             [self = shared_from_this()](boost::system::error_code const& error)
@@ -169,8 +170,10 @@
     identity_timer_.cancel();
     table_ = node_.table;
     log_fields_["configuration"] = table_->version;
-    if (route_call())
-        check_identity();
+    if (!route_call())
+        return;
+    arm_deadline();
+    check_identity();
 }
 
 bool call_flow::reject_key(std::string_view why)
@@ -188,6 +191,7 @@
         begin_or_resume();
         return;
     }
+    waits_for_ = "quota";
     node_.quotas->acquire(
         call_.owner,
         [self = shared_from_this(), began = node_.clock()](
--- a/src/entry/call_resumption.cpp
+++ b/src/entry/call_resumption.cpp
@@ -45,6 +45,7 @@
 /// the same time.
 void call_flow::find_origin()
 {
+    waits_for_ = "origin";
     if (call_.resumes.empty())
     {
         origin_searches_ = 1;
@@ -111,7 +112,7 @@
         route_->shares.begin(), route_->shares.end(),
         [&origin](route_share const& one)
         { return one.service == origin.service; });
-    if (!is_routed)
+    if (!is_routed || table_->find_service(origin.service) == nullptr)
     {
         refuse_resumption(
             "the route no longer leads to the service that began the stream",
--- a/src/entry/http_caller.hpp
+++ b/src/entry/http_caller.hpp
@@ -13,6 +13,8 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,11 +40,20 @@
 public:
     using done_fn = std::function<void(exchange_reply)>;
 
-    explicit http_caller(boost::asio::io_context& io);
+    /// Idle time after which a connection is not used again. It is below the
+    /// time for which nodes hold their idle connections to others, so that no
+    /// request crosses their close.
+    static constexpr std::chrono::milliseconds default_max_idle_time{10'000};
+
+    explicit http_caller(
+        boost::asio::io_context& io,
+        std::chrono::milliseconds max_idle_time = default_max_idle_time);
     ~http_caller();
     http_caller(http_caller const&) = delete;
     http_caller& operator=(http_caller const&) = delete;
 
+    /// A reply that exceeds \c max_reply_bytes, or the limit of all replies
+    /// being received, counts as unanswered.
     /// \param done called once, asynchronously; not called after the
     /// http_caller is destroyed
     void call(exchange_request request, done_fn done);
@@ -58,10 +69,13 @@
     void keep_or_close_link(std::string const& address, link_ptr link);
 
     boost::asio::io_context& io_;
+    std::chrono::milliseconds max_idle_time_;
     std::unordered_map<std::string, std::vector<link_ptr>> idle_;
     /// Links with a call in progress. Their handlers keep them alive, so the
     /// destructor closes them explicitly.
     std::unordered_set<link_ptr> in_use_;
+    /// Bytes of replies that are being received.
+    std::size_t held_bytes_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/support/soak_pauses.cpp
+++ b/support/soak_pauses.cpp
@@ -95,7 +95,7 @@
                     status_ok,
                     "Request-Id: " + id + "\r\nResponse-Stamp: s\r\n",
                     testing::soak_plain_body(id)));
-                link->finish_answer(false);
+                link->finish_answer();
             });
         return;
     }
@@ -113,7 +113,7 @@
         [link]
         {
             link->write("0\r\n\r\n");
-            link->finish_answer(false);
+            link->finish_answer();
         });
 }
 
--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -8,8 +8,13 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <chrono>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace
 {
@@ -17,10 +22,23 @@
 using namespace walnutmill;
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
 
 /// Exceeds the kernel's socket buffers of a loopback connection.
 constexpr std::size_t large_answer_bytes = 33'554'432;
 
+std::string const refusal =
+    "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+caller_limits limits_with_idle_timeout(milliseconds timeout)
+{
+    caller_limits to;
+    to.idle_timeout = timeout;
+    return to;
+}
+
 /// A caller's socket and the node's side of its connection, on one event loop.
 /// The caller reads nothing before read_all().
 struct link_fixture
@@ -29,7 +47,13 @@
     tcp::socket caller{io};
     std::shared_ptr<caller_link> link;
     int requests = 0;
+    int refusals = 0;
+    int refused_with = 0;
+    caller_limits limits = limits_with_idle_timeout(milliseconds(1'000));
+    bool stopping = false;
     bool ended = false;
+    std::size_t unanswered_bytes = 0;
+    std::string unanswered_why;
 
     link_fixture()
     {
@@ -40,21 +64,88 @@
         hooks.on_request = [this](
                                std::shared_ptr<caller_link> const&,
                                caller_link::request_type&&) { ++requests; };
-        hooks.refuse = [](int, std::string_view) { return std::string(); };
-        hooks.limits = [] { return caller_limits(); };
+        hooks.refuse = [this](int status, std::string_view)
+        {
+            ++refusals;
+            refused_with = status;
+            return refusal;
+        };
+        hooks.limits = [this] { return limits; };
+        hooks.is_stopping = [this] { return stopping; };
         hooks.on_end = [this](caller_link*) { ended = true; };
+        hooks.on_unanswered = [this](std::size_t bytes, std::string_view why)
+        {
+            unanswered_bytes += bytes;
+            unanswered_why = why;
+        };
         link = std::make_shared<caller_link>(acceptor.accept(), hooks);
         link->start();
     }
 
+    void send(std::string const& bytes)
+    {
+        asio::write(caller, asio::buffer(bytes));
+    }
+
     void send_request()
     {
-        std::string const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
-        asio::write(caller, asio::buffer(request));
+        send(request);
         while (requests == 0)
             io.run_one();
     }
 
+    /// Runs the event loop until the condition holds; fails after 10 s.
+    template<class Condition>
+    bool run_until(Condition const& holds)
+    {
+        auto const end = steady_clock::now() + std::chrono::seconds(10);
+        while (!holds() && steady_clock::now() < end)
+            io.run_one_for(milliseconds(10));
+        return holds();
+    }
+
+    void run_for(milliseconds time)
+    {
+        auto const end = steady_clock::now() + time;
+        while (steady_clock::now() < end)
+            io.run_one_until(end);
+    }
+
+    /// \return whether the node has shut its sending side
+    bool caller_sees_close()
+    {
+        char one = 0;
+        auto const size =
+            ::recv(caller.native_handle(), &one, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0;
+    }
+
+    bool caller_is_reset()
+    {
+        pollfd state{caller.native_handle(), 0, 0};
+        ::poll(&state, 1, 0);
+        return (state.revents & POLLERR) != 0;
+    }
+
+    /// Runs the event loop until the caller can read.
+    /// \return how reading ends once all bytes that came before were read
+    boost::system::error_code closed_how()
+    {
+        boost::system::error_code how;
+        bool done = false;
+        std::string received;
+        asio::async_read(
+            caller, asio::dynamic_buffer(received),
+            [&](boost::system::error_code const& error, std::size_t)
+            {
+                how = error;
+                done = true;
+            });
+        run_until([&] { return done; });
+        REQUIRE(done);
+        return how;
+    }
+
     /// Reads until the connection closes. \return the number of bytes, and
     /// whether the close was orderly.
     std::pair<std::size_t, bool> read_all()
@@ -82,7 +173,7 @@
 {
     send_request();
     link->write(std::string(large_answer_bytes, 'x'));
-    link->finish_answer(false);
+    link->finish_answer();
     CHECK(link->unsent() > 0);
     CHECK_FALSE(link->idle());
     link->close_when_idle();
@@ -98,7 +189,7 @@
     link->write("first ");
     link->close_when_idle();
     link->write("last");
-    link->finish_answer(false);
+    link->finish_answer();
     auto const [size, orderly] = read_all();
     CHECK(size == 10);
     CHECK(orderly);
@@ -113,3 +204,183 @@
     CHECK(size == 0);
     CHECK(orderly);
 }
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: bytes read behind a broken-off answer are reported")
+{
+    send(request + "POST /second");
+    REQUIRE(run_until([&] { return requests == 1; }));
+    link->abort();
+    CHECK(unanswered_bytes == std::string("POST /second").size());
+    CHECK(unanswered_why == "behind a broken-off answer");
+}
+
+TEST_CASE_METHOD(
+    link_fixture, "caller link: a request cut by the exit is reported")
+{
+    send(request);
+    REQUIRE(run_until([&] { return requests == 1; }));
+    link->close_for_exit();
+    CHECK(ended);
+    CHECK(unanswered_bytes == request.size());
+    CHECK(unanswered_why == "process exit");
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a body that comes behind its refusal is discarded, reported, "
+    "and does not cut off the refusal")
+{
+    std::string const too_large =
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\n";
+    send(too_large);
+    REQUIRE(run_until([&] { return refusals == 1; }));
+    send(std::string(1'000, 'x'));
+    CHECK(closed_how() == asio::error::eof);
+    send(std::string(1'000, 'x'));
+    caller.close();
+    REQUIRE(run_until([&] { return ended; }));
+    CHECK(unanswered_bytes >= 2'000);
+    CHECK(unanswered_why == "rest of a refused request");
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that arrives behind an unannounced close is not "
+    "read and dropped")
+{
+    send_request();
+    link->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    link->close_when_idle();
+    link->finish_answer();
+    send(request);
+    CHECK(run_until([&] { return requests == 2 || unanswered_bytes > 0; }));
+    CHECK(requests == 2);
+    CHECK(unanswered_bytes == 0);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that crosses the close of an idle connection is "
+    "reset, not read")
+{
+    link->close_when_idle();
+    REQUIRE(run_until([&] { return caller_sees_close(); }));
+    send(request);
+    CHECK(run_until([&] { return caller_is_reset(); }));
+    CHECK(requests == 0);
+    CHECK(unanswered_why == "left unread");
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that crosses an announced close does not cut off "
+    "the answer")
+{
+    send_request();
+    stopping = true;
+    CHECK(link->begin_answer());
+    link->write(std::string(large_answer_bytes, 'x'));
+    send(request);
+    link->finish_answer();
+    CHECK(read_all().first == large_answer_bytes);
+    CHECK(run_until([&] { return ended; }));
+    CHECK(requests == 1);
+    CHECK(unanswered_why == "left unread");
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: an answer that began before a stop does not close its "
+    "connection")
+{
+    send_request();
+    CHECK_FALSE(link->begin_answer());
+    stopping = true;
+    link->finish_answer();
+    send(request);
+    REQUIRE(run_until([&] { return requests == 2; }));
+    CHECK(link->begin_answer());
+    link->finish_answer();
+    CHECK(closed_how() == asio::error::eof);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that was read behind another is answered before a "
+    "stop closes the connection")
+{
+    send(request + request);
+    REQUIRE(run_until([&] { return requests == 1; }));
+    stopping = true;
+    CHECK_FALSE(link->begin_answer());
+    link->finish_answer();
+    REQUIRE(run_until([&] { return requests == 2; }));
+    CHECK(link->begin_answer());
+    link->finish_answer();
+    CHECK(closed_how() == asio::error::eof);
+    CHECK(unanswered_bytes == 0);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a caller that leaves behind a request left unread is noticed")
+{
+    send_request();
+    bool left = false;
+    link->on_disconnect = [&] { left = true; };
+    stopping = true;
+    CHECK(link->begin_answer());
+    link->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    send(request);
+    run_for(milliseconds(20));
+    CHECK_FALSE(left);
+    caller.close();
+    CHECK(run_until([&] { return left; }));
+    CHECK(requests == 1);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request that is half read at the exit is refused")
+{
+    send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab");
+    REQUIRE(run_until([&] { return !link->idle(); }));
+    link->end_for_exit();
+    link->end_for_exit();
+    CHECK(refusals == 1);
+    CHECK(refused_with == 503);
+    auto const [size, orderly] = read_all();
+    CHECK(size == refusal.size());
+    CHECK(orderly);
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a connection is held for the idle timeout that its caller "
+    "knows")
+{
+    send_request();
+    link->finish_answer();
+    limits.idle_timeout = milliseconds(0);
+    send(request);
+    REQUIRE(run_until([&] { return requests == 2; }));
+    link->finish_answer();
+    run_for(milliseconds(1'500));
+    CHECK_FALSE(caller_sees_close());
+    CHECK(run_until([&] { return caller_sees_close(); }));
+}
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: an aborted answer is not discarded for input behind it")
+{
+    send_request();
+    link->write("12345678");
+    send(request);
+    link->abort();
+    CHECK(read_all().first == 8);
+    CHECK(run_until([&] { return ended; }));
+    CHECK(requests == 1);
+}
--- a/test/decoder_fuzz-test.cpp
+++ b/test/decoder_fuzz-test.cpp
@@ -6,6 +6,7 @@
 
 #include "entry/crash_message.hpp"
 #include "entry/event_stream.hpp"
+#include "entry/http_link.hpp"
 #include "entry/origin_message.hpp"
 #include "entry/quota_message.hpp"
 #include "entry/version_register.hpp"
@@ -19,6 +20,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -255,6 +257,85 @@
         });
 }
 
+TEST_CASE_METHOD(
+    fuzz_fixture, "fuzz: events of a stream, divided at random, with a limit")
+{
+    static constexpr std::size_t limit = 40;
+    run_mutated(
+        {"id: 1\ndata: some\n\nid: 2\r\ndata: more\r\ndata: lines\r\n\r\n: "
+         "comment\n\n"},
+        [this](std::string const& bytes)
+        {
+            event_splitter whole(limit);
+            event_splitter divided(limit);
+            auto const expected = whole.feed(bytes);
+            std::vector<server_sent_event> got;
+            for (std::string_view rest = bytes; !rest.empty();)
+            {
+                auto const size = std::min(1 + below(9), rest.size());
+                for (auto& one : divided.feed(rest.substr(0, size)))
+                    got.push_back(std::move(one));
+                rest.remove_prefix(size);
+                if (divided.buffered_bytes() > limit)
+                    throw std::runtime_error("more bytes held than allowed");
+            }
+            if (got.size() != expected.size() ||
+                whole.too_long() != divided.too_long() ||
+                whole.partial() != divided.partial())
+                throw std::runtime_error("the division changes the events");
+            for (std::size_t i = 0; i < got.size(); ++i)
+            {
+                if (got[i].text != expected[i].text ||
+                    got[i].id != expected[i].id ||
+                    got[i].data != expected[i].data ||
+                    got[i].text.size() > limit)
+                    throw std::runtime_error("the division changes an event");
+            }
+        });
+}
+
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: bodies of answers, divided at random")
+{
+    namespace http = boost::beast::http;
+    std::string const head = "HTTP/1.1 200 OK\r\nRequest-Id: t1\r\n";
+    static constexpr std::uint64_t limit = 60;
+    run_mutated(
+        {head + "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n"
+                "0;x\r\nTrailer: t\r\n\r\n",
+         head + "Content-Length: 5\r\n\r\nhello", head + "\r\nhello",
+         "HTTP/1.1 103 Early\r\n\r\n" + head + "\r\nhello"},
+        [this](std::string bytes)
+        {
+            http::response_parser<partial_body> parser;
+            parser.eager(true);
+            parser.header_limit(100);
+            parser.body_limit(limit);
+            boost::system::error_code error;
+            std::string held;
+            std::uint64_t body = 0;
+            while (!bytes.empty() && !parser.is_done() &&
+                   (!error || error == http::error::need_more))
+            {
+                auto const size = std::min(1 + below(40), bytes.size());
+                held.append(bytes, 0, size);
+                bytes.erase(0, size);
+                std::size_t used = 1;
+                while (used > 0 && !held.empty() && !parser.is_done())
+                {
+                    used = parser.put(boost::asio::buffer(held), error);
+                    held.erase(0, used);
+                    if (error && error != http::error::need_more)
+                        return;
+                }
+                std::string piece;
+                piece.swap(parser.get().body());
+                body += piece.size();
+            }
+            if (body > limit)
+                throw std::runtime_error("a longer body than allowed");
+        });
+}
+
 TEST_CASE_METHOD(fuzz_fixture, "fuzz: the nodes' own rows")
 {
     stored_turn turn;
