--- a/support/soak_lines.cpp
+++ b/support/soak_lines.cpp
@@ -48,7 +48,8 @@
             auto const event = line["event"].get<std::string>();
             if (event == "log.dropped")
                 counts_["log lines dropped"] += line.value("lines", 0);
-            if (event != "call.ended" && event != "request.unanswered")
+            if (event != "call.ended" && event != "request.unanswered" &&
+                event != "node.start")
                 continue;
             testing::recorded_line to;
             to.node = one->name;
--- a/test/soak_history-test.cpp
+++ b/test/soak_history-test.cpp
@@ -343,3 +343,24 @@
     history.lines[0].why = "time is up";
     CHECK(broken_promises(history).empty());
 }
+
+TEST_CASE_METHOD(
+    soak_end_fixture,
+    "soak history: a harmless request is refused for lack of an engine only by "
+    "a node that has just started")
+{
+    never_ran();
+    auto& one = attempt("l1");
+    one.status = 503;
+    one.body = "no engine to ask";
+    one.targets_only_pause = true;
+    add_line("node.start", {}, false);
+    auto& start = history.lines[0];
+    start.time_ms = 9'500;
+    CHECK(broken_promises(history).empty());
+    start.node = "node-1";
+    CHECK(breaks("503 no engine to ask: l1 at node-0"));
+    start.node = "node-0";
+    start.time_ms = 8'500;
+    CHECK(breaks("503 no engine to ask: l1 at node-0"));
+}
