--- a/test/changes_under_calls-test.cpp
+++ b/test/changes_under_calls-test.cpp
@@ -78,7 +78,7 @@
         while (from < all.size())
         {
             auto const end = std::min(all.find('\n', from), all.size());
-            auto const line = all.substr(from, end - from);
+            auto line = all.substr(from, end - from);
             if (line.find("\"event\":\"call.ended\"") != std::string::npos &&
                 line.find("\"request\":\"" + id + "\"") != std::string::npos)
                 return line;
@@ -129,7 +129,7 @@
                                               "Request-Id: " + id +
                                                   "\r\nResponse-Stamp: s\r\n",
                                               "done"));
-                            link->finish_answer(false);
+                            link->finish_answer();
                         });
                     return true;
                 });
