--- a/test/engine_pause-test.cpp
+++ b/test/engine_pause-test.cpp
@@ -108,7 +108,7 @@
     {
         auto const whole = standin_target::stream(id, from, 3, true);
         link->write(whole.substr(whole.find("\r\n\r\n") + 4));
-        link->finish_answer(false);
+        link->finish_answer();
     }
 
     /// The same content under any id.
@@ -336,7 +336,7 @@
                             200,
                             "Request-Id: " + id + "\r\nResponse-Stamp: s\r\n",
                             "done"));
-                        link->finish_answer(false);
+                        link->finish_answer();
                     });
                 return true;
             });
