soak history: a node without a configuration may refuse for lack of one

Refusals at a start are now allowed until a second after the node's first configuration.applied, instead of a second after node.start; a node that has applied one earlier gets no more time than before.

--- a/support/soak_lines.cpp
+++ b/support/soak_lines.cpp
@@ -49,7 +49,7 @@
             if (event == "log.dropped")
                 counts_["log lines dropped"] += line.value("lines", 0);
             if (event != "call.ended" && event != "request.unanswered" &&
-                event != "node.start")
+                event != "node.start" && event != "configuration.applied")
                 continue;
             testing::recorded_line to;
             to.node = one->name;
