--- a/test/endless_answer-test.cpp
+++ b/test/endless_answer-test.cpp
@@ -231,6 +231,20 @@
     check_others_are_served(node);
 }
 
+TEST_CASE_METHOD(
+    endless_answer_fixture, "endless answer: an engine that sends no head gets "
+                            "no orders after the first")
+{
+    std::vector<endless_answer> const answers{
+        {"", "no answer "}, {"", "HTTP/1.1 102 Processing\r\n\r\n"}};
+    begin_trouble(answers[GENERATE(0U, 1U)], true);
+    auto& node = start_node();
+    CHECK(call_trouble(node, order).status == 502);
+    for (int i = 0; i < 8; ++i)
+        CHECK(call(node, order("o" + std::to_string(i))).status == 200);
+    CHECK(trouble->connections() == 1);
+}
+
 TEST_CASE_METHOD(
     endless_answer_fixture,
     "endless answer: an honest answer of the greatest size is delivered whole")
