caller_link: let no second answer follow an announced close at the exit

A caller that asked for the close, had sent more behind its request and read its answer slowly got a 503 behind that answer when the process exited, and an answer that the exit cut was not reported (found by review, not seen in a run). A connection that closes after its answer gets no refusal; unsent bytes of an answer are reported as "answer cut by the exit".

--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -43,6 +43,7 @@
 constexpr std::string_view left_unread = "left unread";
 constexpr std::string_view behind_last_answer = "behind the last answer";
 constexpr std::string_view behind_broken_answer = "behind a broken-off answer";
+constexpr std::string_view cut_by_exit = "answer cut by the exit";
 constexpr std::string_view rest_of_refused = "rest of a refused request";
 constexpr std::string_view process_exit = "process exit";
 
@@ -389,7 +390,7 @@
 
 void caller_link::end_for_exit()
 {
-    if (ended_ || shutting_down_ || answering_)
+    if (ended_ || shutting_down_ || answering_ || closes_after_answer_)
         return;
     if (reading_request())
         refuse_request(status_unavailable, "this node is about to exit");
@@ -404,7 +405,10 @@
     if (ended_)
         return;
     if (!shutting_down_)
+    {
         report_unanswered(request_bytes_ + incoming_.size(), process_exit);
+        report_unanswered(unsent(), cut_by_exit);
+    }
     close_socket();
 }
 
