crash_exchange: take separate pauses of an engine for no long silence

Two pauses of a sound engine, 3.6 s apart and with nothing observed between them, counted as a silence of 4 s and so as a crash of both requests; and runs left undecided by a node that stopped counted as crashes at the others 30 s later (both found by review). Only watches without a gap between them show one silence, and a node that leaves takes its undecided runs back. The test of a long silence now watches all the while; two tests are new.

--- a/src/entry/crash_exchange.cpp
+++ b/src/entry/crash_exchange.cpp
@@ -195,11 +195,12 @@
         decide(oldest, run_decision::unknown);
     }
     silent_.push_back({run, heard_at, clock_()});
+    // Only watches without a gap between them show one silence.
     auto silent_since = heard_at;
-    for (auto const& one : silent_)
+    for (auto one = silent_.rbegin(); one != silent_.rend(); ++one)
     {
-        if (one.run.engine == run.engine)
-            silent_since = std::min(silent_since, one.heard_at);
+        if (one->run.engine == run.engine && one->given_up_at >= silent_since)
+            silent_since = std::min(silent_since, one->heard_at);
     }
     if (clock_() - silent_since >= options_.longest_silence)
         decide_silent_runs(run.engine, run_decision::silent_too_long);
@@ -234,6 +235,16 @@
         hooks_.on_decided(one.run, what);
 }
 
+void crash_exchange::forget_silent_runs()
+{
+    while (!silent_.empty())
+    {
+        auto const oldest = silent_.front();
+        silent_.pop_front();
+        decide(oldest, run_decision::unknown);
+    }
+}
+
 void crash_exchange::expire_silent_runs()
 {
     while (!silent_.empty() &&
--- a/src/entry/crash_exchange.hpp
+++ b/src/entry/crash_exchange.hpp
@@ -177,6 +177,9 @@
     /// engine is found to have ended.
     /// \param heard_at when the engine last sent or took bytes
     void run_fell_silent(request_run const& run, time_point heard_at);
+    /// Takes back all undecided runs, as this node will learn nothing more of
+    /// their engines.
+    void forget_silent_runs();
     /// Records that the engine sent bytes of an answer, to any call.
     void engine_sent_bytes(engine_ref const& engine)
     {
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -123,6 +123,8 @@
         leases_.release_all();
         view_.leave([this] { left_cluster_ = true; });
     }
+    if (leave_started_)
+        crashes_.forget_silent_runs();
     if (since > balancer_detection_time)
     {
         auto const open = caller_links_;
--- a/test/crash_exchange-test.cpp
+++ b/test/crash_exchange-test.cpp
@@ -319,14 +319,44 @@
     }
     SECTION("it stays silent for longer than a sound engine")
     {
-        fall_silent(node, "e1");
-        pass(milliseconds(3'600));
+        constexpr int watches = 9;
+        for (int i = 0; i < watches; ++i)
+            fall_silent(node, "e1");
         CHECK(node.record().crashes(request) == 0);
         fall_silent(node, "e1");
     }
     CHECK(node.record().crashes(request) == 1);
 }
 
+TEST_CASE_METHOD(
+    crash_exchange_fixture,
+    "crash exchange: two pauses of a sound engine are not one long silence")
+{
+    auto& node = start("node");
+    know(node, {});
+    pass(seconds(2));
+    fall_silent(node, "e1");
+    pass(milliseconds(3'600));
+    fall_silent(node, "e1");
+    CHECK(node.record().crashes(request) == 0);
+}
+
+TEST_CASE_METHOD(
+    crash_exchange_fixture,
+    "crash exchange: a node that leaves takes back what it has not decided")
+{
+    auto& peer = start("peer");
+    auto& node = start("node");
+    know(peer, {"node"});
+    know(node, {"peer"});
+    pass(seconds(2));
+    fall_silent(node, "e1");
+    CHECK(peer.record().running_engines(request).size() == 1);
+    node.forget_silent_runs();
+    pass(seconds(40));
+    CHECK(peer.record().crashes(request) == 0);
+}
+
 TEST_CASE_METHOD(
     crash_exchange_fixture,
     "crash exchange: a silence that nothing explains is forgotten")
