call_flow: refuse a call that nothing continues, and end one whose caller left

A lost call closed its connection without an answer; it is now refused, or ends with 502 where it may have run. An order whose caller had left kept its place until the deadline after its engine had sent nonsense, as the attempt was not ended. A call that waits for the engines that have its content ends with its sends. Found by review.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -94,7 +94,7 @@
     if (done_ || !check_crashes(&call_flow::try_engine))
         return;
     auto const chosen = node_.balancer.choose(need_);
-    if (!chosen && !need_.among.empty())
+    if (!chosen && !need_.among.empty() && sends_ < max_sends)
     {
         choose_again_later();
         return;
@@ -390,7 +390,7 @@
 void call_flow::give_up_answer(
     attempt_ptr const& attempt, engine_outcome outcome, std::string_view why)
 {
-    if (done_ || attempt->ended)
+    if (attempt->ended)
         return;
     run_survived(attempt);
     end_attempt(attempt, outcome);
--- a/src/entry/call_crashes.cpp
+++ b/src/entry/call_crashes.cpp
@@ -78,6 +78,7 @@
 void call_flow::choose_again_later()
 {
     constexpr std::chrono::milliseconds interval{100};
+    waits_for_ = "its engines";
     need_.avoid.clear();
     stall_timer_.expires_after(interval);
     stall_timer_.async_wait(
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -66,19 +66,15 @@
 /// vain.
 void call_flow::release_unanswered()
 {
-    done_ = true;
-    abandon_attempt();
-    settle_budget();
-    if (sends_ == 0)
-        return_quota();
+    constexpr std::string_view why = "nothing continues the call";
     node_.counters.count("walnutmill_unanswered_calls_total");
     node_.log.write(
         log_priority::important, "request.unanswered",
         {{"request", call_.id.str()},
-         {"why", "nothing continues the call"},
+         {"why", why},
          {"waits_for", waits_for_},
          {"ms", ms_count(node_.clock() - arrived_)}});
-    link_->abort();
+    end_unanswered(why, why, min_retry_after_refusal);
 }
 
 duration call_flow::time_left() const
