--- a/support/soak_faults.cpp
+++ b/support/soak_faults.cpp
@@ -226,12 +226,16 @@
 /// \param began_ms when the node was told to stop
 void soak_world::await_stop(soak_node& one, std::int64_t began_ms)
 {
-    if (one.process->wait() != 0)
-        count("planned stop that did not end well");
+    auto const code = one.process->wait();
+    if (code != 0)
+    {
+        count(
+            "planned stop that did not end well, code " + std::to_string(code));
+    }
     auto const late = began_ms + usual_stop.count();
     if (now_ms() < late)
         return;
-    count("planned stop that took all of its grace");
+    count("planned stop that took all of its grace, " + one.name);
     add_trouble(one, late, now_ms());
 }
 
