--- a/support/soak_connection.cpp
+++ b/support/soak_connection.cpp
@@ -231,6 +231,7 @@
         auto const how = read(until);
         if (how != read_result::bytes)
         {
+            to.ended_at = clock::now();
             to.end = end_of(how, began);
             break;
         }
@@ -243,6 +244,8 @@
         to.end = attempt_end::answered;
     respect(to);
     last_used_ = clock::now();
+    if (to.ended_at == clock::time_point())
+        to.ended_at = last_used_;
     return to;
 }
 
--- a/support/soak_connection.hpp
+++ b/support/soak_connection.hpp
@@ -24,6 +24,8 @@
     bool whole = false;
     std::map<std::string, std::string> headers;
     std::string body;
+    /// When it ended, without the time in which a reset was waited for.
+    std::chrono::steady_clock::time_point ended_at{};
 };
 
 class soak_connection
--- a/support/soak_kept_callers.cpp
+++ b/support/soak_kept_callers.cpp
@@ -117,6 +117,7 @@
     exchange_result got;
     got.end = attempt_end::not_connected;
     to.began_ms = unix_ms();
+    auto const began = clock::now();
     try
     {
         if (!connection)
@@ -129,7 +130,11 @@
     {
         // Recorded as not connected.
     }
-    to.ended_ms = unix_ms();
+    if (got.ended_at == clock::time_point())
+        got.ended_at = clock::now();
+    to.ended_ms =
+        to.began_ms +
+        std::chrono::duration_cast<milliseconds>(got.ended_at - began).count();
     to.end = got.end;
     to.status = got.status;
     to.whole = got.whole;
