--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -88,6 +88,7 @@
     void stop();
     void stop_step();
     void end_connections();
+    bool is_answering_nodes() const;
     void tick();
     start_leases::hooks lease_hooks();
     quota_exchange::hooks quota_hooks();
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace walnutmill
@@ -102,6 +103,13 @@
         link->end_for_exit();
 }
 
+bool entry_node::is_answering_nodes() const
+{
+    return std::any_of(
+        service_links_.begin(), service_links_.end(),
+        [](caller_link const* one) { return !one->idle(); });
+}
+
 /// Serves callers that the load balancer still sends. Closes connections only
 /// once no request can be in transit on them.
 void entry_node::stop_step()
@@ -133,7 +141,8 @@
     }
     if (ends_calls)
         end_connections();
-    auto const quiet = left_cluster_ && !ledger_.busy();
+    auto const quiet =
+        left_cluster_ && !ledger_.busy() && !is_answering_nodes();
     auto const drained = (quiet || ends_calls) &&
                          services_.calls_in_flight == 0 &&
                          caller_links_.empty();
