--- a/test/engine_pause-test.cpp
+++ b/test/engine_pause-test.cpp
@@ -132,6 +132,7 @@
     {
         std::vector<caller_answer> answers(static_cast<std::size_t>(count));
         std::vector<std::thread> callers;
+        callers.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
         {
             callers.emplace_back(
@@ -345,6 +346,7 @@
     }
     auto& node = start_node();
     std::vector<std::unique_ptr<test_caller>> callers;
+    callers.reserve(static_cast<std::size_t>(calls));
     for (int i = 0; i < calls; ++i)
     {
         callers.push_back(
