engine_balancer: declare the exchange of engine speeds

The four functions are declared first, so that the decisions and the exchange between nodes can be built side by side; nothing calls them yet. Checked: the source compiles.

--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -28,6 +28,7 @@
 
 #include <walnutmill/call.hpp>
 #include <walnutmill/clock.hpp>
+#include <walnutmill/engine_speeds.hpp>
 #include <walnutmill/random.hpp>
 #include <walnutmill/routing_table.hpp>
 
@@ -286,6 +287,18 @@
     /// of their service
     std::vector<std::pair<std::uint32_t, double>> own_demand() const;
 
+    /// \return the machine figures that engines reported to this node, for
+    /// other nodes
+    std::vector<machine_figure> own_machine_figures() const;
+    /// \return decaying sums of the speeds that this node's calls had, for
+    /// other nodes
+    std::vector<speed_sample> own_speed_samples() const;
+    /// Replaces the machine figures known from other nodes.
+    void
+    set_cluster_machine_figures(std::vector<machine_figure> const& figures);
+    /// Replaces the speeds of all nodes' calls for the engines named.
+    void set_cluster_speeds(std::vector<speed_sample> const& speeds);
+
     /// \return true if the engine is registered, with the given incarnation if
     /// there is one
     bool known(engine_ref const& engine) const;
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -539,6 +539,26 @@
     return calls;
 }
 
+std::vector<machine_figure> engine_balancer::own_machine_figures() const
+{
+    return {};
+}
+
+std::vector<speed_sample> engine_balancer::own_speed_samples() const
+{
+    return {};
+}
+
+void engine_balancer::set_cluster_machine_figures(
+    std::vector<machine_figure> const& /*figures*/)
+{
+}
+
+void engine_balancer::set_cluster_speeds(
+    std::vector<speed_sample> const& /*speeds*/)
+{
+}
+
 std::optional<double>
 engine_balancer::pressure(service_name const& service) const
 {
