--- a/include/walnutmill/call.hpp
+++ b/include/walnutmill/call.hpp
@@ -81,6 +81,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Duration of work on the engine's machine at that moment, in percent of
+    /// the usual (1 to 10,000); empty where the engine tells none.
+    std::optional<std::uint32_t> machine_percent{};
 };
 
 /// The head of an engine's answer.
