engine_balancer: go by the speeds of engines and machines

Costs, waits and times to the first byte are multiplied by an engine's base slowdown and by the slowdown of its machine. The slowdown that held over a call is divided out of its measured duration.

--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -131,6 +131,9 @@
     /// Maximum number of prompt parts with a known cache location: a minute of
     /// a node's turns.
     std::size_t max_tracked_parts = 4'096;
+    /// Machine figures that engines report are used. If false, they are
+    /// ignored.
+    bool use_engine_speeds = true;
 };
 
 /// Requirements of a call for its engine.
@@ -182,6 +185,11 @@
     std::chrono::milliseconds load_age{-1};
     /// Tokens of the prompt that are likely cached at the engine.
     std::uint32_t cached_tokens = 0;
+    /// Ratio of the engine's measured to its predicted durations, and the
+    /// slowdown of its machine; empty where the service's engines report no
+    /// machine figures.
+    std::optional<double> base_slowdown{};
+    std::optional<double> machine_slowdown{};
 
     engine_ref ref() const { return {engine, incarnation}; }
 };
@@ -263,7 +271,8 @@
     /// Records that a call at the engine has exceeded its stall timeout; the
     /// call may still complete there.
     void call_stalled(engine_ref const& engine);
-    /// Records the load that the engine reported in an answer.
+    /// Records the load and the machine figure that the engine reported in an
+    /// answer.
     void report_load(engine_ref const& engine, engine_load const& load);
     /// Records that another node's call left a prompt part in an engine's
     /// prefix cache.
@@ -416,13 +425,18 @@
     double cost_of(
         engine_record const& record, balancer_request const& need,
         std::uint32_t cached, time_point now) const;
+    double predicted_ms(
+        engine_record const& record, balancer_request const& need,
+        std::uint32_t cached, double load) const;
     double expected_ms(
         engine_record const& record, balancer_request const& need,
         std::uint32_t cached, double load) const;
     double first_bytes_ms(
         engine_record const& record, balancer_request const& need,
         std::uint32_t cached) const;
-    double slowdown_of(engine_record const& record) const;
+    double slowdown_of(engine_record const& record, double predicted_ms) const;
+    double base_slowdown_of(engine_record const& record) const;
+    double own_slowdown_of(engine_record const& record) const;
     void update_slowdown(engine_record& record, double sample);
     double failures_of(engine_record const& record, time_point now) const;
     void add_failure(engine_record& record, time_point now) const;
@@ -469,6 +483,7 @@
     std::unordered_map<std::string, part_locations> part_locations_;
     /// Least recently used part first.
     std::list<std::string> part_lru_;
+    engine_speeds speeds_;
 };
 
 } // namespace walnutmill
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -51,6 +51,12 @@
                need.among.end();
 }
 
+duration duration_of(double ms)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(ms));
+}
+
 duration scaled(duration whole, double part)
 {
     return duration(
@@ -63,7 +69,7 @@
     zone_name own_domain, clock_fn clock, random_fn random,
     balancer_options options)
     : own_domain_(std::move(own_domain)), clock_(std::move(clock)),
-      random_(std::move(random)), options_(options)
+      random_(std::move(random)), options_(options), speeds_(clock_)
 {
 }
 
@@ -100,6 +106,7 @@
     if (!same)
         ++engines_version_;
     engines_ = std::move(kept);
+    speeds_.set_engines(engines);
     return restarted;
 }
 
@@ -172,20 +179,28 @@
            record.average_other_calls * (1 - fresh);
 }
 
-double engine_balancer::expected_ms(
+/// \return the duration of the call as predicted from the options
+double engine_balancer::predicted_ms(
     engine_record const& record, balancer_request const& need,
     std::uint32_t cached, double load) const
 {
     if (need.prompt_tokens == 0)
-        return options_.plain_call_ms * slowdown_of(record);
+        return options_.plain_call_ms;
     auto const slots = static_cast<double>(record.entry.slots);
     auto const batch = std::min(load + 1, slots);
     auto const unread = static_cast<double>(
         need.prompt_tokens - std::min(need.prompt_tokens, cached));
     auto const step = options_.step_ms + options_.step_ms_per_call * batch;
-    return slowdown_of(record) *
-           (options_.first_token_ms + unread / options_.prefill_tokens_per_ms +
-            static_cast<double>(need.output_tokens) * step);
+    return options_.first_token_ms + unread / options_.prefill_tokens_per_ms +
+           static_cast<double>(need.output_tokens) * step;
+}
+
+double engine_balancer::expected_ms(
+    engine_record const& record, balancer_request const& need,
+    std::uint32_t cached, double load) const
+{
+    auto const predicted = predicted_ms(record, need, cached, load);
+    return slowdown_of(record, predicted) * predicted;
 }
 
 double engine_balancer::wait_ms(
@@ -201,11 +216,12 @@
 {
     // A plain answer is not streamed.
     if (need.prompt_tokens == 0)
-        return options_.plain_call_ms * slowdown_of(record);
+        return expected_ms(record, need, cached, 0);
     auto const unread = static_cast<double>(
         need.prompt_tokens - std::min(need.prompt_tokens, cached));
-    return slowdown_of(record) *
-           (options_.first_token_ms + unread / options_.prefill_tokens_per_ms);
+    auto const predicted =
+        options_.first_token_ms + unread / options_.prefill_tokens_per_ms;
+    return slowdown_of(record, predicted) * predicted;
 }
 
 double
@@ -253,7 +269,9 @@
         // the prefill of this prompt.
         auto const unread = static_cast<double>(
             need.prompt_tokens - std::min(need.prompt_tokens, cached));
-        cost += slowdown_of(record) * load *
+        auto const slowdown =
+            slowdown_of(record, predicted_ms(record, need, cached, load));
+        cost += slowdown * load *
                 (static_cast<double>(need.output_tokens) *
                      options_.step_ms_per_call +
                  unread / options_.prefill_tokens_per_ms);
@@ -333,6 +351,11 @@
         to.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(
             now - best->load_reported_at);
     }
+    if (speeds_.active(best->entry.service))
+    {
+        to.base_slowdown = base_slowdown_of(*best);
+        to.machine_slowdown = speeds_.machine_slowdown(best->entry.id);
+    }
     return to;
 }
 
@@ -387,11 +410,16 @@
         count_outcome(record, false, now);
         record.failures *= 1 - options_.failure_weight / 2;
         auto const cached = cached_tokens(engine.id, need);
-        auto const expected =
-            expected_ms(record, need, cached, load) / slowdown_of(record);
-        update_slowdown(
-            record,
-            std::clamp(ms_of(took) / expected, min_slowdown, max_slowdown));
+        auto const slowdown =
+            slowdown_of(record, predicted_ms(record, need, cached, load));
+        auto const predicted =
+            expected_ms(record, need, cached, load) / slowdown;
+        auto const ratio = std::clamp(
+            ms_of(took) / predicted /
+                speeds_.machine_slowdown_during(engine.id, took),
+            min_slowdown, max_slowdown);
+        speeds_.record_call(engine.id, ratio);
+        update_slowdown(record, ratio);
         break;
     }
     case engine_outcome::full:
@@ -413,7 +441,28 @@
     }
 }
 
-double engine_balancer::slowdown_of(engine_record const& record) const
+/// \return the ratio of the duration to expect at the engine now to the
+/// duration predicted from the options
+/// \param predicted_ms predicted duration of the call
+double engine_balancer::slowdown_of(
+    engine_record const& record, double predicted_ms) const
+{
+    if (!speeds_.active(record.entry.service))
+        return own_slowdown_of(record);
+    auto const base = base_slowdown_of(record);
+    return base * speeds_.expected_machine_slowdown(
+                      record.entry.id, duration_of(base * predicted_ms));
+}
+
+double engine_balancer::base_slowdown_of(engine_record const& record) const
+{
+    auto const measured = speeds_.base_slowdown(record.entry.id);
+    return measured ? *measured : own_slowdown_of(record);
+}
+
+/// \return the average of this node's calls at the engine or, without any, at
+/// its service
+double engine_balancer::own_slowdown_of(engine_record const& record) const
 {
     if (record.slowdown)
         return *record.slowdown;
@@ -429,7 +478,7 @@
     auto const weight =
         std::max(options_.service_slowdown_weight, 1.0 / usual.samples);
     usual.slowdown += (sample - usual.slowdown) * weight;
-    auto const before = slowdown_of(record);
+    auto const before = own_slowdown_of(record);
     record.slowdown = before + (sample - before) * options_.slowdown_weight;
 }
 
@@ -454,6 +503,8 @@
         (record.reported_other_calls - record.average_other_calls) *
         average_weight;
     record.load_reported_at = clock_();
+    if (load.machine_percent && options_.use_engine_speeds)
+        speeds_.report_machine(engine.id, *load.machine_percent);
 }
 
 void engine_balancer::set_peer_loads(
@@ -541,22 +592,26 @@
 
 std::vector<machine_figure> engine_balancer::own_machine_figures() const
 {
-    return {};
+    return speeds_.own_figures();
 }
 
 std::vector<speed_sample> engine_balancer::own_speed_samples() const
 {
-    return {};
+    return speeds_.own_speeds();
 }
 
 void engine_balancer::set_cluster_machine_figures(
-    std::vector<machine_figure> const& /*figures*/)
+    std::vector<machine_figure> const& figures)
 {
+    if (options_.use_engine_speeds)
+        speeds_.set_cluster_figures(figures);
 }
 
 void engine_balancer::set_cluster_speeds(
-    std::vector<speed_sample> const& /*speeds*/)
+    std::vector<speed_sample> const& speeds)
 {
+    if (options_.use_engine_speeds)
+        speeds_.set_cluster_speeds(speeds);
 }
 
 std::optional<double>
