--- a/test/engine_fleet.cpp
+++ b/test/engine_fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <map>
 #include <utility>
 
 namespace walnutmill
@@ -23,6 +24,14 @@
 /// Time from a caller through its node to an engine and back.
 constexpr milliseconds round_trip_time{8};
 constexpr milliseconds retry_after{600};
+/// Exchange of machine figures and of speeds, by the rules of the load
+/// aggregator.
+constexpr milliseconds figures_interval{100};
+constexpr milliseconds speeds_interval{1'000};
+constexpr milliseconds figure_max_age{1'000};
+constexpr std::size_t max_figures = 24;
+constexpr std::size_t max_speeds = 50;
+constexpr std::uint32_t usual_percent = 100;
 
 double ms_of(duration time)
 {
@@ -37,10 +46,13 @@
 } // namespace
 
 engine_fleet::engine_fleet(fleet_options options)
-    : options_(std::move(options)), random_(seeded_random(options_.seed)),
+    : turns_by_engine(static_cast<std::size_t>(options.engines)),
+      options_(std::move(options)), random_(seeded_random(options_.seed)),
       ranks_(static_cast<std::size_t>(options_.nodes)),
       engines_(static_cast<std::size_t>(options_.engines)),
-      results_(options_.kinds.size())
+      results_(options_.kinds.size()),
+      machine_random_(seeded_random(options_.seed + 1'000'000)),
+      exchanges_(static_cast<std::size_t>(options_.nodes))
 {
     clock_.advance(std::chrono::seconds(100));
     std::vector<engine_entry> entries;
@@ -53,6 +65,10 @@
         one.zone = zone_name(domain_of(i % options_.domains));
         one.slots = options_.slots;
         entries.push_back(one);
+        auto& engine = engines_[static_cast<std::size_t>(i)];
+        auto const& factors = options_.duration_factors;
+        engine.duration_factor =
+            factors[static_cast<std::size_t>(i) % factors.size()];
     }
     for (int i = 0; i < options_.nodes; ++i)
     {
@@ -106,6 +122,7 @@
         action();
     }
     start_programs();
+    update_machines();
     for (auto& one : engines_)
         advance(one);
     for (int node = 0; node < options_.nodes; ++node)
@@ -221,13 +238,18 @@
     if (options_.reports_choices)
         send_report(node);
     ++turns;
-    arrive(
-        static_cast<std::size_t>(std::stoi(at->engine.str().substr(1))), call);
+    auto const index =
+        static_cast<std::size_t>(std::stoi(at->engine.str().substr(1)));
+    ++turns_by_engine[index];
+    sent_to_slow += is_slow(engines_[index]) ? 1 : 0;
+    arrive(index, call);
 }
 
 void engine_fleet::arrive(std::size_t engine, call_ptr const& one)
 {
     auto& to = engines_[engine];
+    most_calls_at_engine =
+        std::max(most_calls_at_engine, to.running.size() + to.queue.size() + 1);
     sent_to_full += is_full(to) ? 1 : 0;
     if (!is_full(to) || preempt(to, one->rank))
     {
@@ -317,12 +339,15 @@
 {
     auto const batch = static_cast<double>(engine.running.size());
     auto const step = step_ms + step_ms_per_call * batch;
+    auto const work_ms = ms_of(tick_time) / slowdown_of(engine);
     std::vector<call_ptr> ended;
     for (auto const& one : engine.running)
     {
-        auto const reading = std::min(one->reading_ms, ms_of(tick_time));
+        auto const reading = std::min(one->reading_ms, work_ms);
         one->reading_ms -= reading;
-        one->tokens_left -= (ms_of(tick_time) - reading) / step;
+        if (one->reading_ms <= 0 && !one->first_byte_sent)
+            report_first_byte(engine, one);
+        one->tokens_left -= (work_ms - reading) / step;
         if (one->tokens_left <= 0)
             ended.push_back(one);
     }
@@ -402,6 +427,7 @@
                 {key, static_cast<std::uint32_t>(calls * 100)});
     }
     summary_.set(std::to_string(node), std::move(own), clock_.now());
+    send_speeds(node);
 }
 
 void engine_fleet::receive_sum(int node)
@@ -430,6 +456,162 @@
         demand[one.key] = one.calls / 100.0;
     if (options_.shares_demand)
         balancer.set_cluster_demand(std::move(demand));
+    receive_speeds(node);
+}
+
+bool engine_fleet::is_slow(simulated_engine const& engine) const
+{
+    return clock_.now() < engine.usual_at;
+}
+
+double engine_fleet::slowdown_of(simulated_engine const& engine) const
+{
+    return engine.duration_factor *
+           (is_slow(engine) ? options_.slow_factor : 1.0);
+}
+
+/// Lets machines turn slow at random, each for the given share of the time.
+void engine_fleet::update_machines()
+{
+    auto const now = clock_.now();
+    for (auto& one : engines_)
+    {
+        auto const calls =
+            static_cast<double>(one.running.size() + one.queue.size());
+        calls_sum_ += calls;
+        squared_calls_sum_ += calls * calls;
+        ++calls_samples_;
+        if (options_.slow_share <= 0 || one.slow_at > now)
+            continue;
+        if (one.slow_at != time_point{})
+            one.usual_at = now + options_.slow_time;
+        auto const usual_ms = ms_of(options_.slow_time) *
+                              (1 - options_.slow_share) / options_.slow_share;
+        // An exponential distribution: machines don't turn slow together.
+        auto const until_slow_ms = -usual_ms * std::log(1 - machine_random_());
+        one.slow_at = std::max(now, one.usual_at) +
+                      milliseconds(static_cast<std::int64_t>(until_slow_ms));
+    }
+}
+
+double engine_fleet::unevenness() const
+{
+    auto const samples = static_cast<double>(calls_samples_);
+    auto const mean = calls_sum_ / samples;
+    return squared_calls_sum_ / samples / (mean * mean);
+}
+
+/// Reports the load that the head of an answer carries.
+void engine_fleet::report_first_byte(
+    simulated_engine const& engine, call_ptr const& one)
+{
+    one->first_byte_sent = true;
+    engine_load load;
+    load.running = static_cast<std::uint32_t>(engine.running.size());
+    load.waiting = static_cast<std::uint32_t>(engine.queue.size());
+    load.slots = options_.slots;
+    if (options_.speeds != speed_knowledge::none)
+    {
+        auto const factor = is_slow(engine) ? options_.slow_factor : 1.0;
+        load.machine_percent =
+            static_cast<std::uint32_t>(factor * usual_percent);
+    }
+    balancers_[static_cast<std::size_t>(one->node)]->report_load(
+        one->engine, load);
+}
+
+/// Sends a node's machine figures and speeds to the summing node.
+void engine_fleet::send_speeds(int node)
+{
+    if (options_.speeds != speed_knowledge::shared)
+        return;
+    auto const now = clock_.now();
+    auto const& balancer = *balancers_[static_cast<std::size_t>(node)];
+    auto& times = exchanges_[static_cast<std::size_t>(node)];
+    if (now - times.figures_sent >= figures_interval)
+    {
+        times.figures_sent = now;
+        for (auto const& one : balancer.own_machine_figures())
+        {
+            auto const at = now - milliseconds(one.age_ms);
+            auto& known = figures_[one.engine];
+            if (at >= known.at)
+                known = {one.percent, at};
+        }
+    }
+    if (now - times.speeds_sent >= speeds_interval)
+    {
+        times.speeds_sent = now;
+        node_speeds_[node] = {balancer.own_speed_samples(), now};
+    }
+}
+
+/// \return the figures of the slowest machines, fresh ones only
+std::vector<machine_figure> engine_fleet::slowest_figures() const
+{
+    auto const now = clock_.now();
+    std::vector<machine_figure> to;
+    for (auto const& [engine, known] : figures_)
+    {
+        auto const age = now - known.at;
+        if (age > figure_max_age || known.percent == usual_percent)
+            continue;
+        auto const age_ms =
+            std::chrono::duration_cast<milliseconds>(age).count();
+        to.push_back(
+            {engine, known.percent, static_cast<std::uint32_t>(age_ms)});
+    }
+    std::sort(
+        to.begin(), to.end(),
+        [](machine_figure const& a, machine_figure const& b)
+        { return a.percent > b.percent; });
+    to.resize(std::min(to.size(), max_figures));
+    return to;
+}
+
+/// \return the sums over all nodes, ordered by engine
+std::vector<speed_sample> engine_fleet::summed_speeds() const
+{
+    std::map<std::uint32_t, speed_sample> sums;
+    for (auto const& [node, known] : node_speeds_)
+    {
+        if (clock_.now() - known.at > speeds_interval * 2)
+            continue;
+        for (auto const& one : known.speeds)
+        {
+            auto& sum = sums[one.engine];
+            sum.engine = one.engine;
+            sum.ratio_hundredths += one.ratio_hundredths;
+            sum.calls_hundredths += one.calls_hundredths;
+        }
+    }
+    std::vector<speed_sample> to;
+    for (auto const& [engine, sum] : sums)
+        to.push_back(sum);
+    return to;
+}
+
+void engine_fleet::receive_speeds(int node)
+{
+    if (options_.speeds != speed_knowledge::shared)
+        return;
+    auto const now = clock_.now();
+    auto& balancer = *balancers_[static_cast<std::size_t>(node)];
+    auto& times = exchanges_[static_cast<std::size_t>(node)];
+    if (now - times.figures_received >= figures_interval)
+    {
+        times.figures_received = now;
+        balancer.set_cluster_machine_figures(slowest_figures());
+    }
+    if (now - times.speeds_received >= speeds_interval)
+    {
+        times.speeds_received = now;
+        auto const sums = summed_speeds();
+        std::vector<speed_sample> sent;
+        for (std::size_t i = 0; i < std::min(sums.size(), max_speeds); ++i)
+            sent.push_back(sums[times.next_speed++ % sums.size()]);
+        balancer.set_cluster_speeds(sent);
+    }
 }
 
 } // namespace testing
--- a/test/engine_fleet.hpp
+++ b/test/engine_fleet.hpp
@@ -42,6 +42,18 @@
     std::chrono::milliseconds grace{200};
 };
 
+/// What nodes know of the engines' speeds.
+enum class speed_knowledge
+{
+    /// Engines report no machine figures.
+    none,
+    /// Engines report figures, and each node uses those of its own calls.
+    own,
+    /// Nodes also exchange figures and measured speeds by way of the summing
+    /// node.
+    shared
+};
+
 struct fleet_options
 {
     int nodes = 295;
@@ -59,6 +71,14 @@
     std::chrono::milliseconds sum_ttl{5};
     /// Nodes exchange the demand for shared prompts.
     bool shares_demand = true;
+    speed_knowledge speeds = speed_knowledge::none;
+    /// Factors of the durations of calls, assigned to the engines in turn.
+    std::vector<double> duration_factors{1.0};
+    /// Share of the time for which an engine's machine is slow, the length of
+    /// a slow period, and the factor of durations meanwhile.
+    double slow_share = 0;
+    std::chrono::milliseconds slow_time{600};
+    double slow_factor = 2.5;
     bool use_admission_control = true;
     admission_control_options admission{};
     balancer_options balancer{};
@@ -96,6 +116,15 @@
     /// Calls that arrived while all slots of their engine were in use.
     int sent_to_full = 0;
     int turns = 0;
+    /// Calls that were sent to an engine while its machine was slow.
+    int sent_to_slow = 0;
+    /// Calls sent to each engine.
+    std::vector<int> turns_by_engine;
+    /// Largest number of calls at one engine at a time.
+    std::size_t most_calls_at_engine = 0;
+    /// Mean over time and engines of the squared number of calls at an engine,
+    /// by the squared mean number: 1 where all have the same number.
+    double unevenness() const;
 
 private:
     struct program
@@ -125,6 +154,7 @@
         /// Remaining reading time, and tokens that remain to be generated.
         double reading_ms = 0;
         double tokens_left = 0;
+        bool first_byte_sent = false;
     };
     using call_ptr = std::shared_ptr<running_call>;
 
@@ -135,6 +165,32 @@
         /// Most recently used first.
         std::list<prompt_part> cache;
         std::uint64_t cached = 0;
+        double duration_factor = 1;
+        /// Times at which the machine turns slow next, and usual again.
+        time_point slow_at{};
+        time_point usual_at{};
+    };
+
+    /// A machine figure or a measured speed as the summing node knows it.
+    struct known_figure
+    {
+        std::uint32_t percent = 0;
+        time_point at{};
+    };
+    struct known_speeds
+    {
+        std::vector<speed_sample> speeds;
+        time_point at{};
+    };
+    /// Times of a node's latest exchanges of figures and speeds, each way.
+    struct exchange_times
+    {
+        time_point figures_sent{};
+        time_point figures_received{};
+        time_point speeds_sent{};
+        time_point speeds_received{};
+        /// Engine from which on the next speeds are sent to the node.
+        std::size_t next_speed = 0;
     };
 
     struct deferred_call
@@ -157,6 +213,14 @@
     void exchange_reports(int node);
     void send_report(int node);
     void receive_sum(int node);
+    void send_speeds(int node);
+    void receive_speeds(int node);
+    std::vector<machine_figure> slowest_figures() const;
+    std::vector<speed_sample> summed_speeds() const;
+    void update_machines();
+    bool is_slow(simulated_engine const& engine) const;
+    double slowdown_of(simulated_engine const& engine) const;
+    void report_first_byte(simulated_engine const& engine, call_ptr const& one);
     std::uint32_t read_prompt(
         simulated_engine& engine, std::vector<prompt_part> const& parts);
     void cache_part(simulated_engine& engine, prompt_part const& part) const;
@@ -181,6 +245,15 @@
     double rate_ = 1;
     int active_programs_ = 0;
     int last_program_ = 0;
+    /// Apart from that of arrivals, so that arrivals are the same whether or
+    /// not machines turn slow.
+    random_fn machine_random_;
+    std::unordered_map<std::uint32_t, known_figure> figures_;
+    std::unordered_map<int, known_speeds> node_speeds_;
+    std::vector<exchange_times> exchanges_;
+    double calls_sum_ = 0;
+    double squared_calls_sum_ = 0;
+    std::size_t calls_samples_ = 0;
 };
 
 } // namespace testing
