--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -128,6 +128,10 @@
     log_fields_["engine_load"] = chosen->load;
     log_fields_["engine_load_age_ms"] = chosen->load_age.count();
     log_fields_["engine_cached"] = chosen->cached_tokens;
+    if (chosen->base_slowdown)
+        log_fields_["engine_speed"] = 1 / *chosen->base_slowdown;
+    if (chosen->machine_slowdown)
+        log_fields_["machine_slowdown"] = *chosen->machine_slowdown;
     attempt->sent_at = node_.clock();
     attempt->last_progress_at = attempt->sent_at;
     attempt->silence_timeout = stall_timeout(
