crash_message, origin_message: ignore elements of later versions

Both decoders required an exact number of elements, so one further element in a message of a later version made the whole message unreadable. Further elements are ignored now; fewer are malformed as before. An origin message without an origin may carry nulls in its place.

--- a/src/entry/crash_message.cpp
+++ b/src/entry/crash_message.cpp
@@ -51,10 +51,13 @@
          age_of(run.began, now), age_of(run.ended, now)});
 }
 
+// Further elements of a message, a request or a run are those of a later
+// version and are ignored.
+
 std::optional<engine_run> decode_run(json const& from, time_point now)
 {
     constexpr std::size_t fields = 5;
-    if (!from.is_array() || from.size() != fields)
+    if (!from.is_array() || from.size() < fields)
         return std::nullopt;
     engine_run run;
     run.id = from[0].get<run_id>();
@@ -85,7 +88,7 @@
 decode_request(json const& from, time_point now)
 {
     constexpr std::size_t fields = 7;
-    if (!from.is_array() || from.size() != fields || !from[6].is_array() ||
+    if (!from.is_array() || from.size() < fields || !from[6].is_array() ||
         from[6].size() > max_runs)
         return std::nullopt;
     suspect_request one;
@@ -125,7 +128,7 @@
     {
         auto const body = json::from_cbor(bytes.begin(), bytes.end());
         constexpr std::size_t fields = 3;
-        if (!body.is_array() || body.size() != fields ||
+        if (!body.is_array() || body.size() < fields ||
             body[0] != message_tag || !body[2].is_array() ||
             body[2].size() > max_requests)
             return std::nullopt;
--- a/src/entry/origin_message.cpp
+++ b/src/entry/origin_message.cpp
@@ -52,23 +52,22 @@
     try
     {
         auto const body = json::from_cbor(bytes.begin(), bytes.end());
-        constexpr std::size_t size_without_origin = 5;
-        constexpr std::size_t size_with_origin = 7;
-        if (!body.is_array() || body.empty() || body[0] != message_tag ||
-            (body.size() != size_without_origin &&
-             body.size() != size_with_origin))
+        if (!body.is_array() || body.empty() || body[0] != message_tag)
             return std::nullopt;
         origin_message message;
         message.type =
-            static_cast<origin_message_type>(body[1].get<std::uint8_t>());
-        message.stream = body[2].get<stream_key>();
-        message.query = body[3].get<std::uint64_t>();
-        message.node = body[4].get<std::string>();
-        if (body.size() == size_with_origin)
+            static_cast<origin_message_type>(body.at(1).get<std::uint8_t>());
+        message.stream = body.at(2).get<stream_key>();
+        message.query = body.at(3).get<std::uint64_t>();
+        message.node = body.at(4).get<std::string>();
+        // A later version may add elements. It puts nulls in place of an absent
+        // origin then.
+        constexpr std::size_t origin_index = 5;
+        if (body.size() > origin_index && !body[origin_index].is_null())
         {
             message.origin = {
-                service_name(body[5].get<std::string>()),
-                body[6].get<std::string>()};
+                service_name(body[origin_index].get<std::string>()),
+                body.at(origin_index + 1).get<std::string>()};
         }
         if (!is_valid(message))
             return std::nullopt;
--- a/test/crash_record-test.cpp
+++ b/test/crash_record-test.cpp
@@ -5,6 +5,7 @@
 #include <walnutmill/random.hpp>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <functional>
 #include <string>
@@ -317,3 +318,45 @@
     CHECK_FALSE(answer->is_query);
     CHECK_FALSE(decode_crash_message("no message", there));
 }
+
+TEST_CASE_METHOD(
+    crash_record_fixture,
+    "crash message: elements of a later version are ignored")
+{
+    // A decoder of an exact number of elements drops all records of nodes that
+    // run a later version, and a request that ends engines goes on at others.
+    quarantine(7);
+    crash_message message;
+    message.requests.emplace_back(7, *record.find(7));
+    auto const bytes = encode(message, clock.now());
+    auto const body = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+    auto longer_message = body;
+    longer_message.push_back("new");
+    auto longer_request = body;
+    longer_request[2][0].push_back(nlohmann::json::object());
+    auto longer_run = body;
+    for (auto& run : longer_run[2][0][6])
+        run.push_back(7);
+    for (auto const& one : {longer_message, longer_request, longer_run})
+    {
+        INFO(one.dump());
+        auto const longer = nlohmann::json::to_cbor(one);
+        auto const got = decode_crash_message(
+            std::string(longer.begin(), longer.end()), clock.now());
+        REQUIRE(got);
+        REQUIRE(got->requests.size() == 1);
+        CHECK(got->requests.front().second.runs.size() == 3);
+        CHECK(got->requests.front().second.label.program == "p1");
+    }
+    // Fewer elements are malformed.
+    for (auto const* path : {"/0", "/2/0/0", "/2/0/6/0/0"})
+    {
+        INFO(path);
+        auto shorter = body;
+        auto const at = nlohmann::json::json_pointer(path);
+        shorter[at.parent_pointer()].erase(std::size_t{0});
+        auto const shortened = nlohmann::json::to_cbor(shorter);
+        CHECK_FALSE(decode_crash_message(
+            std::string(shortened.begin(), shortened.end()), clock.now()));
+    }
+}
--- a/test/stream_origin-test.cpp
+++ b/test/stream_origin-test.cpp
@@ -4,6 +4,7 @@
 #include <walnutmill/workspace_directory.hpp>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <string>
 #include <string_view>
@@ -128,3 +129,38 @@
             decode_origin_message(std::string_view(bytes).substr(0, size)));
     CHECK_FALSE(decode_origin_message("\x82\xf5\x01"));
 }
+
+TEST_CASE_METHOD(
+    stream_origin_fixture,
+    "origin message: elements of a later version are ignored")
+{
+    // A decoder of an exact number of elements drops all messages of nodes that
+    // run a later version.
+    origin_message message;
+    message.type = origin_message_type::answer;
+    message.stream = 1;
+    message.node = "node-1";
+    auto const extended = [&](std::vector<nlohmann::json> const& further)
+    {
+        auto const bytes = encode(message);
+        auto body = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+        for (auto const& one : further)
+            body.push_back(one);
+        auto const longer = nlohmann::json::to_cbor(body);
+        return decode_origin_message(std::string(longer.begin(), longer.end()));
+    };
+    auto const unknown_origin = extended({nullptr, nullptr, "new", 7});
+    REQUIRE(unknown_origin);
+    CHECK_FALSE(unknown_origin->origin);
+    CHECK(unknown_origin->node == "node-1");
+    CHECK_FALSE(extended({"llm"}));
+    CHECK_FALSE(extended({7, 8}));
+    message.origin = second;
+    for (auto const& further : std::vector<std::vector<nlohmann::json>>{
+             {nullptr}, {7}, {"new", 7, nlohmann::json::object()}})
+    {
+        auto const got = extended(further);
+        REQUIRE(got);
+        CHECK(got->origin == second);
+    }
+}
