load_summary: carry machine figures and speeds of engines

A node measures a given engine once in several seconds, and machines turn slow for some 600 ms. Only all nodes together measure each engine often enough.

Load messages gain an eighth element with machine figures and a ninth with speeds, present only where there are any. Entries are byte strings of a fixed size: as CBOR integers, 24 figures ten times a second and 50 speeds would take 3.2 KB a second. An element that is empty says that all engines work as usual; one that is absent says nothing.

The summary keeps the freshest figure of each engine and the speeds by node and engine. What is sent to one node is limited by time and number.

The decoder reads the known elements only, so that further ones which the JSON library can't parse leave a message readable.

--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -12,9 +12,16 @@
 namespace
 {
 
-/// CBOR header of an array with seven elements: the fields of a message
-/// followed by those of its report.
-constexpr char array_of_seven = static_cast<char>(0x87);
+/// CBOR header of an array without elements; the number of elements, up to 23,
+/// is added to it.
+constexpr std::uint8_t array_header = 0x80;
+constexpr std::uint8_t max_header_elements = 23;
+/// The fields of a message followed by those of its report, without and with
+/// speeds.
+constexpr std::uint8_t load_elements = 7;
+constexpr std::uint8_t known_elements = 9;
+constexpr std::size_t figures_element = 7;
+constexpr std::size_t speeds_element = 8;
 /// Maximum age of the report of a node that counts as reachable: two report
 /// intervals plus the delay of a slow node.
 constexpr std::chrono::milliseconds max_reachable_report_age{500};
@@ -36,6 +43,42 @@
     to.append(bytes.begin(), bytes.end());
 }
 
+/// \return the first elements of an array that contains more
+json read_first_elements(std::string_view bytes, std::uint8_t count)
+{
+    std::string first(bytes);
+    first[0] = static_cast<char>(array_header + count);
+    return json::from_cbor(first, false, false);
+}
+
+/// Reads the known elements of an array. Elements of later versions, which the
+/// library may be unable to parse, are not read.
+/// \return discarded if the bytes are malformed
+json read_elements(std::string_view bytes)
+{
+    auto const header = static_cast<std::uint8_t>(bytes[0]);
+    auto const is_short_array =
+        header >= array_header && header <= array_header + max_header_elements;
+    auto const count = is_short_array ? header - array_header : 0;
+    auto body = count > known_elements
+                    ? read_first_elements(bytes, known_elements)
+                    : json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (body.is_discarded() && count > load_elements)
+        body = read_first_elements(bytes, load_elements);
+    return body;
+}
+
+/// \return the content of a byte string; empty if the element is missing or
+/// another type
+std::optional<std::string_view> bytes_at(json const& body, std::size_t element)
+{
+    if (body.size() <= element || !body[element].is_binary())
+        return std::nullopt;
+    auto const& content = body[element].get_binary();
+    return std::string_view(
+        reinterpret_cast<char const*>(content.data()), content.size());
+}
+
 } // namespace
 
 std::uint32_t short_key(target_name const& engine)
@@ -73,20 +116,21 @@
 
 std::string encode_message(
     bool is_report, std::string_view node, std::uint64_t number,
-    std::string_view report)
+    std::string_view report, speed_elements const& speeds)
 {
-    std::string encoded(1, array_of_seven);
+    std::string encoded(
+        1, static_cast<char>(array_header + load_elements + speeds.count));
     append_cbor(is_report, encoded);
     append_cbor(node, encoded);
     append_cbor(number, encoded);
-    return encoded.append(report);
+    return encoded.append(report).append(speeds.bytes);
 }
 
 std::string encode(load_message const& message)
 {
     return encode_message(
-        message.is_report, message.node, message.number,
-        encode(message.report));
+        message.is_report, message.node, message.number, encode(message.report),
+        encode(message.report.speeds));
 }
 
 std::optional<load_message> decode_load_message(std::string_view bytes)
@@ -95,7 +139,7 @@
         return std::nullopt;
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = read_elements(bytes);
         load_message message;
         message.is_report = body.at(0).get<bool>();
         message.node = body.at(1).get<std::string>();
@@ -125,6 +169,11 @@
         }
         if (body.size() > 6)
             message.report.nodes = body.at(6).get<std::uint32_t>();
+        auto& speeds = message.report.speeds;
+        if (auto const content = bytes_at(body, figures_element))
+            speeds.figures = decode_figures(*content);
+        if (auto const content = bytes_at(body, speeds_element))
+            speeds.speeds = decode_speeds(*content);
         return message;
     }
     catch (json::exception const&)
@@ -139,6 +188,7 @@
 void load_summary::set(
     std::string const& node, load_report report, time_point now)
 {
+    speeds.add(node, report.speeds, now);
     nodes_[node] = {now, std::move(report)};
 }
 
--- a/src/entry/load_summary.hpp
+++ b/src/entry/load_summary.hpp
@@ -15,6 +15,8 @@
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
 
+#include "entry/speed_summary.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -53,6 +55,8 @@
     std::vector<demand_count> demand{};
     /// In a sum, the number of nodes that reported within the last 500 ms.
     std::uint32_t nodes = 0;
+    /// Empty where no engine reports how long work takes on its machine.
+    speed_report speeds{};
 };
 
 /// \return a 32-bit hash of the engine's name, short enough for datagrams.
@@ -73,12 +77,13 @@
 };
 
 std::string encode(load_message const& message);
-/// Encodes a report separately, so that several messages can share it.
+/// Encodes a report without its speeds, so that several messages can share it.
 std::string encode(load_report const& report);
-/// Encodes a message that contains an encoded report.
+/// Encodes a message that contains an encoded report and encoded speeds.
 std::string encode_message(
     bool is_report, std::string_view node, std::uint64_t number,
-    std::string_view report);
+    std::string_view report, speed_elements const& speeds = {});
+/// Further elements, and speeds that are malformed, are ignored.
 /// \return empty if the bytes are not a load message.
 std::optional<load_message> decode_load_message(std::string_view bytes);
 
@@ -94,7 +99,8 @@
     explicit load_summary(
         duration retention = std::chrono::milliseconds(1'000));
 
-    /// Replaces the node's previous report.
+    /// Replaces the node's previous report but for its speeds, which are added
+    /// to those reported before.
     void set(std::string const& node, load_report report, time_point now);
     /// \return the sum of the reports that have not expired. It contains
     /// outcomes only of engines where calls failed, which saves space in
@@ -104,6 +110,10 @@
     /// the sum over all nodes for each of them is quadratic in their number.
     std::string const& encoded_sum(time_point now);
 
+    /// Machine figures and speeds of the reports passed to set(). They are not
+    /// part of the sums above, which are the same for all nodes.
+    speed_summary speeds;
+
 private:
     struct node_report
     {
--- a/test/decoder_fuzz-test.cpp
+++ b/test/decoder_fuzz-test.cpp
@@ -7,6 +7,7 @@
 #include "entry/crash_message.hpp"
 #include "entry/event_stream.hpp"
 #include "entry/http_link.hpp"
+#include "entry/load_summary.hpp"
 #include "entry/origin_message.hpp"
 #include "entry/quota_message.hpp"
 #include "entry/version_register.hpp"
@@ -212,6 +213,41 @@
         { decode_crash_message(bytes, time_point(std::chrono::hours(1))); });
 }
 
+TEST_CASE_METHOD(fuzz_fixture, "fuzz: loads and speeds of engines")
+{
+    load_message message{
+        true, "n1", 7, {{{11, 2}}, {{11, 250, 40}}, {{5, 70}}, 3}};
+    auto const without_speeds = encode(message);
+    message.report.speeds.figures = {{11, 250, 40}, {12, 100, 0}};
+    message.report.speeds.speeds = {{11, 300, 200}, {12, 100, 100}};
+    run_mutated(
+        {without_speeds, encode(message)},
+        [](std::string const& bytes)
+        {
+            auto const got = decode_load_message(bytes);
+            if (!got)
+                return;
+            auto const& speeds = got->report.speeds;
+            auto const figures =
+                speeds.figures.value_or(std::vector<machine_figure>());
+            if (figures.size() > max_sum_figures ||
+                speeds.speeds.size() > max_sum_speeds)
+                throw std::runtime_error("more speeds than permitted");
+            for (auto const& one : figures)
+            {
+                if (one.percent < 1 || one.percent > 10'000)
+                    throw std::runtime_error("figure out of range");
+            }
+            // What a node forwards can be read again.
+            if (!decode_load_message(encode(*got)))
+                throw std::runtime_error("not readable once encoded");
+            load_summary summary;
+            time_point const now{std::chrono::hours(1)};
+            summary.set(got->node, got->report, now);
+            summary.speeds.next_for("n2", now);
+        });
+}
+
 TEST_CASE_METHOD(fuzz_fixture, "fuzz: origins of streams, and their versions")
 {
     origin_message message;
