load_exchange: exchange machine figures and speeds of engines

Reports contain the balancer's figures and speeds where they are due, and sums are applied to it.

A node keeps the figures of the sums that it receives, so that its own sums start from them if it becomes load aggregator, and repeats its figures to a new load aggregator.

--- a/src/entry/load_exchange.cpp
+++ b/src/entry/load_exchange.cpp
@@ -59,7 +59,14 @@
     asio::io_context& io, engine_balancer& balancer, clock_fn clock,
     std::string self, double own_capacity_weight,
     std::chrono::milliseconds interval)
-    : balancer_(balancer), clock_(std::move(clock)), self_(self),
+    : speeds{
+          [&balancer] { return balancer.own_machine_figures(); },
+          [&balancer] { return balancer.own_speed_samples(); },
+          [&balancer](std::vector<machine_figure> const& figures)
+          { balancer.set_cluster_machine_figures(figures); },
+          [&balancer](std::vector<speed_sample> const& samples)
+          { balancer.set_cluster_speeds(samples); }},
+      balancer_(balancer), clock_(std::move(clock)), self_(self),
       coordinators_(std::move(self), aggregator_options(own_capacity_weight)),
       io_(io), socket_(io), timer_(io), choice_timer_(io),
       shortest_interval_(interval), interval_(interval)
@@ -125,7 +132,9 @@
     run_waiting_choices();
 }
 
-load_report load_exchange::own_report() const
+/// Contains machine figures and speeds only where they are due: the report must
+/// be passed to the load aggregator.
+load_report load_exchange::own_report(time_point now)
 {
     load_report own;
     for (auto const& [engine, calls] : balancer_.own_calls())
@@ -138,6 +147,11 @@
     }
     for (auto const& [key, calls] : balancer_.own_demand())
         own.demand.push_back({key, to_hundredths(calls)});
+    if (speed_reports_.due(now))
+    {
+        own.speeds =
+            speed_reports_.next(speeds.own_figures(), speeds.own_speeds(), now);
+    }
     return own;
 }
 
@@ -167,7 +181,10 @@
     auto const* node = coordinators_.coordinator_of(aggregator_key, now);
     if (node == nullptr || node->node != aggregator_name_)
         pending_reports_.clear();
-    aggregator_name_ = node == nullptr ? std::string() : node->node;
+    auto name = node == nullptr ? std::string() : node->node;
+    if (name != aggregator_name_)
+        speed_reports_.repeat_figures();
+    aggregator_name_ = std::move(name);
     return node;
 }
 
@@ -181,7 +198,7 @@
         return false;
     boost::system::error_code error; // later reports replace a lost one
     socket_.send_to(
-        asio::buffer(encode_message(true, self_, number, encode(own))),
+        asio::buffer(encode({true, self_, number, own})),
         udp::endpoint(endpoint->address(), endpoint->port()), 0, error);
     return !error;
 }
@@ -190,13 +207,14 @@
 void load_exchange::report()
 {
     auto const now = clock_();
-    auto own = own_report();
     auto const* node = find_aggregator(now);
+    auto own = own_report(now);
     summary_.set(self_, own, now);
     changes_to_report_ = false;
     if (node == nullptr)
     {
         apply_sum(summary_.sum(now), own.calls);
+        apply_speeds(summary_.speeds.next_for(self_, now));
         sum_requested_at_ = now;
         return;
     }
@@ -228,9 +246,10 @@
     if (!socket_.is_open())
         return;
     auto const now = clock_();
-    auto const own = own_report();
+    auto const* node = find_aggregator(now);
+    auto const own = own_report(now);
     summary_.set(self_, own, now);
-    if (auto const* node = find_aggregator(now))
+    if (node != nullptr)
         send(*node, no_answer_number, own);
 }
 
@@ -315,6 +334,11 @@
     coordinators_.answered(message->node);
     sum_requested_at_ = answered.sent_at;
     apply_sum(message->report, answered.calls);
+    auto const& sum = message->report.speeds;
+    apply_speeds(sum);
+    // If this node becomes load aggregator, its sums start from these figures.
+    if (sum.figures)
+        summary_.speeds.add_figures(*sum.figures, clock_());
     run_waiting_choices();
 }
 
@@ -350,12 +374,23 @@
     summary_.set(request.node, request.report, now);
     if (request.number == no_answer_number)
         return;
-    auto const bytes =
-        encode_message(false, self_, request.number, summary_.encoded_sum(now));
+    auto const bytes = encode_message(
+        false, self_, request.number, summary_.encoded_sum(now),
+        encode(summary_.speeds.next_for(request.node, now)));
     boost::system::error_code ignored; // the requester retries
     socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
 }
 
+void load_exchange::apply_speeds(speed_report const& sum) const
+{
+    // A sum without figures leaves those of an earlier sum in force until they
+    // expire: the load aggregator sends them once in figure_interval only.
+    if (sum.figures)
+        speeds.set_figures(*sum.figures);
+    if (!sum.speeds.empty())
+        speeds.set_speeds(sum.speeds);
+}
+
 void load_exchange::apply_sum(load_report const& sum, engine_counts const& own)
 {
     // Nodes of an earlier version don't report the number of nodes.
--- a/src/entry/load_exchange.hpp
+++ b/src/entry/load_exchange.hpp
@@ -76,6 +76,20 @@
     /// there.
     std::function<void(target_name const&, recent_outcomes const&)> on_ejection;
 
+    /// Source and destination of the machine figures and speeds, initially the
+    /// load balancer.
+    struct speed_hooks
+    {
+        std::function<std::vector<machine_figure>()> own_figures;
+        std::function<std::vector<speed_sample>()> own_speeds;
+        /// Replaces the figures known from other nodes.
+        std::function<void(std::vector<machine_figure> const&)> set_figures;
+        /// Replaces the speeds known of the engines named. They include this
+        /// node's own calls.
+        std::function<void(std::vector<speed_sample> const&)> set_speeds;
+    };
+    speed_hooks speeds;
+
     /// Handles datagrams of other protocols that share the address; if null,
     /// they are dropped.
     std::function<void(
@@ -103,18 +117,20 @@
     void handle_other_datagram(std::string_view bytes);
     void answer(load_message const& request);
     void apply_sum(load_report const& sum, engine_counts const& own);
+    void apply_speeds(speed_report const& sum) const;
     void run_waiting_choices();
     coordinator_candidate const* find_aggregator(time_point now);
     bool send(
         coordinator_candidate const& to, std::uint64_t number,
         load_report const& own);
-    load_report own_report() const;
+    load_report own_report(time_point now);
 
     engine_balancer& balancer_;
     clock_fn clock_;
     std::string self_;
     program_coordinators coordinators_;
     load_summary summary_;
+    speed_reports speed_reports_;
     boost::asio::io_context& io_;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint sender_;
