--- a/support/soak_faults.cpp
+++ b/support/soak_faults.cpp
@@ -67,6 +67,7 @@
     {
         others.emplace_back([this] { play_pauses(); });
         others.emplace_back([this] { play_signals(); });
+        others.emplace_back([this] { play_slow_machines(); });
     }
     std::thread second(draw_until_end);
     draw_until_end();
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -95,10 +95,11 @@
     return out.str();
 }
 
-std::string stream_head(std::string const& id)
+std::string stream_head(std::string const& id, std::string const& headers)
 {
     return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-           "\r\nResponse-Stamp: s\r\nContent-Type: text/event-stream\r\n"
+           "\r\nResponse-Stamp: s\r\n" + headers +
+           "Content-Type: text/event-stream\r\n"
            "Transfer-Encoding: chunked\r\n\r\n";
 }
 
@@ -117,8 +118,9 @@
 soak_world::soak_world(soak_options options)
     : options_(std::move(options)), dice_(options_.seed),
       pause_dice_(options_.seed), signal_dice_(options_.seed),
-      change_dice_(options_.seed)
+      change_dice_(options_.seed), speed_dice_(options_.seed)
 {
+    add_machines();
     for (auto* one : {&engine_a, &engine_b, &engine_c_, &engine_d_})
     {
         register_version(*one, "1.0");
@@ -316,7 +318,8 @@
     }
     std::string const path(request.target());
     auto const is_kept = path.find("/kept/") == 0;
-    auto text = stream_head(id);
+    auto const running = begin_call(at);
+    auto text = stream_head(id, load_header(at));
     for (int i = first; i <= testing::soak_events; ++i)
     {
         text += sized_chunk(
@@ -347,8 +350,9 @@
     }
     auto const late = faults_ && dice_.chance(answers_late);
     at.server().later(
-        late ? late_answer_delay : milliseconds(dice_.between(2, 30)),
-        [link, text]
+        late ? late_answer_delay
+             : time_at(at, milliseconds(dice_.between(2, 30))),
+        [link, text, running]
         {
             link->write(text);
             link->finish_answer();
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -41,7 +41,8 @@
     int kept_callers = 12;
     /// Only the faults that the seed drew before targets paused: no pauses, no
     /// signals in series over several nodes, no changes of limits, timeouts and
-    /// weights, and no callers of harmless requests.
+    /// weights, no callers of harmless requests, and engines of the same speed
+    /// that don't tell their load.
     bool basic_faults = false;
     /// The program whose nodes are run.
     std::string program;
@@ -163,6 +164,23 @@
         testing::standin_target& at);
     void play_pauses();
 
+    // Engines of different speed whose machines turn slow.
+    struct engine_machine
+    {
+        int base_percent = 100;
+        /// How long work takes on the machine now.
+        std::atomic<int> percent{100};
+        std::atomic<int> running{0};
+    };
+    void add_machines();
+    std::vector<testing::standin_target*> engines();
+    std::chrono::milliseconds time_at(
+        testing::standin_target const& engine,
+        std::chrono::milliseconds usual) const;
+    std::shared_ptr<void> begin_call(testing::standin_target const& engine);
+    std::string load_header(testing::standin_target const& engine);
+    void play_slow_machines();
+
     // Requests that end their targets.
     static nlohmann::json base_configuration();
     void add_crashing_target();
@@ -231,6 +249,7 @@
     dice pause_dice_;
     dice signal_dice_;
     dice change_dice_;
+    dice speed_dice_;
     std::mutex mutex_;
     testing::soak_history history_;
     std::map<std::string, int> counts_;
@@ -256,6 +275,8 @@
     std::atomic<bool> kept_calling_{true};
     /// Of the newest configuration.
     std::atomic<int> idle_timeout_ms_{15'000};
+    /// By the engines' ids; complete before the first call.
+    std::map<std::string, std::shared_ptr<engine_machine>> machines_;
     testing::standin_target engine_c_{"ic"};
     testing::standin_target engine_d_{"id"};
     std::vector<std::unique_ptr<testing::standin_target>> pausing_;
@@ -286,7 +307,8 @@
 };
 
 std::string sized_chunk(std::string const& text);
-std::string stream_head(std::string const& id);
+/// \param headers further header lines, each with its end
+std::string stream_head(std::string const& id, std::string const& headers = {});
 
 } // namespace soak
 } // namespace walnutmill
