entry_settings: add workspace-shares and rules-in-force

The platform's list of contracts tells which rules hold for a deployment. It is decoded once, in platform/rules. `workspace-shares` is off unless it is set, or the list has `pressure`.

--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry_settings.hpp"
 
 #include "entry/http_link.hpp"
+#include "platform/rules.hpp"
 
 #include <boost/program_options.hpp>
 
@@ -33,6 +34,8 @@
     std::uint32_t drain_ms = 2'000;
     std::uint32_t revoke_within_ms = 0;
     double quota_window_s = 0;
+    bool workspace_shares = false;
+    std::string rules;
     std::uint32_t stall_least_ms =
         static_cast<std::uint32_t>(stall_options().min_timeout.count());
 };
@@ -73,6 +76,11 @@
         "part of a limit by which all nodes together may exceed it");
     add("quota-slack", po::value(&to.quota.slack),
         "requests by which they may exceed it besides");
+    add("workspace-shares", po::value(&parsed_values.workspace_shares),
+        "whether full engines go first to workspaces that use less of their "
+        "limits (default: by rules-in-force)");
+    add("rules-in-force", po::value(&parsed_values.rules),
+        "names of the platform's rules that hold for this deployment");
     add("stall-least-ms", po::value(&parsed_values.stall_least_ms),
         "silence of an engine that a call always bears");
     add("settings-file", po::value(&to.file),
@@ -229,6 +237,10 @@
         std::chrono::milliseconds(parsed_values.revoke_within_ms);
     parsed_values.to.quota.window = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(parsed_values.quota_window_s));
+    parsed_values.to.workspace_shares =
+        values.count("workspace-shares") > 0
+            ? parsed_values.workspace_shares
+            : platform::decode_rules(parsed_values.rules).workspaces_compete;
     parsed_values.to.min_stall_timeout =
         std::chrono::milliseconds(parsed_values.stall_least_ms);
     parsed_values.to.drain_within =
--- a/src/entry/entry_settings.hpp
+++ b/src/entry/entry_settings.hpp
@@ -45,6 +45,9 @@
     std::chrono::milliseconds revoke_within{0};
     /// How far all nodes together may exceed the limit of a workspace.
     quota_bounds quota;
+    /// Whether new programs are admitted by their workspace's use of its limit
+    /// (`workspace_shares`). By default it follows the rules in force.
+    bool workspace_shares = false;
     /// Minimum timeout for an engine that sends nothing during a call.
     std::chrono::milliseconds min_stall_timeout = stall_options().min_timeout;
     /// Path of the settings file; empty: none.
--- a/test/entry_settings-test.cpp
+++ b/test/entry_settings-test.cpp
@@ -86,6 +86,34 @@
     CHECK(has_finding("settings-file"));
 }
 
+TEST_CASE_METHOD(
+    entry_settings_fixture,
+    "entry settings: workspace shares follow the rules in force")
+{
+    CHECK_FALSE(read_entry_settings(flags, {}, problems).workspace_shares);
+    flags.push_back("--rules-in-force=kept,keys");
+    CHECK_FALSE(read_entry_settings(flags, {}, problems).workspace_shares);
+    flags.back() = "--rules-in-force=kept,pressure,keys";
+    CHECK(read_entry_settings(flags, {}, problems).workspace_shares);
+    CHECK(problems.empty());
+}
+
+TEST_CASE_METHOD(
+    entry_settings_fixture,
+    "entry settings: a stated choice of workspace shares overrides the rules")
+{
+    flags.push_back("--rules-in-force=pressure");
+    flags.push_back("--workspace-shares=false");
+    CHECK_FALSE(read_entry_settings(flags, {}, problems).workspace_shares);
+    flags.pop_back();
+    flags.back() = "--workspace-shares=true";
+    CHECK(read_entry_settings(flags, {}, problems).workspace_shares);
+    CHECK(problems.empty());
+    flags.back() = "--workspace-shares=perhaps";
+    read_entry_settings(flags, {}, problems);
+    CHECK(has_finding("settings"));
+}
+
 TEST_CASE("entry settings: the configuration page lists each setting")
 {
     std::ifstream page(
