call_flow: admit new programs by the share of their workspace

Each node records the use that quota answers report and takes its thresholds for new programs from workspace_shares. Lines of calls have workspace_use, workspace_use_mean and load_limit, and walnutmill_workspace_starts_total counts programs that were admitted or refused because of their share, with the bounded labels of workspaces. The setting is read again on SIGHUP. While it is off, one random number is drawn as before, and decision, line and metrics are those of before.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -244,8 +244,7 @@
     if (less_urgent_in_flight)
         log_fields_["goes_before_others"] = true;
     auto const only_started_programs =
-        node_.random() <
-        refusal_probability(pressure, route_rank(), less_urgent_in_flight);
+        draw_refusal(pressure, less_urgent_in_flight, now);
     waits_for_ = "budget";
     node_.budgets.admit(
         {program.program, *program.token_budget, max_tokens_,
@@ -256,6 +255,7 @@
         {
             self->log_fields_["budget"] = to_string(answer);
             self->log_fields_["budget_home"] = grant.coordinator;
+            self->count_share_decision(answer, grant);
             if (answer == admission_answer::admitted)
                 self->budget_granted(grant);
             if (self->done_)
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -28,6 +28,7 @@
 #include "entry/quota_exchange.hpp"
 #include "entry/version_register.hpp"
 #include "entry/workspace_counters.hpp"
+#include "entry/workspace_shares.hpp"
 #include "platform/call_codec.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -105,6 +106,7 @@
     /// Null: workspaces have no request limits.
     quota_exchange* quotas = nullptr;
     workspace_counters requests_by_workspace{counters};
+    workspace_shares shares{};
     denied_keys denied{};
     /// Origins of streams, and versions at which they may begin. Null: versions
     /// of engines are not told apart.
@@ -178,6 +180,11 @@
     bool reject_key(std::string_view why);
     void acquire_quota();
     void quota_answered(quota_answer const& answer);
+    void record_use(quota_answer const& answer);
+    bool draw_refusal(
+        std::optional<double> load_per_slot, bool has_priority, time_point now);
+    void count_share_decision(
+        admission_answer answer, budget_service::grant const& grant);
     void refuse_over_limit(
         std::string_view why, std::chrono::milliseconds retry_after);
     void return_quota();
@@ -299,6 +306,8 @@
     std::optional<budget_service::grant> grant_;
     /// The workspace's rate limit has granted a token to this call.
     bool quota_acquired_ = false;
+    /// What the share of the workspace decides if the program is a new one.
+    std::optional<share_decision> share_decision_;
     /// ID under which the turn is stored.
     request_id stored_turn_id_;
     /// ID of the previous turn as the caller sent it, without the workspace
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -214,6 +214,7 @@
 void call_flow::quota_answered(quota_answer const& answer)
 {
     node_.requests_by_workspace.count(call_.owner, answer.decision);
+    record_use(answer);
     switch (answer.decision)
     {
     case quota_decision::granted:
@@ -230,6 +231,61 @@
     }
 }
 
+void call_flow::record_use(quota_answer const& answer)
+{
+    if (!answer.use || !table_->workspaces)
+        return;
+    if (auto const* owner = table_->workspaces->find(call_.owner))
+    {
+        node_.shares.record_use(
+            call_.owner, *answer.use, owner->limit, node_.clock());
+    }
+}
+
+/// Draws whether the call is refused if its program is a new one.
+bool call_flow::draw_refusal(
+    std::optional<double> load_per_slot, bool has_priority, time_point now)
+{
+    auto const draw = node_.random();
+    auto const refused_usually =
+        draw < refusal_probability(load_per_slot, route_rank(), has_priority);
+    auto const use = node_.shares.use_of(call_.owner, now);
+    if (!use)
+        return refused_usually;
+    auto const thresholds = node_.shares.admission_options(call_.owner, now);
+    auto const refused =
+        draw < refusal_probability(
+                   load_per_slot, route_rank(), has_priority, thresholds);
+    constexpr double thousandths = 1'000;
+    log_fields_["workspace_use"] = *use / thousandths;
+    log_fields_["workspace_use_mean"] =
+        node_.shares.mean_use(now) / thousandths;
+    log_fields_["load_limit"] = thresholds.full_refusal_load;
+    if (refused)
+    {
+        share_decision_ = refused_usually ? share_decision::refused
+                                          : share_decision::refused_by_share;
+    }
+    else if (refused_usually)
+        share_decision_ = share_decision::admitted_by_share;
+    return refused;
+}
+
+void call_flow::count_share_decision(
+    admission_answer answer, budget_service::grant const& grant)
+{
+    if (!share_decision_)
+        return;
+    auto const admitted = answer == admission_answer::admitted;
+    // The turns of a program that has begun are admitted at any load. Its
+    // coordinator knows prefix cache locations of it.
+    auto const counts = *share_decision_ == share_decision::admitted_by_share
+                            ? admitted && grant.cache_locations.empty()
+                            : answer == admission_answer::not_begun;
+    if (counts)
+        node_.requests_by_workspace.count(call_.owner, *share_decision_);
+}
+
 void call_flow::refuse_over_limit(
     std::string_view why, milliseconds retry_after)
 {
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -97,6 +97,7 @@
     static std::chrono::milliseconds
     read_interval(entry_settings const& settings);
     void connect_workspaces();
+    void set_workspace_shares(bool enabled);
     void connect_streams();
     origin_exchange::hooks origin_hooks();
     version_register::hooks version_hooks();
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -74,6 +74,9 @@
     settings_.revoke_within = fresh.revoke_within;
     services_.revoke_within = fresh.revoke_within;
     quotas_.set_bounds(fresh.quota);
+    if (fresh.workspace_shares != settings_.workspace_shares)
+        set_workspace_shares(fresh.workspace_shares);
+    settings_.workspace_shares = fresh.workspace_shares;
     store_.set_address(fresh.store);
     log_.write(
         log_priority::important, "settings.reloaded",
--- a/src/entry/entry_node_workspaces.cpp
+++ b/src/entry/entry_node_workspaces.cpp
@@ -34,6 +34,7 @@
     services_.after_confirmation = [this](std::function<void()> then)
     { return await_confirmation(std::move(then)); };
     services_.quotas = &quotas_;
+    set_workspace_shares(settings_.workspace_shares);
     loads_.on_other_datagram =
         [this](
             std::string_view bytes, std::string const& sender,
@@ -45,6 +46,12 @@
     };
 }
 
+void entry_node::set_workspace_shares(bool enabled)
+{
+    quotas_.set_reports_use(enabled);
+    services_.shares.set_enabled(enabled);
+}
+
 bool entry_node::await_confirmation(std::function<void()> then)
 {
     if (confirmation_waiters_.size() >= max_waiters)
--- a/src/entry/workspace_counters.hpp
+++ b/src/entry/workspace_counters.hpp
@@ -2,8 +2,9 @@
 #define WALNUTMILL_SRC_ENTRY_WORKSPACE_COUNTERS_HPP
 
 /// \file
-/// Counts the requests of each workspace by the decision of its rate limit. The
-/// number of workspace labels is bounded.
+/// Counts the requests of each workspace by the decision of its rate limit, and
+/// its new programs by what its share decided about them. The number of
+/// workspace labels is bounded.
 
 #include <walnutmill/metrics.hpp>
 #include <walnutmill/quota.hpp>
@@ -18,6 +19,20 @@
 
 std::string_view to_string(quota_decision decision);
 
+/// Decision about a new program while the engines are full, by the share of its
+/// workspace.
+enum class share_decision
+{
+    /// Admitted at a load at which it would have been refused without shares.
+    admitted_by_share,
+    /// Refused, and would have been refused without shares.
+    refused,
+    /// Refused at a load at which it would have been admitted without shares.
+    refused_by_share
+};
+
+std::string_view to_string(share_decision decision);
+
 class workspace_counters
 {
 public:
@@ -29,8 +44,11 @@
     }
 
     void count(workspace_name const& owner, quota_decision decision);
+    void count(workspace_name const& owner, share_decision decision);
 
 private:
+    std::string label_of(workspace_name const& owner);
+
     metrics& counters_;
     std::size_t max_labels_;
     std::unordered_set<std::string> labelled_workspaces_;
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <array>
 #include <atomic>
@@ -870,6 +871,107 @@
     CHECK(caller->status() == 504);
 }
 
+namespace
+{
+
+/// Programs of a workspace with a limit at engines with 1.125 calls per slot,
+/// where 42 of 100 new programs are refused without shares.
+struct full_engines_fixture : call_flow_fixture
+{
+    full_engines_fixture()
+    {
+        change(require_keys);
+        services.quotas = &quotas;
+        quotas.set_nodes({});
+        balancer.set_peer_loads([](target_name const&) { return 9U; });
+        services.random = [this] { return draw; };
+    }
+
+    double draw = 0.5;
+
+    void know_uses(std::uint32_t archive, std::uint32_t other)
+    {
+        services.shares.set_enabled(true);
+        rate_limit const limit{100, 100};
+        services.shares.record_use(
+            workspace_name("archive"), archive, limit, clock());
+        services.shares.record_use(
+            workspace_name("other"), other, limit, clock());
+    }
+
+    void call_once()
+    {
+        send(entry_world::turn(
+            "t1", key + "Program-Id: p1\r\nToken-Budget: 900\r\n"));
+        REQUIRE(run_until([&] { return caller_knows(); }));
+    }
+
+    std::uint64_t starts(std::string const& decision) const
+    {
+        return counters.counter(
+            "walnutmill_workspace_starts_total{workspace=\"archive\","
+            "decision=\"" +
+            decision + "\"}");
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    full_engines_fixture,
+    "call: without shares neither decision, line nor metric tells of them")
+{
+    call_once();
+    CHECK(caller->status() == 200);
+    CHECK(count("\"pressure\":1.125") == 1);
+    CHECK(count("workspace_use") == 0);
+    CHECK(count("load_limit") == 0);
+    CHECK(
+        counters.prometheus_text().find("workspace_starts") ==
+        std::string::npos);
+}
+
+TEST_CASE_METHOD(
+    full_engines_fixture,
+    "call: a new program of a workspace above the mean is refused earlier")
+{
+    know_uses(1'000, 500);
+    call_once();
+    CHECK(caller->status() == 503);
+    CHECK(count("the engines are full") == 1);
+    CHECK(count("\"workspace_use\":1.0") == 1);
+    CHECK(count("\"workspace_use_mean\":0.75") == 1);
+    auto const line = nlohmann::json::parse(last_line("call.ended"));
+    CHECK(line.at("load_limit") > 1.0);
+    CHECK(line.at("load_limit") < 1.1);
+    CHECK(starts("refused_by_share") == 1);
+    CHECK(engine_calls() == 0);
+}
+
+TEST_CASE_METHOD(
+    full_engines_fixture,
+    "call: a new program of a workspace below the mean is admitted longer")
+{
+    draw = 0.3;
+    know_uses(100, 1'000);
+    call_once();
+    CHECK(caller->status() == 200);
+    CHECK(count("\"workspace_use\":0.1") == 1);
+    CHECK(starts("admitted_by_share") == 1);
+}
+
+TEST_CASE_METHOD(
+    full_engines_fixture,
+    "call: one that is refused with and without shares is counted as refused")
+{
+    draw = 0.1;
+    know_uses(1'000, 500);
+    call_once();
+    CHECK(caller->status() == 503);
+    CHECK(starts("refused") == 1);
+    CHECK(starts("refused_by_share") == 0);
+}
+
 TEST_CASE_METHOD(
     call_flow_fixture,
     "call: a resumed stream whose service has left the configuration is "
