--- a/test/load_exchange-test.cpp
+++ b/test/load_exchange-test.cpp
@@ -249,7 +249,7 @@
         boost::asio::io_context& io, testing::reserved_address const& address)
         : socket(io)
     {
-        auto const text = address.text();
+        auto const& text = address.text();
         auto const colon = text.find(':');
         boost::asio::ip::udp::endpoint const at(
             boost::asio::ip::make_address(text.substr(0, colon)),
@@ -422,7 +422,7 @@
          nlohmann::json::array(),
          nlohmann::json::array(),
          0}));
-    auto const text = strong->address.text();
+    auto const& text = strong->address.text();
     auto const port =
         static_cast<std::uint16_t>(std::stoi(text.substr(text.find(':') + 1)));
     earlier.send_to(
