--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -168,6 +168,7 @@
     target_name engine;
     engine_incarnation incarnation;
     std::string address;
+    zone_name domain;
     /// Version of the engine's software; empty where it reports none.
     std::string version;
     /// Expected wait for a slot.
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -317,6 +317,7 @@
     to.engine = best->entry.id;
     to.incarnation = best->entry.incarnation;
     to.address = best->entry.address;
+    to.domain = best->entry.zone;
     to.version = best->entry.version;
     to.load = load_of(*best, now);
     to.slots = best->entry.slots;
