load_accounting: count who waits, who is refused and who uses engines

Refusals were visible in call.ended lines only, which are left out beyond 400 a second, and waits in no metric. Each call now feeds a load_accounting: waits by an object that the call holds, refusals by cause, late turns, calls by the engine's failure domain and the time for which a workspace occupies engines, by interned labels. The line load.summary tells the largest of them once in 5 s, where something was refused or late. call.ended gains engine_domain.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -79,7 +79,7 @@
         choose_engine();
         return;
     }
-    waits_for_ = "place";
+    begin_wait(wait_reason::place);
     node_.before_choice([self = shared_from_this()] { self->choose_engine(); });
 }
 
@@ -91,6 +91,7 @@
 
 void call_flow::choose_engine()
 {
+    wait_.end();
     if (done_ || !check_crashes(&call_flow::try_engine))
         return;
     auto const chosen = node_.balancer.choose(need_);
@@ -124,6 +125,7 @@
     ++sends_;
     current_ = attempt;
     log_fields_["engine"] = chosen->engine.str();
+    log_fields_["engine_domain"] = chosen->domain.str();
     log_fields_["engine_version"] = chosen->version;
     log_fields_["engine_load"] = chosen->load;
     log_fields_["engine_load_age_ms"] = chosen->load_age.count();
@@ -138,6 +140,7 @@
     if (need_.apart)
         node_.crashes->run_began(run_of(attempt));
     node_.balancer.sent(chosen->ref(), need_);
+    node_.accounting->count_engine_call(need_.service, chosen->domain);
     notify_calls_changed();
     exchange(attempt);
     watch_for_stall(attempt);
@@ -349,8 +352,9 @@
         need_.output_tokens = static_cast<std::uint32_t>(
             std::max<std::uint64_t>(delivered_tokens_, 1));
     }
-    node_.balancer.ended(
-        attempt->at.ref(), need_, outcome, node_.clock() - attempt->sent_at);
+    auto const took = node_.clock() - attempt->sent_at;
+    node_.balancer.ended(attempt->at.ref(), need_, outcome, took);
+    node_.accounting->add_engine_time(labels_, took);
     notify_calls_changed();
     node_.links.release_link(attempt->at.ref(), attempt->link);
     if (done_)
@@ -559,11 +563,12 @@
     turn.kept_for =
         std::chrono::duration_cast<std::chrono::seconds>(route_->kept_for);
     auto const began = node_.clock();
-    waits_for_ = "store";
+    begin_wait(wait_reason::store);
     node_.history.store_turn(
         std::move(turn), std::chrono::duration_cast<milliseconds>(time_left()),
         [self = shared_from_this(), began](bool durable)
         {
+            self->wait_.end();
             if (self->done_)
                 return;
             self->log_fields_["keep_ms"] =
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -139,6 +139,7 @@
         return false;
     }
     log_fields_["route"] = route_->name;
+    labels_.route = node_.accounting->route_index(route_->name);
     need_ = balancer_request();
     choose_service();
     if (service_ == nullptr)
@@ -246,7 +247,7 @@
     auto const only_started_programs =
         node_.random() <
         refusal_probability(pressure, route_rank(), less_urgent_in_flight);
-    waits_for_ = "budget";
+    begin_wait(wait_reason::budget);
     node_.budgets.admit(
         {program.program, *program.token_budget, max_tokens_,
          only_started_programs,
@@ -254,6 +255,7 @@
         [self = shared_from_this()](
             admission_answer answer, budget_service::grant const& grant)
         {
+            self->wait_.end();
             self->log_fields_["budget"] = to_string(answer);
             self->log_fields_["budget_home"] = grant.coordinator;
             if (answer == admission_answer::admitted)
@@ -330,12 +332,13 @@
 /// turns were stored while callers needed no keys
 void call_flow::load_turn(request_id const& previous, bool try_unscoped_id)
 {
-    waits_for_ = "history";
+    begin_wait(wait_reason::history);
     node_.history.load(
         previous,
         [self = shared_from_this(),
          try_unscoped_id](history_answer answer, turn_chain chain)
         {
+            self->wait_.end();
             if (self->done_)
                 return;
             if (answer == history_answer::unknown_turn && try_unscoped_id)
@@ -484,6 +487,7 @@
     log_fields_["why"] = why;
     if (retry_after.count() > 0)
         log_fields_["retry_after_ms"] = retry_after.count();
+    count_refusal(status, why);
     node_.counters.count(
         "walnutmill_own_answers_total{status=\"" + std::to_string(status) +
         "\"}");
@@ -515,6 +519,8 @@
     if (done_)
         return;
     done_ = true;
+    wait_.end();
+    count_if_late();
     settle_budget();
     // The deadline also limits an engine that completes a call whose caller has
     // left.
@@ -542,6 +548,32 @@
         std::chrono::duration<double>(node_.clock() - arrived_).count());
 }
 
+void call_flow::begin_wait(wait_reason reason)
+{
+    waits_for_ = to_string(reason);
+    // A call that has ended waits for nothing, whatever its engine does.
+    if (!done_)
+        wait_ = call_wait(node_.accounting, labels_, reason);
+}
+
+void call_flow::count_refusal(int status, std::string_view why)
+{
+    auto const cause = refusal_cause_of(status, why);
+    if (!cause)
+        return;
+    refused_ = true;
+    node_.accounting->count_refusal(labels_, *cause);
+}
+
+/// Counts the call as late if its program's time was used up. A refused turn
+/// has not ended: its caller sends it again.
+void call_flow::count_if_late()
+{
+    auto const finish_in = call_.program.finish_in;
+    if (!refused_ && finish_in && node_.clock() - arrived_ >= *finish_in)
+        node_.accounting->count_late_turn(labels_);
+}
+
 void end_calls_for_exit(entry_services& node)
 {
     std::vector<std::shared_ptr<call_flow>> calls;
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -23,6 +23,7 @@
 #include "entry/engine_links.hpp"
 #include "entry/event_stream.hpp"
 #include "entry/line_log.hpp"
+#include "entry/load_accounting.hpp"
 #include "entry/origin_exchange.hpp"
 #include "entry/outage_policy.hpp"
 #include "entry/quota_exchange.hpp"
@@ -114,6 +115,9 @@
     crash_exchange* crashes = nullptr;
     std::shared_ptr<call_registry> calls = std::make_shared<call_registry>();
     answer_memory answers{};
+    /// Shared with the waits of calls.
+    std::shared_ptr<load_accounting> accounting =
+        std::make_shared<load_accounting>(clock);
 };
 
 /// Ends all calls whose callers wait, since the process is about to exit. A
@@ -266,6 +270,9 @@
     void
     log_failed_attempt(attempt_ptr const& attempt, std::string_view outcome);
     duration time_left() const;
+    void begin_wait(wait_reason reason);
+    void count_refusal(int status, std::string_view why);
+    void count_if_late();
 
     entry_services& node_;
     std::shared_ptr<call_registry> calls_;
@@ -308,6 +315,9 @@
     bool done_ = false;
     /// What the call waits for, or last waited for.
     std::string_view waits_for_;
+    call_labels labels_;
+    call_wait wait_;
+    bool refused_ = false;
     /// Waits for a newer configuration.
     bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -107,6 +107,7 @@
     call_.owner = owner.name;
     call_.owner_rank = owner.rank;
     log_fields_["workspace"] = owner.name.str();
+    labels_.workspace = node_.accounting->workspace_index(owner.name);
     scope_ids();
 }
 
@@ -149,7 +150,7 @@
             }))
     {
         awaits_confirmation_ = true;
-        waits_for_ = "configuration";
+        begin_wait(wait_reason::configuration);
         identity_timer_.expires_after(max_confirmation_wait - waited);
         identity_timer_.async_wait(
             [self = shared_from_this()](boost::system::error_code const& error)
@@ -168,6 +169,7 @@
     if (done_ || !std::exchange(awaits_confirmation_, false))
         return;
     identity_timer_.cancel();
+    wait_.end();
     table_ = node_.table;
     log_fields_["configuration"] = table_->version;
     if (!route_call())
@@ -191,12 +193,13 @@
         begin_or_resume();
         return;
     }
-    waits_for_ = "quota";
+    begin_wait(wait_reason::quota);
     node_.quotas->acquire(
         call_.owner,
         [self = shared_from_this(), began = node_.clock()](
             quota_answer const& answer, std::string const& coordinator)
         {
+            self->wait_.end();
             if (self->done_)
             {
                 if (answer.decision == quota_decision::granted)
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -471,6 +471,7 @@
     crashes_.tick();
     if (!services_.stopping)
         leases_.tick();
+    log_load_summary();
     log_.flush();
     if (++ticks_ % sweep_ticks == 0)
     {
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -108,6 +108,7 @@
     void answer_operator(link_ptr const& link, request_type const& request);
     std::string suspects_text() const;
     void gauge_crashes();
+    void log_load_summary();
     bool await_confirmation(std::function<void()> then);
     void configuration_confirmed(
         platform_view::configuration_confirmation const& confirmation);
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -149,7 +149,29 @@
             "walnutmill_configuration_current_age_seconds",
             std::chrono::duration<double>(age).count());
     }
-    send_text(link, status_ok, counters_.prometheus_text());
+    send_text(
+        link, status_ok,
+        counters_.prometheus_text() + services_.accounting->prometheus_text());
+}
+
+/// Writes once in an interval who waited and who was refused, unless nothing
+/// was refused or late.
+void entry_node::log_load_summary()
+{
+    if (!services_.accounting->end_interval())
+        return;
+    load_accounting::service_loads loads;
+    if (services_.table)
+    {
+        for (auto const& one : services_.table->services)
+        {
+            if (auto const load = balancer_.pressure(one.name))
+                loads.emplace_back(one.name.str(), *load);
+        }
+    }
+    log_.write(
+        log_priority::important, "load.summary",
+        services_.accounting->summary(std::move(loads)));
 }
 
 void entry_node::answer_peer(link_ptr const& link, request_type const& request)
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -13,12 +13,15 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <sstream>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -452,6 +455,19 @@
             sum += one->target.calls().size();
         return sum;
     }
+    /// \return the number of calls that the metrics show as waiting
+    int calls_waiting() const
+    {
+        constexpr std::string_view name = "walnutmill_calls_waiting{";
+        std::istringstream text(services.accounting->prometheus_text());
+        int sum = 0;
+        for (std::string line; std::getline(text, line);)
+        {
+            if (line.rfind(name, 0) == 0)
+                sum += std::stoi(line.substr(line.find("} ") + 2));
+        }
+        return sum;
+    }
     void set_silent(bool silent)
     {
         for (auto* one : {&engine_a, &engine_b, &service_a, &service_b})
@@ -505,6 +521,15 @@
     at.store_answers = true;
 }
 
+/// \return true if metrics show calls that wait in this way
+bool is_counted(wait_case const& wait)
+{
+    constexpr std::string_view names[] = {"budget", "history",       "place",
+                                          "quota",  "configuration", "store"};
+    return std::find(std::begin(names), std::end(names), wait.name) !=
+           std::end(names);
+}
+
 wait_case engine_wait(std::string const& name, std::string const& request)
 {
     return {
@@ -732,6 +757,7 @@
     constexpr int status_refused = 503;
     for (auto const& wait : waits())
     {
+        auto const expected_waiting = is_counted(wait) ? 1 : 0;
         for (auto const& change : changes())
         {
             INFO(wait.name << " beside " << change.name);
@@ -742,6 +768,8 @@
                 FAIL_CHECK("the call does not wait");
                 continue;
             }
+            CHECK(at.run_until(
+                [&] { return at.calls_waiting() == expected_waiting; }));
             at.run_for(milliseconds(10));
             CHECK_FALSE(at.caller_knows());
             change.apply(at);
@@ -752,6 +780,7 @@
             auto const line = at.last_line("call.ended");
             INFO(line);
             CHECK(known);
+            CHECK(at.calls_waiting() == 0);
             CHECK(at.count("\"event\":\"call.ended\"") == 1);
             CHECK(line.find("\"request\":\"t1\"") != std::string::npos);
             CHECK(line.find("\"limit_ms\":") != std::string::npos);
@@ -773,6 +802,47 @@
     }
 }
 
+TEST_CASE("call: one whose caller has left is not counted as waiting")
+{
+    for (auto const& wait : waits())
+    {
+        INFO(wait.name);
+        call_flow_fixture at;
+        wait.begin(at);
+        REQUIRE(at.run_until([&] { return wait.waits(at); }));
+        CHECK(at.run_until(
+            [&] { return at.calls_waiting() == (is_counted(wait) ? 1 : 0); }));
+        at.caller->close();
+        CHECK(at.run_until(
+            [&] { return at.count("\"event\":\"call.ended\"") == 1; }));
+        CHECK(at.calls_waiting() == 0);
+        wait.release(at);
+        at.run_for(milliseconds(10));
+        CHECK(at.calls_waiting() == 0);
+    }
+}
+
+TEST_CASE(
+    "call: one that is destroyed after its node is not counted as waiting")
+{
+    for (auto const& wait : waits())
+    {
+        INFO(wait.name);
+        std::shared_ptr<load_accounting> accounting;
+        {
+            call_flow_fixture at;
+            accounting = at.services.accounting;
+            wait.begin(at);
+            REQUIRE(at.run_until([&] { return wait.waits(at); }));
+        }
+        auto const text = accounting->prometheus_text();
+        INFO(text);
+        auto const gauges = text.find("# TYPE walnutmill_calls_waiting");
+        REQUIRE(gauges != std::string::npos);
+        CHECK(text.find("} 1\n", gauges) == std::string::npos);
+    }
+}
+
 TEST_CASE_METHOD(
     call_flow_fixture, "call: one that nothing continues is logged and refused")
 {
