losses: sum losses and late answers by workspace, route or domain

With --by each party's calls, causes of losses and late answers are told, the one that lost most first. A call without an engine counts in the domain of its node, since refused calls have none.

--- a/test/checkers_test.py
+++ b/test/checkers_test.py
@@ -1,8 +1,12 @@
 """Feeds each checker a good history and bad ones: a check that cannot fail
 is a defect."""
 
+import json
 import pathlib
+import re
+import subprocess
 import sys
+import tempfile
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "support"))
@@ -291,5 +295,90 @@
         self.assertEqual(checkers.median_and_worst([]), (None, None))
 
 
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+class losses_test(unittest.TestCase):
+    """The sums of support/losses: each party's losses are its own."""
+
+    LINES = [
+        {"event": "node.start", "node": "n1", "domain": "z1"},
+        {"event": "call.ended", "node": "n1", "time_ms": 1000, "route": "r",
+         "workspace": "archive", "outcome": "own answer", "status": 503,
+         "why": "the engines are full"},
+        {"event": "call.ended", "node": "n1", "time_ms": 1100, "route": "r",
+         "workspace": "archive", "outcome": "own answer", "status": 503,
+         "why": "the engines are full"},
+        {"event": "call.ended", "node": "n2", "time_ms": 4000, "route": "q",
+         "workspace": "library", "outcome": "broken off", "why": "time is up",
+         "engine": "e1", "engine_domain": "z2"},
+        {"event": "call.ended", "node": "n1", "time_ms": 1200, "route": "q",
+         "workspace": "library", "outcome": "answered", "status": 200,
+         "engine": "e1", "engine_domain": "z2", "finish_in_ms": 300,
+         "ms": 400},
+        {"event": "call.ended", "node": "n2", "time_ms": 1300, "route": "q",
+         "outcome": "own answer", "status": 503, "why": "no engine to ask"},
+    ]
+
+    def losses(self, *options):
+        with tempfile.NamedTemporaryFile("w", suffix=".log") as file:
+            file.write("".join("10:00 " + json.dumps(one) + "\n"
+                               for one in self.LINES) + "12 {}\n[1]\n")
+            file.flush()
+            done = subprocess.run(
+                [ROOT / "support" / "losses", *options, file.name],
+                stdout=subprocess.PIPE, check=True, text=True)
+        return done.stdout.splitlines()
+
+    def test_without_parties_causes_are_summed(self):
+        self.assertEqual(self.losses()[:4], [
+            "5 calls, 4 lost",
+            "      2  own answer: the engines are full",
+            "      1  broken off: time is up",
+            "      1  own answer: no engine to ask"])
+
+    def test_workspaces_have_their_own_losses_and_late_answers(self):
+        self.assertEqual(self.losses("--by", "workspace"), [
+            "5 calls, 4 lost",
+            "archive: 2 calls, 2 lost, 0 late",
+            "      2  own answer: the engines are full",
+            "library: 2 calls, 1 lost, 1 late",
+            "      1  broken off: time is up",
+            "none: 1 calls, 1 lost, 0 late",
+            "      1  own answer: no engine to ask",
+            "from second 0",
+            "      2  archive",
+            "      1  none",
+            "from second 2",
+            "      1  library"])
+
+    def test_routes_have_their_own_losses(self):
+        self.assertEqual(self.losses("--by", "route")[1:4:2], [
+            "q: 3 calls, 2 lost, 1 late", "      1  own answer: no engine to ask"])
+
+    def test_domain_is_the_engines_or_without_one_the_nodes(self):
+        lines = self.losses("--by", "domain")
+        self.assertIn("no engine, node in z1: 2 calls, 2 lost, 0 late", lines)
+        self.assertIn("engine in z2: 2 calls, 1 lost, 1 late", lines)
+        self.assertIn(
+            "no engine, node in unknown domain: 1 calls, 1 lost, 0 late", lines)
+
+
+class refusals_test(unittest.TestCase):
+    def test_each_documented_refusal_has_a_cause_in_the_metrics(self):
+        """A refusal without an entry is counted under the cause `other`."""
+        page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+        table = page.split("## A request was refused: 503")[1].split("\n## ")[0]
+        reasons = [row.split("|")[1].strip() for row in table.splitlines()
+                   if row.startswith("| ")][1:]
+        reasons = [one for row in reasons for one in row.split("; ")
+                   if set(one) != {"-"}]
+        source = (ROOT / "src" / "entry" / "load_accounting.cpp").read_text()
+        source = re.sub(r'"\s*"', "", source)
+        self.assertGreater(len(reasons), 15)
+        for reason in reasons:
+            self.assertIn('{"%s",' % reason, source)
+
+
 if __name__ == "__main__":
     unittest.main()
