soak: add workspaces with limits, one of which sends seven times its usual

After the faults, five workspaces with limits of 20 requests a second send 10 each, and one of them 70 for 4 s. Each call of the other four has to be served within four tries.

--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -34,7 +34,7 @@
         po::value(&options.kept_callers)->default_value(options.kept_callers),
         "callers that keep their connections until the last node is gone")(
         "basic-faults", po::bool_switch(&options.basic_faults),
-        "no pauses, no signals in series, no changes of limits")(
+        "no pauses, no signals in series, no changes of limits, no workspaces")(
         "program", po::value(&options.program)->required(),
         "the walnutmill program")(
         "directory", po::value(&options.directory)->required(),
--- a/support/soak_faults.cpp
+++ b/support/soak_faults.cpp
@@ -123,6 +123,8 @@
     added["name"] = "added";
     added["prefix"] = added_path(changes_);
     document["routes"].push_back(std::move(added));
+    if (!options_.basic_faults)
+        add_workspaces(document);
     idle_timeout_ms_ = document["limits"]["idle_timeout_ms"].get<int>();
     store.put("op", "config", document);
 }
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -33,8 +33,6 @@
 /// Long enough that accounts which dead nodes hold are let go.
 constexpr seconds calm{4};
 constexpr int turns_at_most = 14;
-constexpr std::uint64_t most_tokens =
-    testing::soak_events * testing::soak_tokens_per_event;
 constexpr int tries_of_a_turn = 3;
 /// Until a second after the deadline of a call.
 constexpr milliseconds attempt_patience{4'000};
@@ -139,7 +137,10 @@
             });
     }
     add_pausing_targets();
-    store.put("op", "config", base_configuration());
+    auto document = base_configuration();
+    if (!options_.basic_faults)
+        add_workspaces(document);
+    store.put("op", "config", document);
     for (int i = 0; i < options_.nodes; ++i)
         add_node(i);
 }
@@ -228,6 +229,8 @@
     for (auto const& one : processes_)
         await_ready(*one);
     std::this_thread::sleep_for(calm);
+    if (!options_.basic_faults)
+        play_hot_workspace();
     calling_ = false;
     for (auto& one : callers)
         one.join();
@@ -473,7 +476,11 @@
     to.budget = one.budget;
     to.most_tokens = most_tokens;
     to.input = "input of " + to.id + ";";
+    to.workspace = one.workspace;
+    to.has_to_be_served = one.has_to_be_served;
     auto headers = "Program-Id: " + one.id + "\r\n";
+    if (!one.workspace.empty())
+        headers += "X-Api-Key: key-of-" + one.workspace + "\r\n";
     if (kind == call_kind::turn || kind == call_kind::kept_turn)
     {
         headers += "Token-Budget: " + std::to_string(one.budget) +
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -41,7 +41,7 @@
     int kept_callers = 12;
     /// Only the faults that the seed drew before targets paused: no pauses, no
     /// signals in series over several nodes, no changes of limits, timeouts and
-    /// weights, and no callers of harmless requests.
+    /// weights, no callers of harmless requests, and no workspaces.
     bool basic_faults = false;
     /// The program whose nodes are run.
     std::string program;
@@ -114,6 +114,10 @@
         /// The kept turn to go on from.
         std::string last_kept;
         bool keeps = false;
+        /// Its workspace, whose key its calls bear; empty without one.
+        std::string workspace;
+        /// The next attempt is the last one of a call that has to be served.
+        bool has_to_be_served = false;
     };
 
     void add_node(int number);
@@ -163,6 +167,12 @@
         testing::standin_target& at);
     void play_pauses();
 
+    // Workspaces with limits.
+    static void add_workspaces(nlohmann::json& document);
+    void play_hot_workspace();
+    void
+    call_as_workspace(int workspace, std::chrono::steady_clock::time_point end);
+
     // Requests that end their targets.
     static nlohmann::json base_configuration();
     void add_crashing_target();
@@ -285,6 +295,10 @@
     std::vector<crashing_target> crashing_;
 };
 
+/// Tokens that a turn may generate.
+constexpr std::uint64_t most_tokens =
+    testing::soak_events * testing::soak_tokens_per_event;
+
 std::string sized_chunk(std::string const& text);
 std::string stream_head(std::string const& id);
 
--- a/test/soak_history-test.cpp
+++ b/test/soak_history-test.cpp
@@ -370,3 +370,20 @@
     start.node = "node-1";
     CHECK(breaks("503 no engine to ask: l1 at node-0"));
 }
+
+TEST_CASE_METHOD(
+    soak_history_fixture,
+    "soak history: a workspace is served beside another one's burst")
+{
+    auto& one = attempt("l1");
+    one.workspace = "workspace-1";
+    one.has_to_be_served = true;
+    CHECK(broken_promises(history).empty());
+    one.status = 429;
+    one.body.clear();
+    history.runs.pop_back();
+    CHECK(breaks("workspace-1 was not served beside another's burst, 429: l1"));
+    // It is served by a later attempt, or sends several times its usual.
+    one.has_to_be_served = false;
+    CHECK(broken_promises(history).empty());
+}
--- a/test/soak_history.cpp
+++ b/test/soak_history.cpp
@@ -373,6 +373,17 @@
             one.node);
 }
 
+/// A workspace that sends several times its usual takes nothing from others.
+void check_workspace(recorded_attempt const& one, findings_list& to)
+{
+    if (one.has_to_be_served && !served(one))
+    {
+        to.push_back(
+            one.workspace + " was not served beside another's burst, " +
+            std::to_string(one.status) + ": " + one.id);
+    }
+}
+
 } // namespace
 
 std::string name_of(attempt_end end)
@@ -446,6 +457,7 @@
         check_answer(one, to);
         check_end(one, runs, broken_off, of, to);
         check_pauses(one, broken_off, of, to);
+        check_workspace(one, to);
     }
     check_unanswered(of, to);
     check_versions(of, to);
--- a/test/soak_history.hpp
+++ b/test/soak_history.hpp
@@ -78,6 +78,11 @@
     std::int64_t ended_ms = 0;
     /// Its targets pause at times and do no other harm.
     bool targets_only_pause = false;
+    /// Whose key it bears; empty without one.
+    std::string workspace;
+    /// The last attempt of a call, without faults, of a workspace that sends as
+    /// usual while another one sends several times its usual.
+    bool has_to_be_served = false;
 };
 
 /// One run that a target began.
