--- a/support/slopes-sections.hpp
+++ b/support/slopes-sections.hpp
@@ -23,6 +23,8 @@
 void run_origins_section();
 /// What requests under which engines ended cost a node among 13 to 390.
 void run_crashes_section();
+/// What the accounting of load costs a node's calls, memory and metrics.
+void run_accounting_section();
 
 } // namespace slopes
 } // namespace walnutmill
--- a/support/slopes.cpp
+++ b/support/slopes.cpp
@@ -21,5 +21,6 @@
     walnutmill::slopes::run_owner_section(seed);
     walnutmill::slopes::run_origins_section();
     walnutmill::slopes::run_crashes_section();
+    walnutmill::slopes::run_accounting_section();
     return 0;
 }
