--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -35,7 +35,7 @@
         "callers that keep their connections until the last node is gone")(
         "basic-faults", po::bool_switch(&options.basic_faults),
         "no pauses, no signals in series, no changes of limits, engines of "
-        "one speed")(
+        "one speed, no workspaces")(
         "program", po::value(&options.program)->required(),
         "the walnutmill program")(
         "directory", po::value(&options.directory)->required(),
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -41,8 +41,8 @@
     int kept_callers = 12;
     /// Only the faults that the seed drew before targets paused: no pauses, no
     /// signals in series over several nodes, no changes of limits, timeouts and
-    /// weights, no callers of harmless requests, and engines of the same speed
-    /// that don't tell their load.
+    /// weights, no callers of harmless requests, no workspaces, and engines of
+    /// the same speed that don't tell their load.
     bool basic_faults = false;
     /// The program whose nodes are run.
     std::string program;
@@ -115,6 +115,10 @@
         /// The kept turn to go on from.
         std::string last_kept;
         bool keeps = false;
+        /// Its workspace, whose key its calls bear; empty without one.
+        std::string workspace;
+        /// The next attempt is the last one of a call that has to be served.
+        bool has_to_be_served = false;
     };
 
     void add_node(int number);
@@ -180,6 +184,11 @@
     std::shared_ptr<void> begin_call(testing::standin_target const& engine);
     std::string load_header(testing::standin_target const& engine);
     void play_slow_machines();
+    // Workspaces with limits.
+    static void add_workspaces(nlohmann::json& document);
+    void play_hot_workspace();
+    void
+    call_as_workspace(int workspace, std::chrono::steady_clock::time_point end);
 
     // Requests that end their targets.
     static nlohmann::json base_configuration();
@@ -306,6 +315,10 @@
     std::vector<crashing_target> crashing_;
 };
 
+/// Tokens that a turn may generate.
+constexpr std::uint64_t most_tokens =
+    testing::soak_events * testing::soak_tokens_per_event;
+
 std::string sized_chunk(std::string const& text);
 /// \param headers further header lines, each with its end
 std::string stream_head(std::string const& id, std::string const& headers = {});
