--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -7,6 +7,8 @@
 #include "entry_world.hpp"
 #include "fake_store.hpp"
 
+#include "entry/load_summary.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -785,6 +787,27 @@
     CHECK(services.calls_in_flight == 0);
 }
 
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: speeds are logged only where engines tell machine figures")
+{
+    send(entry_world::turn("t1"));
+    REQUIRE(run_until([&] { return count("\"event\":\"call.ended\"") == 1; }));
+    auto const without = last_line("call.ended");
+    CHECK(without.find("\"engine_load\":") != std::string::npos);
+    CHECK(without.find("engine_speed") == std::string::npos);
+    CHECK(without.find("machine_slowdown") == std::string::npos);
+    auto const key_a = short_key(target_name(engine_a.target.id()));
+    auto const key_b = short_key(target_name(engine_b.target.id()));
+    balancer.set_cluster_machine_figures({{key_a, 400, 0}, {key_b, 400, 0}});
+    balancer.set_cluster_speeds({{key_a, 2'000, 1'000}, {key_b, 2'000, 1'000}});
+    send(entry_world::turn("t2"));
+    REQUIRE(run_until([&] { return count("\"event\":\"call.ended\"") == 2; }));
+    auto const with = last_line("call.ended");
+    CHECK(with.find("\"engine_speed\":0.5,") != std::string::npos);
+    CHECK(with.find("\"machine_slowdown\":") != std::string::npos);
+}
+
 TEST_CASE_METHOD(
     call_flow_fixture,
     "call: a lost continuation shows in the answer at the call's limit")
