--- a/test/engine_fleet.cpp
+++ b/test/engine_fleet.cpp
@@ -586,6 +586,7 @@
         }
     }
     std::vector<speed_sample> to;
+    to.reserve(sums.size());
     for (auto const& [engine, sum] : sums)
         to.push_back(sum);
     return to;
