routing_table: know the silence that a route's callers bear

A gap_aim_ms of another type counts as absent, because a configuration with one was readable before.

--- a/include/walnutmill/routing_table.hpp
+++ b/include/walnutmill/routing_table.hpp
@@ -53,6 +53,8 @@
     std::chrono::milliseconds kept_for{0};
     std::chrono::milliseconds timeout{0};
     std::chrono::milliseconds target_latency{0};
+    /// Callers leave a stream that is silent for longer than this.
+    std::chrono::milliseconds silence_limit{2'000};
     /// Maximum number of engines that one attempt of a caller may run on.
     std::uint32_t max_engines = 1;
     /// Priority; 0 is the most urgent.
--- a/test/configuration_decoder-test.cpp
+++ b/test/configuration_decoder-test.cpp
@@ -52,6 +52,7 @@
                a.repeats == b.repeats && a.streams == b.streams &&
                a.resumable == b.resumable && a.timeout == b.timeout &&
                a.target_latency == b.target_latency &&
+               a.silence_limit == b.silence_limit &&
                a.max_engines == b.max_engines && a.rank == b.rank &&
                a.open == b.open &&
                std::equal(
@@ -191,3 +192,37 @@
     REQUIRE(problems.empty());
     CHECK(least * 2 < whole);
 }
+
+// A route that bears a shorter silence than assumed loses the callers of turns
+// that wait; an unreadable field would lose the whole configuration.
+TEST_CASE_METHOD(
+    configuration_decoder_fixture,
+    "configuration decoder: the silence that callers bear follows from the "
+    "route's aims")
+{
+    auto const limit_of = [this](json const& latency, json const& gap)
+    {
+        auto one = route_of("kept", "llm");
+        one.erase("target_latency_ms");
+        if (!latency.is_null())
+            one["target_latency_ms"] = latency;
+        if (!gap.is_null())
+            one["gap_aim_ms"] = gap;
+        document["routes"] = json::array({one});
+        auto const decoded =
+            platform::decode_configuration(document.dump(), problems);
+        REQUIRE(problems.empty());
+        REQUIRE(decoded);
+        return decoded->routes.front().silence_limit.count();
+    };
+    CHECK(limit_of(nullptr, nullptr) == 2'000);
+    CHECK(limit_of(250, nullptr) == 2'000);
+    CHECK(limit_of(600, nullptr) == 2'400);
+    CHECK(limit_of(250, 400) == 3'200);
+    CHECK(limit_of(900, 400) == 3'600);
+    CHECK(limit_of(250, 100) == 2'000);
+    CHECK(limit_of(250, -5) == 2'000);
+    CHECK(limit_of(250, "fast") == 2'000);
+    CHECK(limit_of(250, json::object()) == 2'000);
+    CHECK(limit_of(250, 1e15) == 480'000);
+}
