call_flow: let turns wait for a lost store before they run

Turns of routes that bear the wait, also those whose budget or history cannot be read, wait in store_waiters before their budget is requested, and go on with admit(). A stopping node refuses them at once. Log field store_wait_ms, metrics walnutmill_calls_awaiting_store and walnutmill_store_waits_total.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -213,6 +213,8 @@
 
 void call_flow::admit()
 {
+    if (await_store(true, "the store that turns are kept in is away"))
+        return;
     auto const& program = call_.program;
     if (!program.token_budget || program.program.empty() || !service_->model)
     {
@@ -424,20 +426,10 @@
     finish("caller left", false);
 }
 
-outage_call call_flow::current_outage() const
-{
-    outage_call outage;
-    if (node_.store_outage_time)
-        outage.lost_for = node_.store_outage_time();
-    outage.time_left = time_left();
-    auto const found = node_.max_call_times.find(route_->name);
-    outage.total_time =
-        found == node_.max_call_times.end() ? outage.time_left : found->second;
-    return outage;
-}
-
 void call_flow::refuse_without_store(std::string_view why)
 {
+    if (await_store(false, why))
+        return;
     auto const outage = current_outage();
     log_fields_["store_lost_ms"] = ms_count(outage.lost_for);
     auto const wait = outage.lost_for.count() > 0 ? outage_retry_after(outage)
@@ -515,6 +507,7 @@
     if (done_)
         return;
     done_ = true;
+    leave_store_queue();
     settle_budget();
     // The deadline also limits an engine that completes a call whose caller has
     // left.
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -26,6 +26,7 @@
 #include "entry/origin_exchange.hpp"
 #include "entry/outage_policy.hpp"
 #include "entry/quota_exchange.hpp"
+#include "entry/store_waiters.hpp"
 #include "entry/version_register.hpp"
 #include "entry/workspace_counters.hpp"
 #include "platform/call_codec.hpp"
@@ -112,6 +113,8 @@
     version_register* versions = nullptr;
     /// Requests under which engines ended. Null: they are not told apart.
     crash_exchange* crashes = nullptr;
+    /// Turns that wait for the store. Null: no turn waits.
+    store_waiters* awaiting_store = nullptr;
     std::shared_ptr<call_registry> calls = std::make_shared<call_registry>();
     answer_memory answers{};
 };
@@ -254,6 +257,11 @@
     void release_unanswered();
     void on_caller_disconnected();
     outage_call current_outage() const;
+    bool await_store(bool can_run, std::string_view why);
+    void store_wait_ended(store_wait_end how, std::string_view why);
+    void record_store_wait();
+    void leave_store_queue();
+    void refuse_after_store_wait(std::string_view why);
     void refuse(std::string_view why, std::chrono::milliseconds retry_after);
     void refuse_without_store(std::string_view why);
     void respond_locally(
@@ -311,6 +319,11 @@
     /// Waits for a newer configuration.
     bool awaits_confirmation_ = false;
     bool caller_disconnected_ = false;
+    /// Set while the call waits for the store.
+    std::optional<store_waiters::ticket> store_wait_;
+    time_point store_wait_began_{};
+    /// Sum of the call's ended waits for the store.
+    duration store_waited_{0};
     std::optional<std::uint64_t> last_event_;
     /// Searches for the origin of the stream that have not ended.
     int origin_searches_ = 0;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -160,6 +160,7 @@
       crashes_(
           clock_, seeded_random(seed_of(incarnation_ + "crashes")),
           crash_hooks()),
+      awaiting_store_(clock_, store_wait_hooks()),
       sweeper_(
           store_.calls(store_client::unavailable_policy::fail_fast),
           system_utc(), swept_tables()),
@@ -203,6 +204,7 @@
     connect_workspaces();
     connect_streams();
     connect_crashes();
+    services_.awaiting_store = &awaiting_store_;
     balancer_.is_connected = [this](target_name const& engine)
     { return links_.has_idle(engine); };
     loads_.on_ejection =
@@ -380,7 +382,11 @@
             log_priority::important,
             reachable ? "store.regained" : "store.lost", {{"why", why}});
     };
-    to.on_recovery = [this] { view_.refresh(); };
+    to.on_recovery = [this]
+    {
+        view_.refresh();
+        awaiting_store_.store_recovered();
+    };
     to.counters = &counters_;
     to.on_failed_call = [this](store_client::failed_call const& one)
     {
@@ -395,6 +401,21 @@
     return to;
 }
 
+store_waiters::hooks entry_node::store_wait_hooks()
+{
+    store_waiters::hooks to;
+    to.schedule_after = [this](duration after, std::function<void()> what)
+    { runtime_.schedule_after(after, std::move(what)); };
+    to.is_store_lost = [this] { return store_.lost_for().count() > 0; };
+    to.on_ended = [this](store_wait_end how)
+    {
+        counters_.count(
+            "walnutmill_store_waits_total{end=\"" +
+            std::string(to_string(how)) + "\"}");
+    };
+    return to;
+}
+
 platform_view::hooks entry_node::view_hooks()
 {
     platform_view::hooks to;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -20,6 +20,7 @@
 #include "entry/row_sweeper.hpp"
 #include "entry/section_client.hpp"
 #include "entry/store_client.hpp"
+#include "entry/store_waiters.hpp"
 #include "entry/version_register.hpp"
 
 #include <walnutmill/start_lease.hpp>
@@ -75,6 +76,7 @@
     void answer_metrics(link_ptr const& link);
     void answer_peer(link_ptr const& link, request_type const& request);
     store_client::hooks store_hooks();
+    store_waiters::hooks store_wait_hooks();
     platform_view::hooks view_hooks();
     void answer_sections(link_ptr const& link, request_type const& request);
     void relay_store_call(link_ptr const& link, request_type const& request);
@@ -139,6 +141,7 @@
     origin_exchange origins_;
     version_register versions_;
     crash_exchange crashes_;
+    store_waiters awaiting_store_;
     row_sweeper sweeper_;
     promised_retention retention_;
     section_client sections_;
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -126,6 +126,9 @@
     counters_.gauge(
         "walnutmill_calls_under_way",
         static_cast<double>(services_.calls_in_flight));
+    counters_.gauge(
+        "walnutmill_calls_awaiting_store",
+        static_cast<double>(awaiting_store_.size()));
     counters_.gauge(
         "walnutmill_nodes_known", static_cast<double>(services_.nodes));
     counters_.gauge(
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -90,6 +90,8 @@
         log_priority::important, "node.stopping",
         {{"calls", services_.calls_in_flight},
          {"connections", caller_links_.size()}});
+    // Their callers reach another node with the retry.
+    awaiting_store_.stop();
     stop_step();
 }
 
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -200,6 +200,8 @@
         clock, seeded_random(2), crash_hooks(), short_patience()};
     origin_exchange origins{clock, "n", "z1", origin_hooks()};
     version_register versions{store.calls(), clock, seeded_random(3), {}};
+    duration store_lost_for{0};
+    store_waiters awaiting_store{clock, store_wait_hooks()};
     entry_services services{
         io,
         clock,
@@ -287,6 +289,36 @@
         return datagram_hooks<origin_exchange::hooks>();
     }
 
+    store_waiters::hooks store_wait_hooks()
+    {
+        store_waiters::hooks to;
+        to.schedule_after = [this](duration after, std::function<void()> what)
+        { schedule(after, std::move(what)); };
+        to.is_store_lost = [this] { return store_lost_for.count() > 0; };
+        return to;
+    }
+
+    /// The store is lost, and callers of kept turns bear a silence of 3.2 s.
+    void lose_store(duration lost_for)
+    {
+        change(
+            [](routing_table& to)
+            {
+                for (auto& one : to.routes)
+                    one.silence_limit = milliseconds(3'200);
+            });
+        store_lost_for = lost_for;
+        services.store_outage_time = [this] { return store_lost_for; };
+        services.awaiting_store = &awaiting_store;
+        store.set_down(true);
+    }
+    void recover_store()
+    {
+        store.set_down(false);
+        store_lost_for = duration(0);
+        awaiting_store.store_recovered();
+    }
+
     void schedule(duration after, std::function<void()> what)
     {
         auto const timer = std::make_shared<asio::steady_timer>(io, after);
@@ -564,6 +596,15 @@
          [](call_flow_fixture& at)
          { return at.caller->received().find("piece 3") < std::string::npos; },
          answer_store});
+    all.push_back(
+        {"store, not run",
+         [](call_flow_fixture& at)
+         {
+             at.lose_store(seconds(1));
+             at.send(entry_world::turn("t1", {}, "/kept/"));
+         },
+         [](call_flow_fixture& at) { return at.awaiting_store.size() == 1; },
+         [](call_flow_fixture& at) { at.recover_store(); }});
     all.push_back(
         {"quota",
          [](call_flow_fixture& at)
@@ -971,3 +1012,145 @@
     }
     CHECK(last_body == "input of t1;piece 1\npiece 2\npiece 3\ninput of t2;");
 }
+
+// Counted against its program, a turn that waits would take the budget from
+// those that run.
+TEST_CASE_METHOD(
+    call_flow_fixture, "call: a turn whose budget cannot be read waits for the "
+                       "store and runs once")
+{
+    lose_store(milliseconds(350));
+    send(entry_world::turn(
+        "t1", "Program-Id: p1\r\nToken-Budget: 30\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return awaiting_store.size() == 1; }));
+    run_for(milliseconds(50));
+    CHECK_FALSE(caller_knows());
+    CHECK(engine_calls() == 0);
+    recover_store();
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 200);
+    CHECK(engine_calls() == 1);
+    auto const line = last_line("call.ended");
+    CHECK(line.find("\"store_wait_ms\":") != std::string::npos);
+}
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a turn whose history cannot be read waits without its reservation")
+{
+    turn_history other(store.calls());
+    stored_turn before;
+    before.id = request_id("t0");
+    before.input = "earlier input;";
+    other.store_turn(std::move(before), seconds(1), [](bool) {});
+    store.run();
+    // The first turn leaves half of the budget in this node's memory.
+    std::string const program = "Program-Id: p1\r\nToken-Budget: 60\r\n";
+    send(entry_world::turn("t1", program));
+    REQUIRE(run_until([&] { return caller->whole(); }));
+    lose_store(milliseconds(350));
+    send(entry_world::turn("t2", program + "Previous-Turn: t0\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return awaiting_store.size() == 1; }));
+    CHECK(engine_calls() == 1);
+    recover_store();
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    // With the first reservation left behind, the budget would be spent.
+    CHECK(caller->status() == 200);
+    CHECK(engine_calls() == 2);
+}
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a turn whose coordinator has not noticed the store's return waits "
+    "for it")
+{
+    lose_store(seconds(1));
+    send(entry_world::turn(
+        "t1", "Program-Id: p1\r\nToken-Budget: 900\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return awaiting_store.size() == 1; }));
+    // This node reaches the store, but the budgets still do not.
+    store_lost_for = duration(0);
+    awaiting_store.store_recovered();
+    run_for(milliseconds(250));
+    CHECK_FALSE(caller_knows());
+    store.set_down(false);
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 200);
+    CHECK(engine_calls() == 1);
+}
+
+// A deployment whose callers leave a silent stream after 2 s is served as
+// before.
+TEST_CASE_METHOD(
+    call_flow_fixture, "call: a turn of a route whose callers bear no wait is "
+                       "refused at once")
+{
+    lose_store(seconds(2));
+    change(
+        [](routing_table& to)
+        {
+            for (auto& one : to.routes)
+                one.silence_limit = milliseconds(2'400);
+        });
+    send(entry_world::turn(
+        "t1", "Program-Id: p1\r\nToken-Budget: 900\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    CHECK(awaiting_store.size() == 0);
+    auto const line = last_line("call.ended");
+    CHECK(line.find("store_wait_ms") == std::string::npos);
+}
+
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a turn that meets a full queue is refused at once")
+{
+    lose_store(seconds(2));
+    store_waiter filler;
+    filler.until = clock() + seconds(30);
+    filler.on_end = [](store_wait_end) {};
+    while (awaiting_store.add(filler))
+    {
+    }
+    send(entry_world::turn(
+        "t1", "Program-Id: p1\r\nToken-Budget: 900\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    CHECK(engine_calls() == 0);
+}
+
+// Its connection is closed, so that the retry reaches another node.
+TEST_CASE_METHOD(
+    call_flow_fixture, "call: a turn does not wait at a stopping node")
+{
+    lose_store(seconds(2));
+    services.stopping = true;
+    awaiting_store.stop();
+    send(entry_world::turn("t1", {}, "/kept/"));
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    CHECK(engine_calls() == 0);
+}
+
+// A workspace must not lose a request to its limit that was not served.
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a turn that waited in vain returns its workspace's request")
+{
+    change(
+        [](routing_table& to)
+        {
+            require_keys(to);
+            to.routes.front().timeout = seconds(3);
+        });
+    services.quotas = &quotas;
+    quotas.set_nodes({});
+    lose_store(seconds(2));
+    send(entry_world::turn("t1", key, "/kept/"));
+    REQUIRE(run_until([&] { return awaiting_store.size() == 1; }));
+    awaiting_store.stop();
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    CHECK(engine_calls() == 0);
+    CHECK(services.calls_in_flight == 0);
+}
