entry_node: log that the UDP address for other nodes can't be bound

A node whose UDP bind failed ended without a line, unlike for its TCP addresses. Not tested by a case of its own.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -448,9 +448,17 @@
          {"callers", settings_.listen_callers}});
     if (!listen(caller_acceptor_, settings_.listen_callers) ||
         !listen(ready_acceptor_, settings_.listen_ready) ||
-        !listen(peer_acceptor_, settings_.listen_peers) ||
-        !loads_.listen(settings_.listen_peers))
+        !listen(peer_acceptor_, settings_.listen_peers))
         return false;
+    if (!loads_.listen(settings_.listen_peers))
+    {
+        log_.write(
+            log_priority::important, "listen.failed",
+            {{"address", settings_.listen_peers},
+             {"why", "cannot bind the UDP address"}});
+        log_.flush();
+        return false;
+    }
     accept(caller_acceptor_, caller_hooks());
     accept(
         ready_acceptor_,
