--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -1140,17 +1140,39 @@
     change(
         [](routing_table& to)
         {
-            require_keys(to);
-            to.routes.front().timeout = seconds(3);
+            workspace archive;
+            archive.name = workspace_name("archive");
+            archive.limit.per_second = 0.001;
+            archive.limit.burst = 100;
+            to.workspaces.emplace();
+            to.workspaces->add(archive, {digest_of_key(key_text)});
         });
     services.quotas = &quotas;
     quotas.set_nodes({});
     lose_store(seconds(2));
     send(entry_world::turn("t1", key, "/kept/"));
     REQUIRE(run_until([&] { return awaiting_store.size() == 1; }));
+    /// \return the number of requests that the workspace has left
+    auto const take_all = [this]
+    {
+        int granted = 0;
+        for (bool refused = false; !refused && granted < 1'000;)
+        {
+            quotas.acquire(
+                workspace_name("archive"),
+                [&](quota_answer const& answer, std::string const&)
+                {
+                    refused = answer.decision != quota_decision::granted;
+                    granted += refused ? 0 : 1;
+                });
+        }
+        return granted;
+    };
+    take_all();
+    CHECK(take_all() == 0);
     awaiting_store.stop();
     REQUIRE(run_until([&] { return caller_knows(); }));
     CHECK(caller->status() == 503);
     CHECK(engine_calls() == 0);
-    CHECK(services.calls_in_flight == 0);
+    CHECK(take_all() == 1);
 }
