call_flow: test that a wait for a history reserves nothing

The former test waited for the budget instead, so it passed without the settlement. Histories now fail while budgets are read; without the settlement the turn gets 503.

--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -184,7 +184,9 @@
     engine_links links{io};
     program_ledger ledger{store.calls(), clock, "n.1"};
     budget_service budgets{io, ledger, clock, "n", "n.1"};
-    turn_history history{store.calls()};
+    /// Reads of histories fail, while budgets are still read.
+    bool histories_lost = false;
+    turn_history history{history_store()};
     line_log log{
         "n", clock,
         [this](std::string_view bytes)
@@ -289,6 +291,21 @@
         return datagram_hooks<origin_exchange::hooks>();
     }
 
+    versioned_store history_store()
+    {
+        auto to = store.calls();
+        to.read = [this, read = to.read](
+                      row_range range, milliseconds timeout,
+                      std::function<void(range_result)> done)
+        {
+            if (histories_lost)
+                schedule(duration(0), [done = std::move(done)] { done({}); });
+            else
+                read(std::move(range), timeout, std::move(done));
+        };
+        return to;
+    }
+
     store_waiters::hooks store_wait_hooks()
     {
         store_waiters::hooks to;
@@ -1044,19 +1061,24 @@
     before.input = "earlier input;";
     other.store_turn(std::move(before), seconds(1), [](bool) {});
     store.run();
-    // The first turn leaves half of the budget in this node's memory.
-    std::string const program = "Program-Id: p1\r\nToken-Budget: 60\r\n";
-    send(entry_world::turn("t1", program));
-    REQUIRE(run_until([&] { return caller->whole(); }));
     lose_store(milliseconds(350));
-    send(entry_world::turn("t2", program + "Previous-Turn: t0\r\n", "/kept/"));
+    store.set_down(false);
+    histories_lost = true;
+    // The budget is for one turn.
+    send(entry_world::turn(
+        "t1", "Program-Id: p1\r\nToken-Budget: 30\r\nPrevious-Turn: t0\r\n",
+        "/kept/"));
     REQUIRE(run_until([&] { return awaiting_store.size() == 1; }));
-    CHECK(engine_calls() == 1);
+    CHECK(engine_calls() == 0);
+    histories_lost = false;
     recover_store();
     REQUIRE(run_until([&] { return caller_knows(); }));
-    // With the first reservation left behind, the budget would be spent.
+    // With the first reservation left behind, the budget would be taken.
     CHECK(caller->status() == 200);
-    CHECK(engine_calls() == 2);
+    CHECK(engine_calls() == 1);
+    CHECK(
+        last_line("call.ended").find("\"history\":\"1 turns\"") !=
+        std::string::npos);
 }
 
 TEST_CASE_METHOD(
