--- a/src/entry/quota_message.cpp
+++ b/src/entry/quota_message.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 /// First element of each message. Load reports arrive at the same address; they
-/// are CBOR arrays of another length and start with a boolean.
+/// are CBOR arrays that start with a boolean.
 constexpr char const* message_tag = "quota";
 constexpr std::int64_t max_retry_after_ms = 60'000;
 /// Position of the use, which is the last element and may be absent. Elements
