call: wait for an engine instead of ending a call that left a silent one

Callers saw a stream that had begun broken off, or a 502, about 0.2 s to a second after their engine fell silent, with most of their time left. On routes that permit one engine this is a lost answer beside any planned work.

Cause: a node gave up its connection to a silent engine before it knew that the call could be sent again, and ended the call with "no engine left to go on at" where it could not: the engine was full after its pause, had begun to drain, or was held back after a failure, and the route's limit or the stream's version permitted no other one. Engines that drain counted as places to go on at.

Change: a silent engine is left only where it, or another engine permitted by the route, accepts calls. A call that may have run and finds no engine waits 100 to 400 ms and chooses again until its time is up, as long as an engine of its service and version accepts calls; what engines reject does not count towards its sends. If the engine that it is bound to has lost its entry and no longer listens, the call goes on elsewhere. Calls that have not run are refused at once as before.

--- a/include/walnutmill/engine_balancer.hpp
+++ b/include/walnutmill/engine_balancer.hpp
@@ -314,14 +314,15 @@
     bool known(engine_ref const& engine) const;
     /// \return true if another incarnation is registered under the engine's id
     bool is_replaced(engine_ref const& engine) const;
-    /// \return the number of registered engines of a service, in any state
+    /// \return true if the engine is registered and accepts calls
+    bool is_ready(engine_ref const& engine) const;
+    /// \return true if an engine of the service accepts calls
     /// \param version unset: engines of all software versions
-    std::size_t count_engines(
-        service_name const& service,
-        std::optional<std::string> const& version = std::nullopt) const;
-    /// \return true if an engine of this software version accepts calls
+    /// \param except an engine that does not count; empty for none
     bool has_ready_engine(
-        service_name const& service, std::string const& version) const;
+        service_name const& service,
+        std::optional<std::string> const& version = std::nullopt,
+        target_name const& except = target_name()) const;
     /// Calls of this node in progress, by engine.
     std::vector<std::pair<target_name, std::uint32_t>> own_calls() const;
     /// Recent outcomes of this node's calls, for engines that have any.
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -95,12 +95,12 @@
     if (done_ || !check_crashes(&call_flow::try_engine))
         return;
     auto const chosen = node_.balancer.choose(need_);
-    if (!chosen && !need_.among.empty() && sends_ < max_sends)
+    if (!chosen && may_choose_later())
     {
         choose_again_later();
         return;
     }
-    if (!chosen || sends_ >= max_sends)
+    if (!chosen || !has_sends_left())
     {
         if (!may_have_run_)
             refuse(
@@ -150,6 +150,25 @@
     watch_for_stall(attempt);
 }
 
+/// \return true if the call waits for an engine instead of being ended. One
+/// that may have run cannot be refused, and engines that are full or silent are
+/// back soon.
+bool call_flow::may_choose_later() const
+{
+    if (!has_sends_left())
+        return false;
+    return !need_.among.empty() ||
+           (may_have_run_ &&
+            node_.balancer.has_ready_engine(need_.service, need_.version));
+}
+
+/// \return true if the call may be sent once more. What engines have rejected
+/// does not count for a call that may have run, whose sends are spaced.
+bool call_flow::has_sends_left() const
+{
+    return sends_ - (may_have_run_ ? rejected_sends_ : 0) < max_sends;
+}
+
 void call_flow::exchange(attempt_ptr const& attempt)
 {
     waits_for_ = "engine";
@@ -307,6 +326,7 @@
         end_attempt(attempt, engine_outcome::unreachable);
         log_failed_attempt(attempt, "unreachable");
         run_survived(attempt);
+        ++rejected_sends_;
         leave_ended_engine(attempt->at.ref(), attempt->link->was_refused());
         try_engine();
         return;
@@ -374,6 +394,7 @@
     log_failed_attempt(
         attempt, other_incarnation ? "another incarnation" : "full");
     run_survived(attempt);
+    ++rejected_sends_;
     if (other_incarnation)
         leave_ended_engine(attempt->at.ref());
     else
@@ -467,10 +488,11 @@
     if (!may_have_run_at(previous) && may_be_alive(previous))
         ++alive;
     // A past incarnation is not among the service's engines.
-    std::size_t const previous_count = node_.balancer.known(previous) ? 1 : 0;
+    auto const except =
+        node_.balancer.known(previous) ? previous.id : target_name();
     return static_cast<std::uint64_t>(alive) < route_->max_engines &&
-           node_.balancer.count_engines(need_.service, need_.version) >
-               previous_count;
+           node_.balancer.has_ready_engine(
+               need_.service, need_.version, except);
 }
 
 /// Handles an attempt after which the engine may have run the call without
@@ -485,7 +507,7 @@
     if (!may_have_run_at(engine))
         possibly_run_at_.push_back(engine);
     auto const repeatable = route_->repeats == repeatability::idempotent &&
-                            sends_ < max_sends &&
+                            has_sends_left() &&
                             crashed_at_.size() < max_request_crashes;
     if (repeatable && may_run_elsewhere(engine))
     {
--- a/src/entry/call_crashes.cpp
+++ b/src/entry/call_crashes.cpp
@@ -78,14 +78,40 @@
 void call_flow::choose_again_later()
 {
     constexpr std::chrono::milliseconds interval{100};
+    constexpr int max_doublings = 2;
     waits_for_ = "its engines";
     need_.avoid.clear();
-    stall_timer_.expires_after(interval);
+    auto const doublings = std::min(deferred_choices_++, max_doublings);
+    stall_timer_.expires_after(interval * (1 << doublings));
     stall_timer_.async_wait(
         [self = shared_from_this()](boost::system::error_code const& error)
         {
             if (!error)
-                self->try_engine();
+                self->choose_after_wait();
+        });
+}
+
+/// An engine that the call is bound to may have ended while the call waited for
+/// it. No request may be sent to one without an entry to find out.
+void call_flow::choose_after_wait()
+{
+    if (done_)
+        return;
+    auto const is_bound = current_ && need_.only == current_->at.engine;
+    if (!is_bound || node_.balancer.known(current_->at.ref()))
+    {
+        try_engine();
+        return;
+    }
+    node_.links.check_listening(
+        current_->at.address,
+        [self = shared_from_this(), engine = current_->at.ref()](bool listening)
+        {
+            if (self->done_)
+                return;
+            if (!listening)
+                self->leave_ended_engine(engine);
+            self->try_engine();
         });
 }
 
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -239,6 +239,9 @@
     bool check_crashes(void (call_flow::*again)());
     bool await_crash_records(std::function<void()> then);
     void choose_again_later();
+    void choose_after_wait();
+    bool may_choose_later() const;
+    bool has_sends_left() const;
     void refuse_or_abort(std::string_view why, duration retry_after);
     request_run run_of(attempt_ptr const& attempt);
     bool is_silent(attempt_ptr const& attempt) const;
@@ -313,6 +316,10 @@
     /// Engines that broke off or fell silent under this call.
     std::vector<engine_ref> crashed_at_;
     int sends_ = 0;
+    /// Sends that the engines did not run, which they said or did not accept.
+    int rejected_sends_ = 0;
+    /// Waits so far for an engine that may be chosen.
+    int deferred_choices_ = 0;
     std::optional<request_digest> digest_;
     /// Attempts abandoned because the engine was silent for too long.
     int stalls_ = 0;
--- a/src/entry/call_stalls.cpp
+++ b/src/entry/call_stalls.cpp
@@ -102,7 +102,7 @@
 /// retried.
 bool call_flow::may_abandon(attempt_ptr const& one)
 {
-    if (route_->repeats != repeatability::idempotent || sends_ >= max_sends)
+    if (route_->repeats != repeatability::idempotent || !has_sends_left())
         return false;
     // The engine may be sound, so the call must not be refused for leaving it.
     auto const engine = one->at.ref();
@@ -116,7 +116,7 @@
     // Retrying a queued call at the same engine would only lose its position
     // in the queue.
     auto const is_queued = one->at.load >= one->at.slots;
-    auto const may_retry_there = !is_queued && node_.balancer.known(engine);
+    auto const may_retry_there = !is_queued && node_.balancer.is_ready(engine);
     return may_run_elsewhere(engine) || may_retry_there;
 }
 
--- a/src/entry/engine_balancer.cpp
+++ b/src/entry/engine_balancer.cpp
@@ -134,25 +134,15 @@
     return engines_.count(engine.id) > 0 && !known(engine);
 }
 
-std::size_t engine_balancer::count_engines(
-    service_name const& service,
-    std::optional<std::string> const& version) const
+bool engine_balancer::is_ready(engine_ref const& engine) const
 {
-    auto const found = by_service_.find(service);
-    if (found == by_service_.end())
-        return 0;
-    auto const& [local, remote] = found->second;
-    if (!version)
-        return local.size() + remote.size();
-    auto const has_version = [&](target_name const& id)
-    { return engines_.at(id).entry.version == *version; };
-    return static_cast<std::size_t>(
-        std::count_if(local.begin(), local.end(), has_version) +
-        std::count_if(remote.begin(), remote.end(), has_version));
+    return known(engine) &&
+           engines_.at(engine.id).entry.state == engine_state::ready;
 }
 
 bool engine_balancer::has_ready_engine(
-    service_name const& service, std::string const& version) const
+    service_name const& service, std::optional<std::string> const& version,
+    target_name const& except) const
 {
     auto const found = by_service_.find(service);
     if (found == by_service_.end())
@@ -160,7 +150,8 @@
     auto const is_ready = [&](target_name const& id)
     {
         auto const& entry = engines_.at(id).entry;
-        return entry.version == version && entry.state == engine_state::ready;
+        return id != except && entry.state == engine_state::ready &&
+               (!version || entry.version == *version);
     };
     auto const& [local, remote] = found->second;
     return std::any_of(local.begin(), local.end(), is_ready) ||
