call: do not break off a begun answer before its caller's deadline

Callers saw streams broken off 30 ms before their deadlines; with 69 ms left at the start this was after 39 ms.

Cause: the reserve that lets a 504 arrive in time also ended answers that had begun, which have no use for it.

The test was red before: the stream ended 370 ms after its call, with a deadline of 400 ms.

Change: with the first event the call gets the reserve back, up to the route's timeout. After the change it ends at 400 ms.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -299,6 +299,7 @@
         platform::answer_framing framing;
         framing.close = link_->begin_answer();
         link_->write(platform::encode_answer_head(attempt->answer, framing));
+        extend_deadline();
     }
     if (event.id)
         last_event_ = event.id;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -195,6 +195,8 @@
     }
     if (call_.deadline && *call_.deadline - deadline_margin < wait)
     {
+        deadline_reserve_ = std::min<duration>(
+            deadline_margin, wait - (*call_.deadline - deadline_margin));
         wait = *call_.deadline - deadline_margin;
         limit = "caller";
     }
@@ -203,6 +205,11 @@
     deadline_at_ = arrived_ + wait;
     auto& longest = node_.max_call_times[route_->name];
     longest = std::max(longest, duration(wait));
+    await_deadline();
+}
+
+void call_flow::await_deadline()
+{
     deadline_timer_.expires_after(time_left());
     deadline_timer_.async_wait(
         [self = shared_from_this()](boost::system::error_code const& error)
@@ -212,6 +219,16 @@
         });
 }
 
+/// Gives an answer that has begun the time that is reserved for a refusal.
+void call_flow::extend_deadline()
+{
+    if (deadline_reserve_.count() == 0)
+        return;
+    deadline_at_ += deadline_reserve_;
+    deadline_reserve_ = duration(0);
+    await_deadline();
+}
+
 void call_flow::admit()
 {
     if (await_store(true, "the store that turns are kept in is away"))
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -198,6 +198,8 @@
     std::uint32_t route_rank() const;
     std::chrono::milliseconds retry_after_jitter() const;
     void arm_deadline();
+    void await_deadline();
+    void extend_deadline();
     void begin_or_resume();
     bool resumes_stream() const;
     void find_origin();
@@ -308,6 +310,8 @@
     boost::asio::steady_timer identity_timer_;
     time_point arrived_;
     time_point deadline_at_;
+    /// Time between the end of the call and its caller's deadline.
+    duration deadline_reserve_{0};
     attempt_ptr current_;
     /// An engine may have run the call, whatever became of the engine since.
     bool may_have_run_ = false;
--- a/test/silent_engine-test.cpp
+++ b/test/silent_engine-test.cpp
@@ -187,3 +187,28 @@
     INFO(got.body);
     CHECK(got.status == 200);
 }
+
+TEST_CASE_METHOD(
+    silent_engine_fixture,
+    "silent engine: a begun stream is not broken off before its caller's "
+    "deadline")
+{
+    engine_a.set_handler(
+        [](link_ptr const& link, http_request const& sent)
+        {
+            link->write(standin_target::stream(
+                std::string(sent["Request-Id"]), 1, 1, false));
+            return true;
+        });
+    min_stall_timeout = milliseconds(20'000);
+    auto& node = start_nodes();
+    auto request = turn("t1");
+    std::string const name = "Deadline-Ms: ";
+    auto const at = request.find(name) + name.size();
+    request.replace(at, request.find("\r\n", at) - at, "400");
+    test_caller caller(node.settings.listen_callers);
+    auto const sent_at = std::chrono::steady_clock::now();
+    auto const got = caller.call(request);
+    CHECK_FALSE(got.whole);
+    CHECK(std::chrono::steady_clock::now() - sent_at >= milliseconds(400));
+}
