call: wait while a call that may have run may not be sent for now

A call that had left a silent engine was broken off, or got 502, where other nodes had not yet told what they know of the request, or another run of it was under way: beliefs about engines, not the end of its time. It now waits and asks again until its time is up. A call that has not run is refused as before, and so is one that is quarantined.

The same cause as that of "no engine left to go on at", found by reading.

--- a/src/entry/call_crashes.cpp
+++ b/src/entry/call_crashes.cpp
@@ -41,17 +41,15 @@
                         ((*self).*again)();
                 }))
             return false;
-        refuse_or_abort(
+        refuse_or_wait(
             "engines ended under this request, and other nodes have not told "
-            "what they know",
-            min_retry_after_refusal);
+            "what they know");
         return false;
     case send_verdict::awaits_other_run:
         log_fields_["crashes"] = record.crashes(digest());
-        refuse_or_abort(
+        refuse_or_wait(
             "engines ended under this request, and another run of it is under "
-            "way",
-            min_retry_after_refusal);
+            "way");
         return false;
     case send_verdict::quarantined:
         break;
@@ -115,6 +113,16 @@
         });
 }
 
+/// Refuses a call that may not be sent for now. One that may have run waits
+/// until it may be sent.
+void call_flow::refuse_or_wait(std::string_view why)
+{
+    if (may_have_run_)
+        choose_again_later();
+    else
+        refuse(why, min_retry_after_refusal);
+}
+
 /// Ends a call that may not be sent. It is refused only where it has not run.
 void call_flow::refuse_or_abort(std::string_view why, duration retry_after)
 {
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -244,6 +244,7 @@
     void choose_after_wait();
     bool may_choose_later() const;
     bool has_sends_left() const;
+    void refuse_or_wait(std::string_view why);
     void refuse_or_abort(std::string_view why, duration retry_after);
     request_run run_of(attempt_ptr const& attempt);
     bool is_silent(attempt_ptr const& attempt) const;
