caller link: apply the limits in force to each request of a kept connection

A caller whose kept connection was opened before a configuration raised max_body_bytes or max_header_bytes got 413 or 431 for a proper request, and its connection closed.

Cause: the parser of the next request took its limits when the request before ended, which may be minutes earlier. It now takes them with the first byte.

The test was red before: 1 of 2 requests was handed on, the other refused.

--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -201,6 +201,8 @@
         return;
     if (!head_begun_)
     {
+        // The limits may have changed since the request before.
+        start_parser();
         head_begun_ = true;
         arm_timer(hooks_.limits().header_timeout);
     }
--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -388,3 +388,22 @@
     CHECK(run_until([&] { return ended; }));
     CHECK(requests == 1);
 }
+
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: a request on a kept connection is not refused by limits that "
+    "have changed since the one before")
+{
+    constexpr std::size_t body_bytes = 1'000;
+    limits.max_body_bytes = body_bytes / 2;
+    send_request();
+    link->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    link->finish_answer();
+    limits.max_body_bytes = 2 * body_bytes;
+    send(
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+        std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x'));
+    REQUIRE(run_until([&] { return requests == 2 || refusals > 0; }));
+    CHECK(requests == 2);
+    CHECK(refusals == 0);
+}
