store codec: keys whose bytes are not UTF-8

One turn whose Program-Id held a byte that is not UTF-8 ended the node that took it and the one that coordinates the program's budget; all callers of both lost their connections.

Cause: ids of callers are parts of row keys, and the JSON of a transaction was dumped strictly (type_error.316), which nothing catches.

--- a/test/store_codec-test.cpp
+++ b/test/store_codec-test.cpp
@@ -5,6 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <nlohmann/json.hpp>
+
+#include <string>
+
 namespace
 {
 
@@ -46,3 +50,28 @@
     CHECK_FALSE(platform::decode_changes({200, "nothing"}, changes));
     CHECK_FALSE(platform::decode_changes({200, R"({"rows":[7]})"}, changes));
 }
+
+TEST_CASE("store codec: a key whose bytes are not UTF-8 does not end the "
+          "process and is read back")
+{
+    std::string const key = GENERATE(
+        std::string("Z\xfcrich-17"), std::string("100%-\xff"),
+        std::string("%:Z%FCrich"), std::string("Z%FCrich"),
+        std::string("Z\xc3\xbcrich"));
+    row_transaction change;
+    change.writes.push_back({{"t", "p", key}, "value"});
+    change.conditions.push_back({{"t", "p", key}, 0});
+    change.removals.push_back({"t", "p", key});
+    auto const request = platform::encode_transaction(change);
+    auto const body = nlohmann::json::parse(request.body);
+    auto const spelled = body["writes"][0]["key"].get<std::string>();
+    CHECK(body["expect_rev"][0]["key"] == spelled);
+    CHECK(body["remove"][0]["key"] == spelled);
+    nlohmann::json const row{
+        {"table", "t"}, {"part", "p"}, {"key", spelled}, {"ver", 1}};
+    range_result got;
+    REQUIRE(platform::decode_range(
+        {200, nlohmann::json{{"rows", {row}}, {"ver", 1}}.dump()}, got));
+    REQUIRE(got.rows.size() == 1);
+    CHECK(got.rows[0].at.key == key);
+}
