--- a/test/quota_cluster.cpp
+++ b/test/quota_cluster.cpp
@@ -65,12 +65,18 @@
     state.quotas = std::make_unique<quota_exchange>(
         clock_.fn(), state.name, state.strength, options_.bounds, hooks);
     state.quotas->set_reports_use(options_.reports_use);
+    update_members(index);
+}
+
+void quota_cluster::update_members(std::size_t index)
+{
+    auto& state = nodes_[index];
     std::vector<coordinator_candidate> others;
     for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
         auto const is_strong = i < options_.strong_nodes;
         auto const name = "n" + std::to_string(i);
-        if (i != index)
+        if (i != index && state.unknown.count(i) == 0)
             others.push_back(
                 {name, name, is_strong ? strong_cores : weak_cores});
     }
@@ -309,6 +315,36 @@
     create_node(index);
 }
 
+void quota_cluster::remove(std::size_t index)
+{
+    kill(index);
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        if (i == index)
+            continue;
+        nodes_[i].unknown.insert(index);
+        update_members(i);
+    }
+}
+
+void quota_cluster::join(std::size_t index, duration spread)
+{
+    start(index);
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        auto const part = static_cast<std::int64_t>(i + 1);
+        auto const delay =
+            spread * part / static_cast<std::int64_t>(nodes_.size());
+        schedule_at(
+            clock_.now() + delay,
+            [this, i, index]
+            {
+                nodes_[i].unknown.erase(index);
+                update_members(i);
+            });
+    }
+}
+
 void quota_cluster::freeze(std::size_t index)
 {
     nodes_[index].frozen = true;
--- a/test/quota_cluster.hpp
+++ b/test/quota_cluster.hpp
@@ -87,6 +87,11 @@
     void kill(std::size_t index);
     /// Restarts a killed node with empty memory.
     void start(std::size_t index);
+    /// Stops a node and removes it from the members that the others know.
+    void remove(std::size_t index);
+    /// Starts a removed node. The others learn of it one after the other,
+    /// spread evenly over \a spread.
+    void join(std::size_t index, duration spread);
     void freeze(std::size_t index);
     void resume(std::size_t index);
     /// Forgets the uses reported so far.
@@ -108,6 +113,8 @@
         std::unique_ptr<quota_exchange> quotas;
         bool alive = true;
         bool frozen = false;
+        /// Nodes that this one does not know as members.
+        std::set<std::size_t> unknown;
         std::uint64_t generation = 0;
         /// Actions that run when a frozen node resumes.
         std::vector<std::function<void()>> deferred;
@@ -124,6 +131,7 @@
     };
 
     void create_node(std::size_t index);
+    void update_members(std::size_t index);
     void schedule_at(time_point when, std::function<void()> action);
     /// Runs the action unless the node was restarted or killed; defers it while
     /// the node is frozen.
--- a/test/quota_exchange-test.cpp
+++ b/test/quota_exchange-test.cpp
@@ -96,6 +96,24 @@
     CHECK(served_fraction(cluster, large) > 0.95);
 }
 
+// Guards against a former and a new coordinator that both grant the full rate.
+TEST_CASE("quota exchange: nodes that learn of a joined coordinator apart "
+          "grant one limit")
+{
+    quota_cluster_options options;
+    options.seed = 2;
+    quota_cluster cluster(options);
+    workspace_name const tenant("tenant-joined");
+    auto const joined = cluster.coordinator_of(tenant);
+    cluster.remove(joined);
+    cluster.add_load({tenant, {100, 100}, 750});
+    cluster.run_for(seconds(10));
+    cluster.join(joined, seconds(3));
+    cluster.run_for(seconds(10));
+    auto const& seen = cluster.result(tenant);
+    CHECK(static_cast<double>(seen.max_in_window) <= seen.allowed_in_window);
+}
+
 TEST_CASE("quota exchange: a frozen coordinator resumes with stale state")
 {
     quota_cluster cluster(cluster_options(85, 3));
