soak: kill all nodes at once and check the turns that continue afterwards

Callers saw that, after all nodes had died at once, turns that continue a kept one reached no engine any more. The soak killed one node at a time, its programs had budgets that each turn used up to its most, and nothing checked that a turn goes on after a loss.

Programs with budgets of two, three or eight turns hand out less than their most, continue earlier turns, their own or another program's, run two turns at once, stop and return. After the other faults a last series of losses begins, and 12 s for recovery.

Signals to a node no longer race with the wait for its end. A start of a node is also recorded by the soak, because a node that is killed within a second may not have written its line.

The check's own tests: 27 cases of "soak history*" pass.

--- a/support/soak.cpp
+++ b/support/soak.cpp
@@ -36,6 +36,9 @@
         "basic-faults", po::bool_switch(&options.basic_faults),
         "no pauses, no signals in series, no changes of limits, engines of "
         "one speed, no workspaces")(
+        "losses", po::bool_switch(&options.losses),
+        "all nodes are killed at once, alone and in series, and programs with "
+        "small budgets continue their turns afterwards")(
         "program", po::value(&options.program)->required(),
         "the walnutmill program")(
         "directory", po::value(&options.directory)->required(),
--- a/support/soak_faults.cpp
+++ b/support/soak_faults.cpp
@@ -69,6 +69,8 @@
         others.emplace_back([this] { play_signals(); });
         others.emplace_back([this] { play_slow_machines(); });
     }
+    if (options_.losses)
+        others.emplace_back([this] { play_losses(); });
     std::thread second(draw_until_end);
     draw_until_end();
     second.join();
@@ -178,6 +180,22 @@
     node_fault_ended(fault);
 }
 
+/// Starts a node that has ended, and not while all nodes are lost.
+void soak_world::start_node(soak_node& one)
+{
+    std::lock_guard<std::mutex> const power(power_mutex_);
+    // A node that is killed soon may not write its own line.
+    testing::recorded_line line;
+    line.node = one.name;
+    line.time_ms = now_ms();
+    line.event = "node.start";
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        history_.lines.push_back(std::move(line));
+    }
+    one.process->start();
+}
+
 void soak_world::kill_node(soak_node& one)
 {
     count("fault: node killed");
@@ -185,7 +203,7 @@
     one.process->signal(SIGKILL);
     one.process->wait();
     std::this_thread::sleep_for(least_fault);
-    one.process->start();
+    start_node(one);
     trouble_ended(trouble);
 }
 
@@ -223,7 +241,7 @@
         std::this_thread::sleep_for(signal_pause);
     }
     await_stop(one, began);
-    one.process->start();
+    start_node(one);
 }
 
 /// \param began_ms when the node was told to stop
--- a/support/soak_process.cpp
+++ b/support/soak_process.cpp
@@ -32,11 +32,15 @@
     for (auto& word : words_)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
+    std::lock_guard<std::mutex> const lock(mutex_);
     id_ = ::fork();
     if (id_ < 0)
         throw std::runtime_error("no process could be started");
     if (id_ > 0)
+    {
+        ++starts_;
         return;
+    }
     // Only calls that are safe after a fork of a process with threads.
     constexpr int log_mode = 0644;
     auto const file =
@@ -52,14 +56,42 @@
 
 void child_process::signal(int number) const
 {
-    if (running())
+    std::lock_guard<std::mutex> const lock(mutex_);
+    if (id_ > 0)
         ::kill(id_, number);
 }
 
+bool child_process::running() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return id_ > 0;
+}
+
+int child_process::starts() const
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return starts_;
+}
+
 int child_process::wait()
 {
+    pid_t id = 0;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        id = id_;
+    }
+    // The id stays taken until the lock is held.
+    siginfo_t ended{};
+    while (id > 0 &&
+           ::waitid(P_PID, static_cast<id_t>(id), &ended, WEXITED | WNOWAIT) <
+               0)
+    {
+        if (errno != EINTR)
+            break;
+    }
+    std::lock_guard<std::mutex> const lock(mutex_);
     int status = 0;
-    while (running() && ::waitpid(id_, &status, 0) < 0)
+    while (id > 0 && ::waitpid(id, &status, 0) < 0)
     {
         if (errno != EINTR)
             break;
--- a/support/soak_process.hpp
+++ b/support/soak_process.hpp
@@ -4,6 +4,7 @@
 /// \file
 /// One process that a soak starts, signals and ends by its id.
 
+#include <mutex>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -13,6 +14,8 @@
 namespace soak
 {
 
+/// One thread at a time starts it or waits for it; others may signal it
+/// meanwhile.
 class child_process
 {
 public:
@@ -29,12 +32,19 @@
     /// Waits until it has ended.
     /// \return its exit code, or 128 and the signal that ended it
     int wait();
-    bool running() const { return id_ > 0; }
+    /// \return true from a start until its end has been waited for
+    bool running() const;
+    /// \return how often it was started
+    int starts() const;
 
 private:
     std::vector<std::string> words_;
     std::string log_;
+    /// Guards the members below, so that no signal goes to another process
+    /// that has got the id anew.
+    mutable std::mutex mutex_;
     pid_t id_ = 0;
+    int starts_ = 0;
 };
 
 } // namespace soak
--- a/support/soak_world.cpp
+++ b/support/soak_world.cpp
@@ -116,7 +116,8 @@
 soak_world::soak_world(soak_options options)
     : options_(std::move(options)), dice_(options_.seed),
       pause_dice_(options_.seed), signal_dice_(options_.seed),
-      change_dice_(options_.seed), speed_dice_(options_.seed)
+      change_dice_(options_.seed), speed_dice_(options_.seed),
+      loss_dice_(options_.seed)
 {
     add_machines();
     for (auto* one : {&engine_a, &engine_b, &engine_c_, &engine_d_})
@@ -227,7 +228,11 @@
     kept.reserve(static_cast<std::size_t>(kept_callers));
     for (int i = 0; i < kept_callers; ++i)
         kept.emplace_back([this, i] { keep_calling(i); });
+    for (int i = 0; options_.losses && i < small_programs; ++i)
+        program_callers_.emplace_back([this, i] { keep_programs(i); });
     play_faults();
+    if (options_.losses)
+        play_recovery();
     for (auto const& one : processes_)
         await_ready(*one);
     std::this_thread::sleep_for(calm);
@@ -277,7 +282,7 @@
 {
     std::lock_guard<std::mutex> const lock(mutex_);
     history_.runs.push_back(
-        {header_of(request, "Request-Id"), at.id(), request.body()});
+        {header_of(request, "Request-Id"), at.id(), request.body(), now_ms()});
 }
 
 /// \return true where the request has been dealt with.
@@ -311,6 +316,11 @@
     if (misbehave(link, request, at))
         return;
     ran(request, at);
+    if (request.target() == paced_path)
+    {
+        answer_paced(link, request, at);
+        return;
+    }
     auto const id = header_of(request, "Request-Id");
     auto const after = header_of(request, "Last-Event-Id");
     auto const first = after.empty() ? 1 : std::stoi(after) + 1;
@@ -478,7 +488,8 @@
     to.program = one.id;
     to.kind = kind;
     to.budget = one.budget;
-    to.most_tokens = most_tokens;
+    to.most_tokens = one.turn_tokens;
+    to.turn = one.turn;
     to.input = "input of " + to.id + ";";
     to.workspace = one.workspace;
     to.has_to_be_served = one.has_to_be_served;
@@ -488,7 +499,7 @@
     if (kind == call_kind::turn || kind == call_kind::kept_turn)
     {
         headers += "Token-Budget: " + std::to_string(one.budget) +
-                   "\r\nToken-Usage: 40," + std::to_string(most_tokens) +
+                   "\r\nToken-Usage: 40," + std::to_string(one.turn_tokens) +
                    "\r\nModel: m\r\nPrompt-Prefix: aa:30,bb:10\r\n";
     }
     if (kind == call_kind::kept_turn && !one.last_kept.empty())
--- a/support/soak_world.hpp
+++ b/support/soak_world.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -27,6 +28,10 @@
 namespace soak
 {
 
+/// Tokens that most turns may generate.
+constexpr std::uint64_t most_tokens =
+    testing::soak_events * testing::soak_tokens_per_event;
+
 struct soak_options
 {
     std::uint64_t seed = 1;
@@ -44,6 +49,9 @@
     /// weights, no callers of harmless requests, no workspaces, and engines of
     /// the same speed that don't tell their load.
     bool basic_faults = false;
+    /// All nodes are killed at once, at times two to four times in a row, while
+    /// programs with small budgets continue their kept turns.
+    bool losses = false;
     /// The program whose nodes are run.
     std::string program;
     /// Where nodes' logs go.
@@ -112,8 +120,12 @@
     {
         std::string id;
         std::uint64_t budget = 0;
+        /// The most of each of its turns, in tokens.
+        std::uint64_t turn_tokens = most_tokens;
         /// The kept turn to go on from.
         std::string last_kept;
+        /// Names the turn that the next attempts are made for.
+        std::string turn;
         bool keeps = false;
         /// Its workspace, whose key its calls bear; empty without one.
         std::string workspace;
@@ -145,6 +157,7 @@
     // Each fault ends what it began.
     void draw_fault();
     void disturb_node(soak_node& one, int kind);
+    void start_node(soak_node& one);
     void kill_node(soak_node& one);
     void freeze_node(soak_node& one);
     void reload_node(soak_node& one);
@@ -190,6 +203,38 @@
     void
     call_as_workspace(int workspace, std::chrono::steady_clock::time_point end);
 
+    // Losses of all nodes, and programs that continue afterwards.
+    /// A program with a small budget, of which every turn is kept.
+    struct small_program
+    {
+        program_run run;
+        /// Turns from which others may continue.
+        std::vector<std::string> kept;
+        std::int64_t last_turn_ms = 0;
+    };
+    enum class turn_result
+    {
+        kept,
+        failed,
+        refused_for_good
+    };
+    void play_losses();
+    void lose_in_series();
+    void lose_all_nodes();
+    void restore_node(soak_node& one, int starts);
+    void play_recovery();
+    bool may_begin_turn() const;
+    bool may_try_again(int tries) const;
+    void keep_programs(int number);
+    small_program draw_program(dice& chances);
+    std::optional<small_program> take_parked(std::int64_t most_age_ms);
+    void continue_program(small_program& one, dice& chances);
+    turn_result small_turn(small_program& one, dice& chances);
+    turn_result try_turn(program_run& one, dice& chances);
+    void answer_paced(
+        testing::link_ptr const& link, testing::http_request const& request,
+        testing::standin_target& at);
+
     // Requests that end their targets.
     static nlohmann::json base_configuration();
     void add_crashing_target();
@@ -259,6 +304,7 @@
     dice signal_dice_;
     dice change_dice_;
     dice speed_dice_;
+    dice loss_dice_;
     std::mutex mutex_;
     testing::soak_history history_;
     std::map<std::string, int> counts_;
@@ -282,6 +328,20 @@
     std::atomic<bool> faults_{true};
     std::atomic<bool> calling_{true};
     std::atomic<bool> kept_calling_{true};
+    /// When all nodes were back after the last loss; 0 before.
+    std::atomic<std::int64_t> back_ms_{0};
+    /// Held while all nodes are down.
+    std::mutex power_mutex_;
+    /// Programs that have stopped and may return.
+    std::vector<small_program> parked_;
+    struct ended_turn
+    {
+        std::string id;
+        std::int64_t ended_ms = 0;
+    };
+    /// Last turns of programs, which others may continue.
+    std::vector<ended_turn> ended_turns_;
+    std::vector<std::thread> program_callers_;
     /// Of the newest configuration.
     std::atomic<int> idle_timeout_ms_{15'000};
     /// By the engines' ids; complete before the first call.
@@ -315,9 +375,10 @@
     std::vector<crashing_target> crashing_;
 };
 
-/// Tokens that a turn may generate.
-constexpr std::uint64_t most_tokens =
-    testing::soak_events * testing::soak_tokens_per_event;
+/// Callers of programs with small budgets.
+constexpr int small_programs = 8;
+/// Path of kept turns whose events come one after another.
+constexpr char const* paced_path = "/kept/paced";
 
 std::string sized_chunk(std::string const& text);
 /// \param headers further header lines, each with its end
--- a/test/soak_history-test.cpp
+++ b/test/soak_history-test.cpp
@@ -387,3 +387,191 @@
     one.has_to_be_served = false;
     CHECK(broken_promises(history).empty());
 }
+
+namespace
+{
+
+/// A program that goes on after the last loss of all nodes: of its budget of
+/// 120 tokens, k1 took 30, and the tries of a second turn are refused.
+struct recovery_fixture
+{
+    static constexpr std::int64_t back_ms = 100'000;
+    static constexpr std::int64_t end_ms = back_ms + soak_recovery_ms;
+    soak_history history;
+
+    recovery_fixture()
+    {
+        history.back_ms = back_ms;
+        add("k1", "turn1", "", back_ms - 5'000);
+        serve("k1");
+        add("r1", "turn2", "k1", back_ms + 1'000);
+        add("r2", "turn2", "k1", end_ms - 500);
+    }
+
+    void
+    add(std::string const& id, std::string const& turn,
+        std::string const& previous, std::int64_t began_ms)
+    {
+        recorded_attempt one;
+        one.id = id;
+        one.program = "p";
+        one.kind = call_kind::kept_turn;
+        one.budget = 120;
+        one.most_tokens = 60;
+        one.turn = turn;
+        one.previous = previous;
+        one.input = id + ";";
+        one.status = 503;
+        one.body = "the budget is taken by turns under way";
+        one.node = "node-0";
+        one.began_ms = began_ms;
+        one.ended_ms = began_ms + 100;
+        history.attempts.push_back(one);
+    }
+
+    recorded_attempt& attempt(std::string const& id)
+    {
+        for (auto& one : history.attempts)
+        {
+            if (one.id == id)
+                return one;
+        }
+        throw std::logic_error("no attempt " + id);
+    }
+
+    void run(std::string const& id)
+    {
+        auto const& one = attempt(id);
+        std::string body;
+        if (!one.previous.empty())
+        {
+            body = attempt(one.previous).input;
+            for (int i = 1; i <= soak_events; ++i)
+                body += soak_event_data(one.previous, i) + "\n";
+        }
+        history.runs.push_back({id, "e", body + one.input, one.began_ms});
+    }
+
+    void serve(std::string const& id)
+    {
+        run(id);
+        auto& one = attempt(id);
+        one.status = 200;
+        one.whole = true;
+        one.body.clear();
+        for (int i = 1; i <= soak_events; ++i)
+            one.body += soak_event(id, i);
+    }
+
+    /// Lets a turn of the same program begin before the loss and break off.
+    void break_off(std::string const& id, std::int64_t began_ms)
+    {
+        add(id, id, "", began_ms);
+        run(id);
+        auto& one = attempt(id);
+        one.status = 200;
+        one.body = soak_event(id, 1);
+        one.end = attempt_end::broken_off;
+        history.troubles.push_back({one.node, one.began_ms, back_ms});
+    }
+
+    bool is_found() const
+    {
+        auto const found = broken_promises(history);
+        return found.size() == 1 &&
+               found[0].find("reached no engine after all nodes died: turn2") !=
+                   std::string::npos;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    recovery_fixture,
+    "soak history: a turn that reaches no engine after a loss is found")
+{
+    CHECK(is_found());
+    history.back_ms = 0;
+    CHECK(broken_promises(history).empty());
+    history.back_ms = back_ms;
+    serve("r2");
+    CHECK(broken_promises(history).empty());
+    history.runs.back().began_ms = end_ms + 1;
+    CHECK(is_found());
+}
+
+TEST_CASE_METHOD(
+    recovery_fixture,
+    "soak history: a turn after a loss is owed whatever it is answered")
+{
+    auto& last = attempt("r2");
+    last.body = "the store of turns does not answer";
+    CHECK(is_found());
+    last.status = 0;
+    last.end = attempt_end::not_connected;
+    CHECK(is_found());
+    last.end = attempt_end::answered;
+    last.status = 402;
+    last.began_ms = back_ms + 2'000;
+    last.ended_ms = last.began_ms + 100;
+    CHECK(is_found());
+}
+
+TEST_CASE_METHOD(
+    recovery_fixture,
+    "soak history: a turn after a loss is owed only if it began early, was "
+    "tried to the end and continues a turn that is still kept")
+{
+    auto& first = attempt("r1");
+    auto& last = attempt("r2");
+    auto const began = first.began_ms;
+    first.began_ms = end_ms - soak_recovery_end_ms + 1;
+    CHECK(broken_promises(history).empty());
+    first.began_ms = began;
+    last.ended_ms = end_ms - soak_recovery_end_ms - 1;
+    CHECK(broken_promises(history).empty());
+    last.ended_ms = end_ms;
+    CHECK(is_found());
+    attempt("k1").ended_ms = last.began_ms - soak_retention_ms;
+    CHECK(broken_promises(history).empty());
+}
+
+TEST_CASE_METHOD(
+    recovery_fixture,
+    "soak history: a turn after a loss is owed if the budget holds it beside "
+    "the tokens received, and the most of turns that did not end whole")
+{
+    add("k2", "turn3", "", back_ms - 4'000);
+    serve("k2");
+    CHECK(is_found());
+    // An attempt that ran is counted at its most, one that did not is not.
+    break_off("b1", back_ms - 1'000);
+    CHECK(broken_promises(history).empty());
+    history.runs.pop_back();
+    attempt("b1").status = 0;
+    attempt("b1").body.clear();
+    CHECK(is_found());
+}
+
+TEST_CASE_METHOD(
+    recovery_fixture,
+    "soak history: a turn after a loss may be answered 402 beside a turn that "
+    "has just ended")
+{
+    attempt("r2").status = 402;
+    auto const refused_ms = attempt("r2").began_ms;
+    add("k2", "turn3", "", refused_ms - 1'099);
+    serve("k2");
+    CHECK(broken_promises(history).empty());
+    attempt("k2").ended_ms = refused_ms - 1'000;
+    CHECK(is_found());
+}
+
+TEST_CASE_METHOD(
+    soak_history_fixture,
+    "soak history: a kept turn that is answered as gone is found")
+{
+    history.runs.erase(history.runs.begin() + 1);
+    attempt("k2").status = 410;
+    CHECK(breaks("a kept turn was not found: k1"));
+}
--- a/test/soak_history.cpp
+++ b/test/soak_history.cpp
@@ -13,7 +13,9 @@
 {
 
 constexpr int status_ok = 200;
+constexpr int status_budget = 402;
 constexpr int status_not_found = 404;
+constexpr int status_gone = 410;
 /// Answers that promise that the call did not run and never will.
 constexpr int promises_not_run[] = {402, 408, 421, 429, 503};
 
@@ -37,6 +39,8 @@
 constexpr char const* refusals_at_start[] = {
     "no configuration is known yet", "no engine to ask"};
 constexpr std::int64_t start_ms = 1'000;
+/// Time after a turn's end in which nodes may still count it at its most.
+constexpr std::int64_t settle_ms = 1'000;
 
 using findings_list = std::vector<std::string>;
 using run_counts = std::map<std::string, int>;
@@ -228,12 +232,164 @@
     for (auto const& one : of.attempts)
     {
         auto const before = by_id.find(one.previous);
-        if (one.status == status_not_found && before != by_id.end() &&
-            served(*before->second))
+        auto const is_denied =
+            one.status == status_not_found || one.status == status_gone;
+        if (is_denied && before != by_id.end() && served(*before->second))
             to.push_back("a kept turn was not found: " + one.previous);
     }
 }
 
+/// One turn that continues a kept one, over all of its attempts.
+struct continuing_turn
+{
+    std::vector<recorded_attempt const*> attempts;
+    bool reached_engine = false;
+
+    recorded_attempt const& first() const { return *attempts.front(); }
+    recorded_attempt const& last() const { return *attempts.back(); }
+};
+
+/// What is needed to judge the turns after the last loss of all nodes.
+struct recovery_facts
+{
+    explicit recovery_facts(soak_history const& history) : of(history)
+    {
+        for (auto const& run : of.runs)
+        {
+            // An attempt that ran later has not reached an engine in time.
+            if (run.began_ms <= end_ms())
+                ran.insert(run.id);
+        }
+        for (auto const& one : of.attempts)
+        {
+            by_id[one.id] = &one;
+            if (is_turn(one.kind))
+                by_program[one.program].push_back(&one);
+            if (one.turn.empty() || one.previous.empty())
+                continue;
+            auto& turn = turns[one.turn];
+            turn.attempts.push_back(&one);
+            turn.reached_engine = turn.reached_engine || ran.count(one.id) > 0;
+        }
+    }
+
+    std::int64_t end_ms() const { return of.back_ms + soak_recovery_ms; }
+    std::int64_t last_part_ms() const
+    {
+        return end_ms() - soak_recovery_end_ms;
+    }
+
+    soak_history const& of;
+    std::set<std::string> ran;
+    attempts_by_id by_id;
+    std::map<std::string, std::vector<recorded_attempt const*>> by_program;
+    std::map<std::string, continuing_turn> turns;
+};
+
+/// The tokens of a program at a time.
+struct program_tokens
+{
+    /// Of turns that had ended whole.
+    std::uint64_t received = 0;
+    /// The most of all other turns that reached an engine.
+    std::uint64_t open = 0;
+
+    std::uint64_t taken() const { return received + open; }
+};
+
+program_tokens tokens_at(
+    recovery_facts const& facts, std::string const& program,
+    std::int64_t time_ms)
+{
+    program_tokens to;
+    for (auto const* one : facts.by_program.at(program))
+    {
+        if (facts.ran.count(one->id) == 0 || one->began_ms > time_ms)
+            continue;
+        if (served(*one) && one->ended_ms + settle_ms <= time_ms)
+            to.received += events_of(*one) * soak_tokens_per_event;
+        else
+            to.open += one->most_tokens;
+    }
+    return to;
+}
+
+/// \return true if the turn has to reach an engine by the end of the recovery
+bool is_owed(recovery_facts const& facts, continuing_turn const& turn)
+{
+    auto const& last = turn.last();
+    auto const is_final = last.status == status_budget;
+    if (turn.first().began_ms > facts.last_part_ms() ||
+        last.ended_ms < facts.of.back_ms ||
+        (last.ended_ms < facts.last_part_ms() && !is_final))
+        return false;
+    auto const before = facts.by_id.find(last.previous);
+    if (before == facts.by_id.end() || !served(*before->second) ||
+        last.began_ms - before->second->ended_ms >= soak_retention_ms)
+        return false;
+    auto taken = tokens_at(facts, last.program, last.began_ms).taken();
+    if (!is_final)
+    {
+        auto const early = tokens_at(facts, last.program, facts.last_part_ms());
+        taken = std::max(taken, early.taken());
+    }
+    return taken + last.most_tokens <= last.budget;
+}
+
+/// \return how many of the turns that continue none were served in the last
+/// part of the recovery, as text
+std::string first_turns_served(recovery_facts const& facts)
+{
+    int all = 0;
+    int whole = 0;
+    for (auto const& one : facts.of.attempts)
+    {
+        if (!is_turn(one.kind) || !one.previous.empty() ||
+            one.status == status_budget ||
+            one.began_ms < facts.last_part_ms() ||
+            one.began_ms > facts.end_ms())
+            continue;
+        ++all;
+        whole += served(one) ? 1 : 0;
+    }
+    return std::to_string(whole) + " of " + std::to_string(all) +
+           " first turns served then";
+}
+
+/// After the last loss of all nodes, a turn that continues a kept one reaches
+/// an engine in time, where its program's budget holds it.
+void check_recovery(soak_history const& of, findings_list& to)
+{
+    if (of.back_ms == 0)
+        return;
+    recovery_facts const facts(of);
+    std::string others;
+    for (auto const& [name, turn] : facts.turns)
+    {
+        if (turn.reached_engine || !is_owed(facts, turn))
+            continue;
+        if (others.empty())
+            others = first_turns_served(facts);
+        auto const& last = turn.last();
+        auto const begun_before =
+            facts.by_program.at(last.program).front()->began_ms < of.back_ms;
+        auto const tokens = tokens_at(facts, last.program, last.began_ms);
+        to.push_back(
+            "a turn that continues a kept one reached no engine after all "
+            "nodes died: " +
+            name + " of " + last.program + ", begun " +
+            (begun_before ? "before" : "after") + ", " +
+            std::to_string(turn.attempts.size()) + " attempts until " +
+            std::to_string(last.began_ms - of.back_ms) +
+            " ms after the return, budget " + std::to_string(last.budget) +
+            ", received " + std::to_string(tokens.received) + ", open " +
+            std::to_string(tokens.open) + ", wanted " +
+            std::to_string(last.most_tokens) + ", last answer " +
+            std::to_string(last.status) + " " + last.body + " at " + last.node +
+            "; " + others);
+    }
+}
+
 /// \return true if the node was in trouble between two times
 bool in_trouble(
     soak_history const& of, std::string const& node, std::int64_t began_ms,
@@ -463,6 +619,7 @@
     check_versions(of, to);
     check_budgets(of, to);
     check_histories(of, to);
+    check_recovery(of, to);
     return to;
 }
 
--- a/test/soak_history.hpp
+++ b/test/soak_history.hpp
@@ -60,6 +60,9 @@
     call_kind kind = call_kind::turn;
     std::uint64_t budget = 0;
     std::uint64_t most_tokens = 0;
+    /// The same for all attempts of one turn; empty where they are not told
+    /// apart.
+    std::string turn;
     /// Of a kept turn: the one before it, and its own input.
     std::string previous;
     std::string input;
@@ -92,6 +95,8 @@
     std::string target;
     /// The request's body as the target got it.
     std::string body;
+    /// In Unix milliseconds.
+    std::int64_t began_ms = 0;
 };
 
 /// A line of a node's log.
@@ -121,10 +126,20 @@
     std::vector<recorded_run> runs;
     std::vector<recorded_line> lines;
     std::vector<node_trouble> troubles;
+    /// When all nodes were back after the last loss of all of them at once, in
+    /// Unix milliseconds; 0 without such a loss.
+    std::int64_t back_ms = 0;
 };
 
 constexpr int soak_events = 3;
 constexpr std::uint64_t soak_tokens_per_event = 10;
+/// Time after the return of all nodes by which a turn that continues a kept one
+/// has to reach an engine, in milliseconds.
+constexpr std::int64_t soak_recovery_ms = 12'000;
+/// The last part of that time, in which no such turn begins.
+constexpr std::int64_t soak_recovery_end_ms = 4'000;
+/// For how long turns are kept, in milliseconds.
+constexpr std::int64_t soak_retention_ms = 60'000;
 
 /// \return the data of an event, as it stands in histories.
 std::string soak_event_data(std::string const& id, int number);
