--- a/test/soak_history.cpp
+++ b/test/soak_history.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <sstream>
 #include <string_view>
 
 namespace walnutmill
@@ -374,19 +375,18 @@
         auto const begun_before =
             facts.by_program.at(last.program).front()->began_ms < of.back_ms;
         auto const tokens = tokens_at(facts, last.program, last.began_ms);
-        to.push_back(
-            "a turn that continues a kept one reached no engine after all "
-            "nodes died: " +
-            name + " of " + last.program + ", begun " +
-            (begun_before ? "before" : "after") + ", " +
-            std::to_string(turn.attempts.size()) + " attempts until " +
-            std::to_string(last.began_ms - of.back_ms) +
-            " ms after the return, budget " + std::to_string(last.budget) +
-            ", received " + std::to_string(tokens.received) + ", open " +
-            std::to_string(tokens.open) + ", wanted " +
-            std::to_string(last.most_tokens) + ", last answer " +
-            std::to_string(last.status) + " " + last.body + " at " + last.node +
-            "; " + others);
+        std::ostringstream text;
+        text << "a turn that continues a kept one reached no engine after all "
+                "nodes died: "
+             << name << " of " << last.program << ", begun "
+             << (begun_before ? "before" : "after") << ", "
+             << turn.attempts.size() << " attempts until "
+             << last.began_ms - of.back_ms << " ms after the return, budget "
+             << last.budget << ", received " << tokens.received << ", open "
+             << tokens.open << ", wanted " << last.most_tokens
+             << ", last answer " << last.status << ' ' << last.body << " at "
+             << last.node << "; " << others;
+        to.push_back(text.str());
     }
 }
 
