program ledger: report what blocks a turn

Cause: a refusal with "the budget is taken by turns under way" told neither the tokens spent nor who holds the rest, so that escrow of a dead lease holder, reservations of dead nodes and turns of live ones looked alike; the hypotheses of the incident could not be told apart. No change of logic.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -88,6 +88,34 @@
 /// \return the name of the enumerator, as sent between nodes.
 std::string_view to_string(admission_answer answer);
 
+/// Why a turn was not admitted although the tokens known to be spent leave room
+/// for it: the balance of the program's account at that moment. All amounts are
+/// in tokens.
+struct blocked_turn
+{
+    struct holder
+    {
+        std::string incarnation;
+        std::uint64_t tokens = 0;
+        /// Reserved for the holder of a lease, which may never have admitted a
+        /// turn of the program.
+        bool is_escrow = false;
+        /// The holder may still settle its reservation.
+        bool is_alive = true;
+    };
+
+    program_id program;
+    std::uint64_t budget = 0;
+    std::uint64_t most_tokens = 0;
+    std::uint64_t spent = 0;
+    /// Spent by ended turns of this node and not yet in the account.
+    std::uint64_t unsettled = 0;
+    /// Maximum of this node's turns in progress.
+    std::uint64_t in_flight = 0;
+    /// Reservations of other nodes.
+    std::vector<holder> others;
+};
+
 /// A node's role for a program's account.
 enum class account_role
 {
@@ -148,6 +176,8 @@
     /// Attempts of a change that conflicts with other nodes' changes of the
     /// same row, before the turns that wait get \c contended.
     int max_conflict_attempts = 8;
+    /// Called for each turn that other nodes' reservations keep from starting.
+    std::function<void(blocked_turn const&)> on_blocked;
 };
 
 /// Admits and settles turns against the programs' accounts in the store.
@@ -282,6 +312,9 @@
         program_id const& program, program_state const& state,
         duration quiet) const;
     void answer_all(program_state& state, admission_answer answer);
+    void report_blocked(
+        program_id const& program, program_state const& state,
+        program_account const& account) const;
     row_address address(program_id const& program) const;
 
     versioned_store store_;
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -272,9 +272,33 @@
     ledger_options to;
     to.is_coordinator = [this](program_id const& program)
     { return budgets_.is_coordinator_of(partition_of(program.str())); };
+    to.on_blocked = [this](blocked_turn const& one) { log_blocked_turn(one); };
     return to;
 }
 
+void entry_node::log_blocked_turn(blocked_turn const& one)
+{
+    counters_.count("walnutmill_turns_blocked_by_reservations_total");
+    auto others = nlohmann::json::array();
+    for (auto const& other : one.others)
+    {
+        others.push_back(
+            {{"holder", other.incarnation},
+             {"tokens", other.tokens},
+             {"escrow", other.is_escrow},
+             {"alive", other.is_alive}});
+    }
+    log_.write(
+        log_priority::routine, "budget.blocked",
+        {{"program", one.program.str()},
+         {"budget_tokens", one.budget},
+         {"most_tokens", one.most_tokens},
+         {"spent_tokens", one.spent},
+         {"unsettled_tokens", one.unsettled},
+         {"in_flight_tokens", one.in_flight},
+         {"others", std::move(others)}});
+}
+
 history_options entry_node::options_of_history()
 {
     history_options to;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -118,6 +118,7 @@
     void observe_configuration_age(
         platform_view::configuration_confirmation const& confirmation);
     ledger_options options_of_ledger();
+    void log_blocked_turn(blocked_turn const& one);
     history_options options_of_history();
     void sweep_rows();
 
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -198,6 +198,7 @@
         reservation = desired_reservation(state, account);
         if (waits())
         {
+            report_blocked(program, state, account);
             answer_all(state, admission_answer::contended);
             return;
         }
@@ -426,6 +427,33 @@
         one.answer(answer);
 }
 
+void program_ledger::report_blocked(
+    program_id const& program, program_state const& state,
+    program_account const& account) const
+{
+    if (!options_.on_blocked)
+        return;
+    blocked_turn report;
+    report.program = program;
+    report.budget = state.budget;
+    report.spent = account.spent;
+    report.unsettled = state.used;
+    report.in_flight = state.in_flight;
+    for (auto const& [incarnation, held] : account.reserved)
+    {
+        if (incarnation == self_ || held.tokens == 0)
+            continue;
+        report.others.push_back(
+            {incarnation, held.tokens, held.change == 0,
+             leases_ == nullptr || leases_->is_incarnation_alive(incarnation)});
+    }
+    for (auto const& turn : state.queue)
+    {
+        report.most_tokens = turn.most_tokens;
+        options_.on_blocked(report);
+    }
+}
+
 void program_ledger::settle(
     program_id const& program, std::uint64_t most_tokens,
     std::uint64_t delivered_tokens)
