program ledger: start one turn beside dead reservations that fill the budget

What callers saw: after all nodes had died a program with a budget of two turns ran one and was answered 503 "the budget is taken by turns under way" for every one after it, with nothing under way. Cause: a turn could start beside reservations of dead nodes only while the claimed tokens were below the budget. The escrow of a dead lease holder is half of it and the first turn the other half, so that they are equal. Why it works: the budget may be exceeded by one turn. With claimed tokens up to the budget, one turn more stays within that.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -10,8 +10,8 @@
 /// the spent tokens, all reservations and the turn's own maximum fit into the
 /// budget. A reservation that is never settled belongs to a failed node, and
 /// its tokens may have been spent. One more turn may start beside such a
-/// reservation as long as it does not fill the budget. This is the only case
-/// in which a program may exceed its budget, by less than one turn.
+/// reservation as long as the claimed tokens do not exceed the budget. This is
+/// the only case in which a program may exceed its budget, by one turn at most.
 ///
 /// Load: chains of short turns, a few at a time, most turns of a program
 /// through one node, at 150 to 650 turns per second. The store handles 800 to
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -148,7 +148,7 @@
     for (auto const& one : state.queue)
     {
         auto const fits =
-            state.abandoned ? taken + wanted < state.budget
+            state.abandoned ? taken + wanted <= state.budget
                             : taken + wanted + one.most_tokens <= state.budget;
         if (!fits)
             break;
