program ledger: wait only for reservations that can be released

What callers saw: after all nodes had died a turn was refused at each node that it was tried at, 1.5 s at least and longer while other turns of its program ran, before one was let through beside a dead reservation. Cause: a node waited until the program's account had not changed for 1.5 s, counted from its own first refusal. Each turn of the program changes the account, each node starts to count anew, and a member's row lives on for 10 s after it died. Escrow was waited for as well, although it was written by another node than its holder, which need not know the program. Why it works: each reservation is watched by itself, from when it was first read, and escrow is never waited for.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -171,9 +171,9 @@
     duration settled_retention = std::chrono::seconds(30);
     /// Timeout of one read or write of the store.
     std::chrono::milliseconds store_timeout{2'500};
-    /// An account that blocks a turn and has not changed for this long is taken
-    /// to hold a failed node's reservation. It is twice the time that a live
-    /// node takes to release an idle one.
+    /// A reservation that blocks a turn and has not changed for this long is
+    /// taken to be a failed node's. It is twice the time that a live node takes
+    /// to release an idle one.
     duration abandoned_after = std::chrono::milliseconds(1'500);
     /// Time source of \c written_at, by which old accounts are removed.
     utc_fn utc = system_utc();
@@ -256,6 +256,13 @@
         /// Version of the partition's lease, for a program's first account.
         std::uint64_t lease_version = 0;
     };
+    /// A reservation of another node as this node has last read it.
+    struct observed_reservation
+    {
+        std::uint64_t change = 0;
+        std::uint64_t tokens = 0;
+        time_point unchanged_since{};
+    };
     struct program_state
     {
         std::uint64_t budget = 0;
@@ -274,9 +281,8 @@
         int attempts = 0;
         bool releasing = false;
         account_role role = account_role::coordinator;
-        /// Version of the account that last blocked a turn, and since when.
-        std::uint64_t contended_version = 0;
-        time_point contended_since{};
+        /// Reservations of other nodes, and since when they are unchanged.
+        std::map<std::string, observed_reservation> others;
         /// One turn may start beside reservations of failed nodes.
         bool abandoned = false;
         time_point last_use{};
@@ -289,8 +295,12 @@
     bool
     never_fits(program_state const& state, std::uint64_t most_tokens) const;
     void update_account(program_id const& program, program_state& state);
+    void observe_others(program_state& state) const;
+    bool is_abandoned(
+        program_state const& state, std::string const& holder,
+        program_account::reservation const& held) const;
     bool reservations_abandoned(
-        program_state& state, program_account const& account) const;
+        program_state const& state, program_account const& account) const;
     std::uint64_t desired_reservation(
         program_state const& state, program_account const& account) const;
     void commit_reservation(
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -213,32 +213,63 @@
         commit_reservation(program, state, reservation);
 }
 
-/// \return true if the reservations that block a turn belong to failed nodes:
-/// all holders are known to have stopped, or the account has not changed for
-/// longer than a live node leaves it. A turn that starts beside them can exceed
-/// the program's budget by less than that turn, once.
-bool program_ledger::reservations_abandoned(
-    program_state& state, program_account const& account) const
+/// Records since when the reservations of other nodes have not changed. Other
+/// changes of the account do not count, since a program's further turns may
+/// change it all the time.
+void program_ledger::observe_others(program_state& state) const
 {
+    if (!state.account)
+    {
+        state.others.clear();
+        return;
+    }
     auto const now = clock_();
-    if (state.contended_version != state.version ||
-        state.contended_since == time_point{})
+    std::map<std::string, observed_reservation> others;
+    for (auto const& [holder, held] : state.account->reserved)
     {
-        state.contended_version = state.version;
-        state.contended_since = now;
+        if (holder == self_ || held.tokens == 0)
+            continue;
+        observed_reservation seen{held.change, held.tokens, now};
+        auto const before = state.others.find(holder);
+        if (before != state.others.end() &&
+            before->second.change == seen.change &&
+            before->second.tokens == seen.tokens)
+            seen.unchanged_since = before->second.unchanged_since;
+        others.emplace(holder, seen);
     }
-    if (now - state.contended_since >= options_.abandoned_after)
+    state.others = std::move(others);
+}
+
+/// \return true if waiting for the holder to release its reservation is in
+/// vain: it has stopped, or has not changed the reservation for longer than a
+/// live node leaves it. Escrow was reserved by another node than its holder,
+/// which may not even know of the program.
+bool program_ledger::is_abandoned(
+    program_state const& state, std::string const& holder,
+    program_account::reservation const& held) const
+{
+    if (held.change == 0 ||
+        (leases_ != nullptr && !leases_->is_incarnation_alive(holder)))
         return true;
-    if (leases_ == nullptr)
-        return false;
-    auto const& reserved = account.reserved;
-    return std::none_of(
-        reserved.begin(), reserved.end(),
-        [this](auto const& one)
-        {
-            return one.first != self_ && one.second.tokens > 0 &&
-                   leases_->is_incarnation_alive(one.first);
-        });
+    auto const seen = state.others.find(holder);
+    return seen != state.others.end() &&
+           clock_() - seen->second.unchanged_since >= options_.abandoned_after;
+}
+
+/// \return true if the first waiting turn would not fit either if all live
+/// nodes released their reservations. A turn that starts beside the others can
+/// exceed the program's budget by that turn at most, once.
+bool program_ledger::reservations_abandoned(
+    program_state const& state, program_account const& account) const
+{
+    auto claimed = account.spent + state.used + state.in_flight +
+                   state.queue.front().most_tokens;
+    for (auto const& [holder, held] : account.reserved)
+    {
+        if (holder != self_ && is_abandoned(state, holder, held))
+            claimed += held.tokens;
+    }
+    return claimed > state.budget;
 }
 
 void program_ledger::commit_reservation(
@@ -386,6 +417,7 @@
     else
         state.account.reset();
     state.version = version;
+    observe_others(state);
     auto const own = state.account ? state.account->reserved[self_]
                                    : program_account::reservation();
     for (auto const& one : state.unresolved)
