program ledger: answer 402 where no turn can start any more

Cause: a budget claimed by nodes that have died was answered like one that live nodes may give back, with a time to come again. Evidence: "a turn that dead nodes' reservations never leave room for is exhausted": contended before. Why it works: once spent tokens and reservations of dead nodes exceed the budget they never shrink, so the turn is refused for good at once. What those nodes did not hand out is lost to the program; that remains.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -301,6 +301,8 @@
         program_account::reservation const& held) const;
     bool reservations_abandoned(
         program_state const& state, program_account const& account) const;
+    bool is_blocked_for_good(
+        program_state const& state, program_account const& account) const;
     std::uint64_t desired_reservation(
         program_state const& state, program_account const& account) const;
     void commit_reservation(
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -201,7 +201,10 @@
         if (waits())
         {
             report_blocked(program, state, account);
-            answer_all(state, admission_answer::contended);
+            answer_all(
+                state, is_blocked_for_good(state, account)
+                           ? admission_answer::exhausted
+                           : admission_answer::contended);
             return;
         }
     }
@@ -272,6 +275,30 @@
     return claimed > state.budget;
 }
 
+/// \return true if reservations that are never released, and the tokens spent,
+/// exceed the budget: no further turn can start.
+bool program_ledger::is_blocked_for_good(
+    program_state const& state, program_account const& account) const
+{
+    if (leases_ == nullptr)
+        return false;
+    auto const now = clock_();
+    auto const is_unused_escrow = [&](std::string const& holder)
+    {
+        auto const seen = state.others.find(holder);
+        return seen != state.others.end() && seen->second.change == 0 &&
+               now - seen->second.unchanged_since >= options_.abandoned_after;
+    };
+    auto claimed = account.spent + state.used;
+    for (auto const& [holder, held] : account.reserved)
+    {
+        if (holder != self_ && (!leases_->is_incarnation_alive(holder) ||
+                                is_unused_escrow(holder)))
+            claimed += held.tokens;
+    }
+    return claimed > state.budget;
+}
+
 void program_ledger::commit_reservation(
     program_id const& program, program_state& state, std::uint64_t reservation)
 {
