--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -10,8 +10,8 @@
 /// the spent tokens, all reservations and the turn's own maximum fit into the
 /// budget. A reservation that is never settled belongs to a failed node, and
 /// its tokens may have been spent. One more turn may start beside such a
-/// reservation as long as it does not fill the budget. This is the only case
-/// in which a program may exceed its budget, by less than one turn.
+/// reservation as long as the claimed tokens do not exceed the budget. This is
+/// the only case in which a program may exceed its budget, by one turn at most.
 ///
 /// Load: chains of short turns, a few at a time, most turns of a program
 /// through one node, at 150 to 650 turns per second. The store handles 800 to
@@ -88,6 +88,34 @@
 /// \return the name of the enumerator, as sent between nodes.
 std::string_view to_string(admission_answer answer);
 
+/// Why a turn was not admitted although the tokens known to be spent leave room
+/// for it: the balance of the program's account at that moment. All amounts are
+/// in tokens.
+struct blocked_turn
+{
+    struct holder
+    {
+        std::string incarnation;
+        std::uint64_t tokens = 0;
+        /// Reserved for the holder of a lease, which may never have admitted a
+        /// turn of the program.
+        bool is_escrow = false;
+        /// The holder may still settle its reservation.
+        bool is_alive = true;
+    };
+
+    program_id program;
+    std::uint64_t budget = 0;
+    std::uint64_t most_tokens = 0;
+    std::uint64_t spent = 0;
+    /// Spent by ended turns of this node and not yet in the account.
+    std::uint64_t unsettled = 0;
+    /// Maximum of this node's turns in progress.
+    std::uint64_t in_flight = 0;
+    /// Reservations of other nodes.
+    std::vector<holder> others;
+};
+
 /// A node's role for a program's account.
 enum class account_role
 {
@@ -111,6 +139,10 @@
     /// 0.5), so half covers most of them with one write, and leaves as much
     /// after a crash.
     double reserve_ahead_fraction = 0.5;
+    /// The same where other nodes hold reservations, as a failed coordinator
+    /// leaves them. With half, four failures leave a sixteenth of the budget;
+    /// with a quarter after the first one it is a fifth.
+    double reserve_ahead_beside_others = 0.25;
     /// Time after which a node that is not the program's coordinator releases
     /// an idle reservation. It is longer than most pauses between turns (20 to
     /// 150 ms on average). Together with the write it stays below 1 s, the time
@@ -139,15 +171,17 @@
     duration settled_retention = std::chrono::seconds(30);
     /// Timeout of one read or write of the store.
     std::chrono::milliseconds store_timeout{2'500};
-    /// An account that blocks a turn and has not changed for this long is taken
-    /// to hold a failed node's reservation. It is twice the time that a live
-    /// node takes to release an idle one.
+    /// A reservation that blocks a turn and has not changed for this long is
+    /// taken to be a failed node's. It is twice the time that a live node takes
+    /// to release an idle one.
     duration abandoned_after = std::chrono::milliseconds(1'500);
     /// Time source of \c written_at, by which old accounts are removed.
     utc_fn utc = system_utc();
     /// Attempts of a change that conflicts with other nodes' changes of the
     /// same row, before the turns that wait get \c contended.
     int max_conflict_attempts = 8;
+    /// Called for each turn that other nodes' reservations keep from starting.
+    std::function<void(blocked_turn const&)> on_blocked;
 };
 
 /// Admits and settles turns against the programs' accounts in the store.
@@ -222,6 +256,13 @@
         /// Version of the partition's lease, for a program's first account.
         std::uint64_t lease_version = 0;
     };
+    /// A reservation of another node as this node has last read it.
+    struct observed_reservation
+    {
+        std::uint64_t change = 0;
+        std::uint64_t tokens = 0;
+        time_point unchanged_since{};
+    };
     struct program_state
     {
         std::uint64_t budget = 0;
@@ -240,9 +281,8 @@
         int attempts = 0;
         bool releasing = false;
         account_role role = account_role::coordinator;
-        /// Version of the account that last blocked a turn, and since when.
-        std::uint64_t contended_version = 0;
-        time_point contended_since{};
+        /// Reservations of other nodes, and since when they are unchanged.
+        std::map<std::string, observed_reservation> others;
         /// One turn may start beside reservations of failed nodes.
         bool abandoned = false;
         time_point last_use{};
@@ -255,8 +295,14 @@
     bool
     never_fits(program_state const& state, std::uint64_t most_tokens) const;
     void update_account(program_id const& program, program_state& state);
+    void observe_others(program_state& state) const;
+    bool is_abandoned(
+        program_state const& state, std::string const& holder,
+        program_account::reservation const& held) const;
     bool reservations_abandoned(
-        program_state& state, program_account const& account) const;
+        program_state const& state, program_account const& account) const;
+    bool is_blocked_for_good(
+        program_state const& state, program_account const& account) const;
     std::uint64_t desired_reservation(
         program_state const& state, program_account const& account) const;
     void commit_reservation(
@@ -282,6 +328,9 @@
         program_id const& program, program_state const& state,
         duration quiet) const;
     void answer_all(program_state& state, admission_answer answer);
+    void report_blocked(
+        program_id const& program, program_state const& state,
+        program_account const& account) const;
     row_address address(program_id const& program) const;
 
     versioned_store store_;
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -148,7 +148,7 @@
     for (auto const& one : state.queue)
     {
         auto const fits =
-            state.abandoned ? taken + wanted < state.budget
+            state.abandoned ? taken + wanted <= state.budget
                             : taken + wanted + one.most_tokens <= state.budget;
         if (!fits)
             break;
@@ -157,9 +157,11 @@
     if (state.releasing || state.role != account_role::coordinator ||
         taken >= state.budget)
         return wanted;
+    auto const fraction = account.reserved_by_others(self_) > 0
+                              ? options_.reserve_ahead_beside_others
+                              : options_.reserve_ahead_fraction;
     auto const ahead = static_cast<std::uint64_t>(
-        static_cast<double>(state.budget - taken) *
-        options_.reserve_ahead_fraction);
+        static_cast<double>(state.budget - taken) * fraction);
     return std::max(wanted, ahead);
 }
 
@@ -198,7 +200,11 @@
         reservation = desired_reservation(state, account);
         if (waits())
         {
-            answer_all(state, admission_answer::contended);
+            report_blocked(program, state, account);
+            answer_all(
+                state, is_blocked_for_good(state, account)
+                           ? admission_answer::exhausted
+                           : admission_answer::contended);
             return;
         }
     }
@@ -210,32 +216,87 @@
         commit_reservation(program, state, reservation);
 }
 
-/// \return true if the reservations that block a turn belong to failed nodes:
-/// all holders are known to have stopped, or the account has not changed for
-/// longer than a live node leaves it. A turn that starts beside them can exceed
-/// the program's budget by less than that turn, once.
-bool program_ledger::reservations_abandoned(
-    program_state& state, program_account const& account) const
+/// Records since when the reservations of other nodes have not changed. Other
+/// changes of the account do not count, since a program's further turns may
+/// change it all the time.
+void program_ledger::observe_others(program_state& state) const
 {
+    if (!state.account)
+    {
+        state.others.clear();
+        return;
+    }
     auto const now = clock_();
-    if (state.contended_version != state.version ||
-        state.contended_since == time_point{})
+    std::map<std::string, observed_reservation> others;
+    for (auto const& [holder, held] : state.account->reserved)
     {
-        state.contended_version = state.version;
-        state.contended_since = now;
+        if (holder == self_ || held.tokens == 0)
+            continue;
+        observed_reservation seen{held.change, held.tokens, now};
+        auto const before = state.others.find(holder);
+        if (before != state.others.end() &&
+            before->second.change == seen.change &&
+            before->second.tokens == seen.tokens)
+            seen.unchanged_since = before->second.unchanged_since;
+        others.emplace(holder, seen);
     }
-    if (now - state.contended_since >= options_.abandoned_after)
+    state.others = std::move(others);
+}
+
+/// \return true if waiting for the holder to release its reservation is in
+/// vain: it has stopped, or has not changed the reservation for longer than a
+/// live node leaves it. Escrow was reserved by another node than its holder,
+/// which may not even know of the program.
+bool program_ledger::is_abandoned(
+    program_state const& state, std::string const& holder,
+    program_account::reservation const& held) const
+{
+    if (held.change == 0 ||
+        (leases_ != nullptr && !leases_->is_incarnation_alive(holder)))
         return true;
+    auto const seen = state.others.find(holder);
+    return seen != state.others.end() &&
+           clock_() - seen->second.unchanged_since >= options_.abandoned_after;
+}
+
+/// \return true if the first waiting turn would not fit either if all live
+/// nodes released their reservations. A turn that starts beside the others can
+/// exceed the program's budget by that turn at most, once.
+bool program_ledger::reservations_abandoned(
+    program_state const& state, program_account const& account) const
+{
+    auto claimed = account.spent + state.used + state.in_flight +
+                   state.queue.front().most_tokens;
+    for (auto const& [holder, held] : account.reserved)
+    {
+        if (holder != self_ && is_abandoned(state, holder, held))
+            claimed += held.tokens;
+    }
+    return claimed > state.budget;
+}
+
+/// \return true if reservations that are never released, and the tokens spent,
+/// exceed the budget: no further turn can start.
+bool program_ledger::is_blocked_for_good(
+    program_state const& state, program_account const& account) const
+{
     if (leases_ == nullptr)
         return false;
-    auto const& reserved = account.reserved;
-    return std::none_of(
-        reserved.begin(), reserved.end(),
-        [this](auto const& one)
-        {
-            return one.first != self_ && one.second.tokens > 0 &&
-                   leases_->is_incarnation_alive(one.first);
-        });
+    auto const now = clock_();
+    auto const is_unused_escrow = [&](std::string const& holder)
+    {
+        auto const seen = state.others.find(holder);
+        return seen != state.others.end() && seen->second.change == 0 &&
+               now - seen->second.unchanged_since >= options_.abandoned_after;
+    };
+    auto claimed = account.spent + state.used;
+    for (auto const& [holder, held] : account.reserved)
+    {
+        if (holder != self_ && (!leases_->is_incarnation_alive(holder) ||
+                                is_unused_escrow(holder)))
+            claimed += held.tokens;
+    }
+    return claimed > state.budget;
 }
 
 void program_ledger::commit_reservation(
@@ -383,6 +444,7 @@
     else
         state.account.reset();
     state.version = version;
+    observe_others(state);
     auto const own = state.account ? state.account->reserved[self_]
                                    : program_account::reservation();
     for (auto const& one : state.unresolved)
@@ -426,6 +488,33 @@
         one.answer(answer);
 }
 
+void program_ledger::report_blocked(
+    program_id const& program, program_state const& state,
+    program_account const& account) const
+{
+    if (!options_.on_blocked)
+        return;
+    blocked_turn report;
+    report.program = program;
+    report.budget = state.budget;
+    report.spent = account.spent;
+    report.unsettled = state.used;
+    report.in_flight = state.in_flight;
+    for (auto const& [incarnation, held] : account.reserved)
+    {
+        if (incarnation == self_ || held.tokens == 0)
+            continue;
+        report.others.push_back(
+            {incarnation, held.tokens, held.change == 0,
+             leases_ == nullptr || leases_->is_incarnation_alive(incarnation)});
+    }
+    for (auto const& turn : state.queue)
+    {
+        report.most_tokens = turn.most_tokens;
+        options_.on_blocked(report);
+    }
+}
+
 void program_ledger::settle(
     program_id const& program, std::uint64_t most_tokens,
     std::uint64_t delivered_tokens)
