stream version: test nodes out of step while a version joins

A node that is cut off from the other nodes, from these and the store, that stands still, or whose list of engines is old takes up streams while engines of a new version join and those of the old one leave.

Most broken streams are resumed at the node out of step, and calls wait there while it stands still. "release" runs real nodes, of which one has its own path to the store: the test silences tables there. An engine that comes back at its address under another id answers 421 and is not taken for its former version.

Engines name an id in an answer and no version, and the protocol gives each start of an engine a new id.

--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -436,7 +436,7 @@
     settings.listen_ready = one->ready.text();
     settings.listen_peers = one->peers.text();
     settings.listen_metrics = one->metrics.text();
-    settings.store = store.address();
+    settings.store = store_address.empty() ? store.address() : store_address;
     settings.stop_grace = seconds(8);
     settings.min_stall_timeout = min_stall_timeout;
     settings.revoke_within = revoke;
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -298,6 +298,9 @@
     /// deadlines, because the engines of most tests are silent for other
     /// reasons.
     std::chrono::milliseconds min_stall_timeout{20'000};
+    /// Address of the store for nodes started from then on; empty: that of the
+    /// stand-in.
+    std::string store_address;
     /// Time in which nodes started from then on stop accepting a revoked key;
     /// zero sets no bound.
     std::chrono::milliseconds revoke{0};
--- a/test/stream_cluster.cpp
+++ b/test/stream_cluster.cpp
@@ -26,8 +26,6 @@
 constexpr milliseconds min_stream_time{100};
 constexpr milliseconds max_stream_time{900};
 constexpr int max_attempts = 3;
-/// Fraction of streams whose connection breaks by itself.
-constexpr double broken_streams = 0.03;
 /// Part of the store's calls that stay unanswered; half of the transactions
 /// among them take effect, some late.
 constexpr double unanswered_calls = 0.05;
@@ -105,7 +103,12 @@
                return;
            if (now() < one.frozen_until)
            {
-               on_node(index, incarnation, one.frozen_until - now(), action);
+               auto const order = options_.frozen_nodes_queue
+                                      ? between({}, one_way)
+                                      : duration(0);
+               on_node(
+                   index, incarnation, one.frozen_until - now() + order,
+                   action);
                return;
            }
            action();
@@ -166,7 +169,7 @@
 void stream_cluster::read_engines(std::size_t index)
 {
     auto& one = nodes_[index];
-    if (reaches_store(index))
+    if (reaches_store(index) && now() >= one.no_engines_until)
     {
         std::vector<engine_entry> entries;
         for (auto const& engine : engines_)
@@ -351,7 +354,7 @@
         on.origins->copy(key, origin);
     active_.push_back(one);
     auto const serving = one->attempts;
-    auto const breaks = draw() < broken_streams;
+    auto const breaks = draw() < options_.broken;
     at(now() + between(min_stream_time, max_stream_time),
        [this, one, serving, breaks]
        {
@@ -380,13 +383,29 @@
 
 void stream_cluster::resume(stream_ptr const& one)
 {
-    auto const index = random_node();
+    auto const at_first =
+        options_.resumed_at_first > 0 && draw() < options_.resumed_at_first;
+    auto const index = at_first ? 0 : random_node();
     auto const& on = nodes_[index];
-    if (!on.alive || now() < on.frozen_until)
+    auto const is_frozen = now() < on.frozen_until;
+    if (on.alive && is_frozen && options_.frozen_nodes_queue)
+    {
+        on_node(
+            index, on.incarnation, {},
+            [this, index, one] { resume_on(index, one); });
+        return;
+    }
+    if (!on.alive || is_frozen)
     {
         lose(one);
         return;
     }
+    resume_on(index, one);
+}
+
+void stream_cluster::resume_on(std::size_t index, stream_ptr const& one)
+{
+    auto const& on = nodes_[index];
     auto const key = stream_key_of(one->id);
     if (one->is_named)
     {
@@ -439,6 +458,7 @@
                          now() >= nodes_[index].disturbed_until;
     auto const goes_on = version && !engines_of(index, *version).empty();
     result_.owed += is_owed ? 1 : 0;
+    result_.at_disturbed += now() < nodes_[index].disturbed_until ? 1 : 0;
     if (!goes_on)
     {
         ++result_.refused;
@@ -544,6 +564,13 @@
     disturb_until(index, now() + span);
 }
 
+void stream_cluster::keep_engines(std::size_t index, duration span)
+{
+    nodes_[index].no_engines_until =
+        std::max(nodes_[index].no_engines_until, now() + span);
+    disturb_until(index, now() + span);
+}
+
 void stream_cluster::take_store_away(duration span)
 {
     store_away_until_ = std::max(store_away_until_, now() + span);
--- a/test/stream_cluster.hpp
+++ b/test/stream_cluster.hpp
@@ -40,6 +40,13 @@
     double loss = 0.005;
     /// Fraction of resuming callers that don't name their stream.
     double unnamed = 0.1;
+    /// Fraction of streams whose connection breaks by itself.
+    double broken = 0.03;
+    /// Fraction of broken streams that are resumed at the first node.
+    double resumed_at_first = 0;
+    /// Calls that reach a frozen node wait there until it goes on, and are
+    /// handled in any order with the answers of the store.
+    bool frozen_nodes_queue = false;
     /// Largest age of a node's view of the engines while it is in touch.
     std::chrono::milliseconds max_view_age{700};
     version_register_options versions{};
@@ -62,6 +69,8 @@
         /// touch, while two engines of the version serve.
         std::size_t owed = 0;
         std::size_t owed_resumed = 0;
+        /// Resumptions, also refused ones, at a node that is disturbed.
+        std::size_t at_disturbed = 0;
     };
 
     explicit stream_cluster(stream_cluster_options options);
@@ -86,6 +95,8 @@
     void cut_off_from_store(std::size_t index, duration span);
     /// Separates the node from all other nodes.
     void cut_off_from_nodes(std::size_t index, duration span);
+    /// The node's list of the engines stays as it is.
+    void keep_engines(std::size_t index, duration span);
     void take_store_away(duration span);
     /// Breaks the connections of a node's callers.
     void reset_connections(std::size_t index);
@@ -123,6 +134,7 @@
         time_point frozen_until{};
         time_point no_store_until{};
         time_point no_nodes_until{};
+        time_point no_engines_until{};
         time_point disturbed_until{};
     };
 
@@ -145,6 +157,7 @@
     void serve(std::size_t index, stream_ptr const& one);
     void lose(stream_ptr const& one);
     void resume(stream_ptr const& one);
+    void resume_on(std::size_t index, stream_ptr const& one);
     void resume_at(
         std::size_t index, stream_ptr const& one,
         std::optional<std::string> const& version);
--- a/test/stream_version-test.cpp
+++ b/test/stream_version-test.cpp
@@ -1,4 +1,5 @@
 #include "entry_world.hpp"
+#include "store_relay.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -396,3 +397,189 @@
     CHECK(resume(node, "s1-again", "Resumes: s1\r\n", "/kept/").status == 503);
     CHECK(resumptions_at_engines() == 0);
 }
+
+namespace
+{
+
+constexpr char const* members_table = "walnutmill-nodes";
+constexpr char const* engines_table = "servers";
+constexpr char const* versions_table = "walnutmill-versions";
+
+/// Two engines of each version, of which only those of the first have joined,
+/// a node in step and one that knows no other nodes.
+struct release_fixture : stream_version_fixture
+{
+    store_relay relay{store};
+    node* in_step = nullptr;
+    node* out_of_step = nullptr;
+    /// Id under which engine B runs; it answers 421 to calls meant for another.
+    std::mutex id_mutex;
+    std::string id_of_b = "ib";
+
+    release_fixture()
+    {
+        remove_new_version();
+        in_step = &start_node();
+        relay.silence({members_table});
+        store_address = relay.address();
+        out_of_step = &start_node();
+        for (auto* engine : {&engine_a, &engine_b, &engine_c, &engine_d})
+        {
+            auto const version =
+                engine == &engine_a || engine == &engine_c ? "1.0" : "1.1";
+            engine->set_handler(
+                [this, engine,
+                 version](link_ptr const& link, http_request const& request)
+                {
+                    if (request["Expect-Instance"] != current_id(*engine))
+                        misdirect(link);
+                    else
+                        answer(link, request, version);
+                    return true;
+                });
+        }
+    }
+
+    std::string current_id(standin_target const& engine)
+    {
+        std::lock_guard<std::mutex> const lock(id_mutex);
+        return &engine == &engine_b ? id_of_b : engine.id();
+    }
+
+    static void misdirect(link_ptr const& link)
+    {
+        constexpr int status_misdirected = 421;
+        link->write(standin_target::answer(
+            status_misdirected, "Not-Executed: 1\r\n", ""));
+        link->finish_answer();
+    }
+
+    void remove_new_version()
+    {
+        store.remove(engines_table, "ib");
+        store.remove(engines_table, "id");
+    }
+
+    void remove_old_version()
+    {
+        store.remove(engines_table, "ia");
+        store.remove(engines_table, "ic");
+    }
+
+    void join_new_version()
+    {
+        register_engine(engine_b, "llm", "1.1");
+        register_engine(engine_d, "llm", "1.1");
+    }
+
+    /// Begins streams at the node in step until engine D has run one, and then
+    /// those of a series.
+    void begin_at_new_version(std::string const& series)
+    {
+        int number = 0;
+        REQUIRE(eventually(
+            [&]
+            {
+                begin_and_leave(
+                    *in_step, series + "-probe" + std::to_string(++number));
+                return !engine_d.calls().empty();
+            }));
+        begin_series(series);
+    }
+
+    void begin_series(std::string const& series)
+    {
+        for (int i = 0; i < streams; ++i)
+            begin_and_leave(*in_step, series + name_of(i));
+    }
+
+    /// \return the number of streams that the node out of step goes on with
+    int resume_series(std::string const& series) const
+    {
+        int resumed = 0;
+        for (int i = 0; i < streams; ++i)
+        {
+            auto const id = series + name_of(i);
+            auto const got =
+                resume(*out_of_step, id + "-again", "Resumes: " + id + "\r\n");
+            resumed += got.status == 200 && got.whole ? 1 : 0;
+        }
+        return resumed;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    release_fixture,
+    "release: a node cut off from the others refuses streams begun in a "
+    "release, and takes up those begun before")
+{
+    begin_series("before");
+    CHECK(resume_series("before") == streams);
+    join_new_version();
+    begin_at_new_version("amid");
+    CHECK(resume_series("amid") == 0);
+    CHECK(mixed_streams() == 0);
+}
+
+TEST_CASE_METHOD(
+    release_fixture,
+    "release: a node whose list of engines is old joins no two versions")
+{
+    relay.silence({members_table, engines_table});
+    join_new_version();
+    begin_at_new_version("amid");
+    CHECK(resume_series("amid") == 0);
+    // The old version's engines leave.
+    remove_old_version();
+    REQUIRE(eventually([&] { return knows_engines(*in_step, 4); }));
+    begin_series("after");
+    CHECK(resume_series("after") == 0);
+    CHECK(mixed_streams() == 0);
+}
+
+TEST_CASE_METHOD(
+    release_fixture,
+    "release: a node without the store joins no two versions, also when it is "
+    "back")
+{
+    relay.silence(
+        {members_table, engines_table, versions_table, "op", "table="});
+    join_new_version();
+    begin_at_new_version("amid");
+    CHECK(resume_series("amid") == 0);
+    relay.silence({members_table});
+    CHECK(resume_series("amid") == 0);
+    CHECK(mixed_streams() == 0);
+}
+
+TEST_CASE_METHOD(
+    release_fixture,
+    "release: an engine that comes back at its address under another id is not "
+    "taken for its former version")
+{
+    // Engine B serves the old version at first.
+    engine_b.set_handler(
+        [this](link_ptr const& link, http_request const& request)
+        {
+            auto const id = current_id(engine_b);
+            if (request["Expect-Instance"] != id)
+                misdirect(link);
+            else
+                answer(link, request, id == "ib" ? "1.0" : "1.1");
+            return true;
+        });
+    register_engine(engine_b, "llm", "1.0");
+    REQUIRE(eventually([&] { return knows_engines(*out_of_step, 5); }));
+    remove_old_version();
+    REQUIRE(eventually([&] { return knows_engines(*out_of_step, 3); }));
+    begin_series("before");
+    relay.silence({members_table, engines_table});
+    {
+        std::lock_guard<std::mutex> const lock(id_mutex);
+        id_of_b = "ib2";
+    }
+    CHECK(resume_series("before") == 0);
+    CHECK(mixed_streams() == 0);
+}
