version register: decide nothing from a read that a later write overtook

A caller's stream could go on at an engine of another version. A node that writes the row of versions reads it again for a call. If the answer to the read is handled after that to the write, as when the node stands still in between, the row of the read is the older one and was passed over. The decision was then taken from the row that was written, as of the read before the write, which may be most of a second old: a version that had been announced by then and has begun streams since did not count.

Now such a read is repeated, and the calls that wait for it get the result of the next one. Each repetition needs a row that was taken in between, so it ends; calls are not refused for it.

"release out of step: a read that is handled after a later transaction decides nothing" was red on the code before (1.0 was decided while a stream had begun at 1.1).

--- a/src/entry/version_register.cpp
+++ b/src/entry/version_register.cpp
@@ -302,6 +302,7 @@
 {
     auto read = std::make_shared<row_read>();
     read->began = clock_();
+    read->rows_taken = of.rows_taken;
     of.read = read;
     auto const at = address_of(service);
     store_.read(
@@ -324,7 +325,15 @@
     auto const answered =
         result.outcome == store_outcome::done && result.store_time.count() > 0;
     auto const row = result.rows.empty() ? stored_row() : result.rows.front();
-    // A read may have been answered before a transaction that ended earlier.
+    if (answered && row.version < state.row_version &&
+        read->rows_taken != state.rows_taken)
+    {
+        // Answered before a transaction that ended earlier.
+        auto const again = state.read ? state.read : start_read(service, state);
+        for (auto& done : std::exchange(read->waiting, {}))
+            again->waiting.push_back(std::move(done));
+        return;
+    }
     if (answered && row.version >= state.row_version)
     {
         take_row(
@@ -347,6 +356,7 @@
     milliseconds at_store, time_point at)
 {
     of.is_known = true;
+    ++of.rows_taken;
     of.row = std::move(row);
     of.row_version = row_version;
     of.read_at_store = at_store;
--- a/src/entry/version_register.hpp
+++ b/src/entry/version_register.hpp
@@ -134,6 +134,8 @@
     struct row_read
     {
         time_point began{};
+        /// Number of rows that the node had taken when the read began.
+        std::uint64_t rows_taken = 0;
         std::vector<version_fn> waiting;
     };
     struct service_state
@@ -143,6 +145,8 @@
         bool is_known = false;
         rows_type row;
         std::uint64_t row_version = 0;
+        /// Number of rows taken from reads and writes.
+        std::uint64_t rows_taken = 0;
         /// Time of the store's clock and of the own one when the row was last
         /// read. The latter is that at which the read began.
         std::chrono::milliseconds read_at_store{0};
--- a/test/release_out_of_step-test.cpp
+++ b/test/release_out_of_step-test.cpp
@@ -248,6 +248,39 @@
     }
 }
 
+TEST_CASE_METHOD(
+    out_of_step_fixture,
+    "release out of step: a read that is handled after a later transaction "
+    "decides nothing")
+{
+    auto const at = make_register();
+    set_versions(*at, {"1.0"});
+    held_store held(store.calls());
+    auto const frozen = make_register(held.calls());
+    set_versions(*frozen, {"1.0"});
+    clock.advance(seconds(2));
+    set_versions(*at, {"1.0", "1.1"});
+    // This node reads the row before the version counts, and announces another
+    // one, which the store takes in late.
+    clock.advance(options.announcement_margin - milliseconds(50));
+    held.delays_commits = true;
+    set_versions(*frozen, {"1.0", "1.1", "1.2"});
+    clock.advance(options.announcement_margin + milliseconds(60));
+    REQUIRE(at->may_begin(llm, "1.1"));
+    // A stream that began there is to be taken up here.
+    held.holds_answers = true;
+    std::optional<found_version> found;
+    ask(*frozen, found);
+    run_store();
+    held.send_commits();
+    run_store();
+    clock.advance(seconds(3));
+    held.release_reversed();
+    run_store();
+    REQUIRE(found);
+    CHECK_FALSE(*found);
+}
+
 TEST_CASE_METHOD(
     out_of_step_fixture,
     "release out of step: a node without the store decides nothing once its "
