version register: keep lost and unreadable rows from naming one version

Callers' streams could go on at an engine of another version once the row of versions was lost or could not be decoded. A node that knew a row that was lost passed over the empty read as an older one, and decided from what it had read at any time before. A row that could not be decoded was taken for one without versions and written again with those of the engines of that moment, so that a version whose last engine had just left no longer counted. A node that had to register a version repeated its write to the lost row without end, as its condition never held.

A lost row is now told from an older read: no row was taken while the read was under way. Such a row, one that cannot be decoded, and one that lacks versions which the node knows to count, are written again with these and with a name that no engine has, which counts as long as any version that could have been registered. So no version is inferred until then; streams go on by their origins and copies, and new ones begin as before.

Five cases of "release out of step" were red on the code before: a lost row, writing it again, a row written by a node that did not know the lost one, and two of a row that cannot be decoded.

--- a/src/entry/version_register.cpp
+++ b/src/entry/version_register.cpp
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr char const* table_name = "walnutmill-versions";
+/// Not text as it appears in a header, unlike the versions of engines.
+constexpr char const* unknown_version_name = "\tunknown";
 /// Smallest number of versions of which streams have to be told apart.
 constexpr std::size_t several = 2;
 /// A node reads the row again when half of the registration is left, or up to a
@@ -48,8 +50,18 @@
         { return one.version == version; });
 }
 
+bool is_unknown(registered_version const& one)
+{
+    return one.version == unknown_version_name;
+}
+
 } // namespace
 
+char const* unknown_version()
+{
+    return unknown_version_name;
+}
+
 std::string encode(std::vector<registered_version> const& versions)
 {
     auto body = json::array();
@@ -67,8 +79,11 @@
 {
     try
     {
+        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        if (!body.is_array())
+            return std::nullopt;
         std::vector<registered_version> versions;
-        for (auto const& one : json::from_cbor(bytes.begin(), bytes.end()))
+        for (auto const& one : body)
         {
             auto const begins_at = one.at(1).get<std::int64_t>();
             auto const ends_at = one.at(2).get<std::int64_t>();
@@ -82,7 +97,7 @@
     }
     catch (json::exception const&)
     {
-        // The caller treats the row as one without versions.
+        // The caller treats the row as one of unknown versions.
         return std::nullopt;
     }
 }
@@ -216,7 +231,7 @@
     {
         if (!counts(one, of))
             continue;
-        if (only)
+        if (only || is_unknown(one))
             return std::nullopt;
         only = one.version;
     }
@@ -261,6 +276,8 @@
 {
     if (!of.is_known)
         return false;
+    if (of.is_incomplete)
+        return true;
     auto const half = milliseconds(options_.registration) / renewal_divisor;
     auto const now = store_time(of);
     return std::any_of(
@@ -275,7 +292,7 @@
 
 bool version_register::is_read_due(service_state const& of) const
 {
-    if (!of.is_known)
+    if (!of.is_known || of.is_incomplete)
         return true;
     auto const half = milliseconds(options_.registration) / renewal_divisor;
     auto const now = store_time(of);
@@ -324,8 +341,8 @@
         state.read = nullptr;
     auto const answered =
         result.outcome == store_outcome::done && result.store_time.count() > 0;
-    auto const row = result.rows.empty() ? stored_row() : result.rows.front();
-    if (answered && row.version < state.row_version &&
+    auto const version = result.rows.empty() ? 0 : result.rows.front().version;
+    if (answered && version < state.row_version &&
         read->rows_taken != state.rows_taken)
     {
         // Answered before a transaction that ended earlier.
@@ -334,11 +351,9 @@
             again->waiting.push_back(std::move(done));
         return;
     }
-    if (answered && row.version >= state.row_version)
+    if (answered)
     {
-        take_row(
-            state, decode_registered_versions(row.value).value_or(rows_type()),
-            row.version, result.store_time, read->began);
+        take_read(state, *read, result);
         report_several(service, state);
     }
     state.next_attempt_at =
@@ -351,11 +366,56 @@
         write(service, state);
 }
 
+/// Takes a row as it was read, with the versions that it has lost.
+void version_register::take_read(
+    service_state& of, row_read const& read, range_result const& result)
+{
+    auto const exists = !result.rows.empty();
+    auto const version = exists ? result.rows.front().version : 0;
+    auto decoded = exists
+                       ? decode_registered_versions(result.rows.front().value)
+                       : rows_type();
+    // No row without versions is ever written.
+    auto const is_lost =
+        exists ? !decoded || decoded->empty() : of.row_version > 0;
+    auto row = std::move(decoded).value_or(rows_type());
+    auto const has_lost = add_lost_versions(of, result.store_time, row);
+    if (is_lost || has_lost)
+    {
+        row.erase(
+            std::remove_if(row.begin(), row.end(), is_unknown), row.end());
+        row.push_back(
+            {unknown_version_name,
+             result.store_time - options_.late_transaction * 2,
+             result.store_time + options_.registration});
+    }
+    take_row(of, std::move(row), version, result.store_time, read.began);
+    of.is_incomplete = is_lost || has_lost;
+}
+
+/// Adds the versions that still count although the row lacks them.
+/// \return true if there are any
+bool version_register::add_lost_versions(
+    service_state const& of, milliseconds at_store, rows_type& row) const
+{
+    auto has_lost = false;
+    for (auto const& one : of.row)
+    {
+        if (find_version(row, one.version) != row.end() ||
+            at_store > counts_until(one))
+            continue;
+        row.push_back(one);
+        has_lost = true;
+    }
+    return has_lost;
+}
+
 void version_register::take_row(
     service_state& of, rows_type row, std::uint64_t row_version,
     milliseconds at_store, time_point at)
 {
     of.is_known = true;
+    of.is_incomplete = false;
     ++of.rows_taken;
     of.row = std::move(row);
     of.row_version = row_version;
@@ -388,7 +448,7 @@
 {
     auto const now = of.read_at_store;
     // Before the first row no stream has begun anywhere.
-    auto const begins_at = of.row_version == 0
+    auto const begins_at = of.row_version == 0 && !of.is_incomplete
                                ? now - options_.late_transaction * 2
                                : now + options_.announcement;
     rows_type row;
--- a/src/entry/version_register.hpp
+++ b/src/entry/version_register.hpp
@@ -14,6 +14,11 @@
 /// A version is announced in the row some time before streams begin there.
 /// Meanwhile most nodes learn of it and copy the origins of the streams that
 /// they serve.
+///
+/// A row that is lost or cannot be decoded may have named any version. It is
+/// written again with the versions that the node remembers and with a further
+/// one, unknown_version(), that counts as long as a version that was registered
+/// at that moment. Until then nobody infers a version from the row.
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/random.hpp>
@@ -47,6 +52,10 @@
     std::chrono::milliseconds ends_at{0};
 };
 
+/// \return the name that stands in a row for versions that are not known. No
+/// engine has such a version.
+char const* unknown_version();
+
 std::string encode(std::vector<registered_version> const& versions);
 /// \return empty if the bytes are malformed
 std::optional<std::vector<registered_version>>
@@ -145,6 +154,9 @@
         bool is_known = false;
         rows_type row;
         std::uint64_t row_version = 0;
+        /// The row has to be written again: the stored one lacks versions that
+        /// still count.
+        bool is_incomplete = false;
         /// Number of rows taken from reads and writes.
         std::uint64_t rows_taken = 0;
         /// Time of the store's clock and of the own one when the row was last
@@ -176,6 +188,11 @@
     void read_ended(
         service_name const& service, std::shared_ptr<row_read> const& read,
         range_result const& result);
+    void take_read(
+        service_state& of, row_read const& read, range_result const& result);
+    bool add_lost_versions(
+        service_state const& of, std::chrono::milliseconds at_store,
+        rows_type& row) const;
     void take_row(
         service_state& of, rows_type row, std::uint64_t row_version,
         std::chrono::milliseconds at_store, time_point at);
--- a/test/release_out_of_step-test.cpp
+++ b/test/release_out_of_step-test.cpp
@@ -310,6 +310,133 @@
     CHECK_FALSE(*found);
 }
 
+TEST_CASE_METHOD(
+    out_of_step_fixture,
+    "release out of step: a lost row names no only version at a node that "
+    "knew it")
+{
+    for (auto const announced : {false, true})
+    {
+        INFO(announced);
+        auto const at = make_register();
+        auto const other = make_register();
+        remove_row();
+        set_versions(*at, {"1.0"});
+        set_versions(*other, {"1.0"});
+        clock.advance(seconds(2));
+        REQUIRE(only_version(*other) == "1.0");
+        set_versions(*at, {"1.0", "1.1"});
+        if (announced)
+            REQUIRE(only_version(*other) == "1.0");
+        run_for({at.get()}, options.announcement * 2);
+        REQUIRE(at->may_begin(llm, "1.1"));
+        remove_row();
+        CHECK_FALSE(only_version(*other));
+        run_for({at.get(), other.get()}, seconds(5));
+        CHECK_FALSE(only_version(*other));
+        CHECK_FALSE(only_version(*at));
+    }
+}
+
+TEST_CASE_METHOD(
+    out_of_step_fixture,
+    "release out of step: nodes that knew a lost row write it again and go on")
+{
+    auto const at = make_register();
+    set_versions(*at, {"1.0"});
+    set_versions(*at, {"1.0", "1.1"});
+    run_for({at.get()}, options.announcement * 2);
+    // The old version's last engine leaves.
+    set_versions(*at, {"1.1"});
+    remove_row();
+    auto const steps = store.steps();
+    only_version(*at);
+    set_versions(*at, {"1.1", "1.2"});
+    run_for({at.get()}, seconds(5));
+    CHECK(store.steps() < steps + 20);
+    REQUIRE(store.find(row()) != nullptr);
+    CHECK(at->may_begin(llm, "1.1"));
+    CHECK(at->may_begin(llm, "1.2"));
+    auto const fresh = make_register();
+    set_versions(*fresh, {"1.1"});
+    CHECK_FALSE(only_version(*fresh));
+    CHECK(fresh->has_several(llm));
+}
+
+TEST_CASE_METHOD(
+    out_of_step_fixture,
+    "release out of step: a row rewritten by a node that did not know the lost "
+    "one is completed")
+{
+    auto const at = make_register();
+    set_versions(*at, {"1.0"});
+    set_versions(*at, {"1.0", "1.1"});
+    run_for({at.get()}, options.announcement * 2);
+    set_versions(*at, {"1.1"});
+    remove_row();
+    auto const fresh = make_register();
+    set_versions(*fresh, {"1.1"});
+    CHECK_FALSE(only_version(*at));
+    run_store();
+    clock.advance(seconds(1));
+    CHECK_FALSE(only_version(*fresh));
+}
+
+TEST_CASE_METHOD(
+    out_of_step_fixture,
+    "release out of step: a row that cannot be decoded names no only version "
+    "until its streams have ended")
+{
+    for (auto const* bytes : {"", "\xff", "\x81\x81\x63", "\xa0"})
+    {
+        for (auto const has_memory : {false, true})
+        {
+            INFO(std::string(bytes).size() << ' ' << has_memory);
+            remove_row();
+            auto const at = make_register();
+            set_versions(*at, {"1.0"});
+            set_versions(*at, {"1.0", "1.1"});
+            run_for({at.get()}, options.announcement * 2);
+            // The old version's last engine leaves.
+            set_versions(*at, {"1.1"});
+            auto const fresh = make_register();
+            if (has_memory)
+                set_versions(*fresh, {"1.0", "1.1"});
+            overwrite_row(bytes);
+            set_versions(*fresh, {"1.1"});
+            CHECK_FALSE(only_version(*fresh));
+            for (int i = 0; i < 10; ++i)
+            {
+                run_for({fresh.get()}, options.stream_lifetime / 10);
+                CHECK_FALSE(only_version(*fresh));
+                CHECK_FALSE(only_version(*at));
+            }
+            CHECK(fresh->may_begin(llm, "1.1"));
+            CHECK(fresh->has_several(llm));
+            run_for(
+                {fresh.get()}, options.registration + options.stream_lifetime +
+                                   options.late_transaction + seconds(10));
+            CHECK(only_version(*fresh) == "1.1");
+        }
+    }
+}
+
+TEST_CASE_METHOD(
+    out_of_step_fixture,
+    "release out of step: a row that cannot be decoded stops no streams at a "
+    "node that began them")
+{
+    auto const at = make_register();
+    set_versions(*at, {"1.0"});
+    clock.advance(seconds(2));
+    overwrite_row("\xff");
+    CHECK_FALSE(only_version(*at));
+    CHECK(at->may_begin(llm, "1.0"));
+    run_for({at.get()}, seconds(1));
+    CHECK(at->may_begin(llm, "1.0"));
+    CHECK(decode_registered_versions(store.find(row())->value));
+}
+
 namespace
 {
 
