http link: treat a reset that fails the request's sending as a broken answer

Callers got a 200 with the engine's stamp and a short body, framed as whole. It takes an engine that answers without a length before it has read a long request, and then resets the connection. The system reports a reset once. If the pending write gets it, the read that follows sees an end of input, which was taken for the orderly end of an answer without a length. The same holds for a connection that times out while bytes of the request are unacknowledged.

The link now remembers that writing failed with anything but a broken pipe, which is what follows an orderly close, and counts the answer as broken.

--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -173,8 +173,12 @@
             self->writing_ = false;
             // An answer may have arrived before the failure, so the read
             // side ends the exchange.
-            if (error && !self->closed_)
-                self->not_reusable_ = true;
+            if (!error || self->closed_)
+                return;
+            self->not_reusable_ = true;
+            // The system reports a reset once, to reading or to writing. A
+            // broken pipe follows an orderly close.
+            self->reset_ = error != asio::error::broken_pipe;
         });
 }
 
@@ -195,7 +199,7 @@
         // An answer without a length ends with its connection. Only an
         // orderly close makes it complete, since bytes may be missing after
         // a reset.
-        auto const orderly_close = error == asio::error::eof;
+        auto const orderly_close = error == asio::error::eof && !reset_;
         close_socket();
         if (busy_ && orderly_close && parser_ && head_received_ && !skipping_ &&
             parser_->need_eof())
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -213,6 +213,8 @@
     /// The answer being read belongs to an earlier request.
     bool skipping_ = false;
     bool writing_ = false;
+    /// Writing has failed because the connection was reset or timed out.
+    bool reset_ = false;
 };
 
 } // namespace walnutmill
--- a/test/cut_answer-test.cpp
+++ b/test/cut_answer-test.cpp
@@ -175,6 +175,24 @@
     }
 }
 
+// Guards against taking the end of input behind a reset for an orderly one when
+// the failure was reported to the sending side.
+TEST_CASE_METHOD(
+    cut_link_fixture,
+    "cut answer: one without a length that is reset while the request is sent "
+    "is broken")
+{
+    std::string const long_body(8'000'000, 'x');
+    for (int i = 0; i < 10; ++i)
+    {
+        auto const got = exchange(
+            {head_begin + "\r\n" + plain_text, cut_kind::reset, true},
+            long_body);
+        REQUIRE(got.end);
+        CHECK(*got.end == link_end::broken);
+    }
+}
+
 TEST_CASE_METHOD(
     cut_link_fixture,
     "cut answer: an error without a length or a body is complete")
@@ -300,6 +318,27 @@
     }
 }
 
+// Guards against a short body that is framed as whole.
+TEST_CASE_METHOD(
+    cut_call_fixture,
+    "cut answer: an order whose engine resets while the body is sent gets no "
+    "success")
+{
+    begin(false);
+    auto long_bodies = configuration();
+    long_bodies["limits"]["max_body_bytes"] = 16'000'000;
+    store.put("op", "config", long_bodies);
+    auto& node = start_node();
+    server.answer_with(
+        {head_begin + "\r\n" + plain_text.substr(0, 4), cut_kind::reset, true});
+    test_caller caller(node.settings.listen_callers);
+    auto const got =
+        caller.call(post("/orders/x", "r1", {}, std::string(8'000'000, 'x')));
+    CHECK(server.requests() == 1);
+    CHECK(got.status == 502);
+    CHECK(got.headers.count("Response-Stamp") == 0);
+}
+
 TEST_CASE_METHOD(
     cut_call_fixture,
     "cut answer: a stream that is cut ends early for its caller too")
