http link: treat a success without a length and a body as broken

Callers got a 200 with an empty body, framed as whole, when an engine closed the connection right behind a head that had neither a length nor chunks; for a stream, a 200 without a single event. Such a head may be one that has lost its length, and HTTP can't tell it from an answer that is empty.

The end of the connection now completes a success only if a part of its body has arrived. Calls that may be repeated are sent again, others end with 502; a reply of the store or of another node counts as none. Failures stay as they were, since an engine may refuse a call without a body. An answer without a length that ends in order inside its body still counts as whole: nothing in it shows that bytes are missing.

--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -201,8 +201,7 @@
         // a reset.
         auto const orderly_close = error == asio::error::eof && !reset_;
         close_socket();
-        if (busy_ && orderly_close && parser_ && head_received_ && !skipping_ &&
-            parser_->need_eof())
+        if (busy_ && orderly_close && may_end_with_connection())
         {
             error_code at_end;
             parser_->put_eof(at_end);
@@ -228,6 +227,17 @@
         read();
 }
 
+/// \return true if the connection's end completes the answer. A success without
+/// a length and a body may be one whose engine ended in its head, behind a part
+/// that lacks the length.
+bool http_link::may_end_with_connection() const
+{
+    constexpr unsigned first_failure_status = 300;
+    return parser_ && head_received_ && !skipping_ && parser_->need_eof() &&
+           (body_bytes_ > 0 ||
+            parser_->get().result_int() >= first_failure_status);
+}
+
 void http_link::start_parser()
 {
     parser_.emplace();
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -183,6 +183,7 @@
     void fail(link_end how);
     void start_parser();
     bool process_head();
+    bool may_end_with_connection() const;
     void deliver_body();
     void finish_answer();
     void finish(link_end how);
--- a/test/cut_answer-test.cpp
+++ b/test/cut_answer-test.cpp
@@ -175,6 +175,29 @@
     }
 }
 
+TEST_CASE_METHOD(
+    cut_link_fixture,
+    "cut answer: one without a length needs a whole head, a body and an "
+    "orderly end")
+{
+    auto const head = head_begin + "\r\n";
+    auto const whole = head + plain_text;
+    for (auto const kind : both_kinds)
+    {
+        for (std::size_t cut = 0; cut <= whole.size(); ++cut)
+        {
+            auto const got = exchange({whole.substr(0, cut), kind});
+            INFO(text_of(kind) << " at " << cut);
+            REQUIRE(got.end);
+            auto const can_be_whole =
+                kind == cut_kind::close && cut > head.size();
+            CHECK((*got.end == link_end::complete) == can_be_whole);
+            if (can_be_whole)
+                CHECK(got.body == whole.substr(head.size(), cut - head.size()));
+        }
+    }
+}
+
 // Guards against taking the end of input behind a reset for an orderly one when
 // the failure was reported to the sending side.
 TEST_CASE_METHOD(
@@ -318,6 +341,32 @@
     }
 }
 
+TEST_CASE_METHOD(
+    cut_call_fixture,
+    "cut answer: an order's answer without a length needs a body and an "
+    "orderly end")
+{
+    begin(false);
+    auto& node = start_node();
+    auto const head = head_begin + "\r\n";
+    for (auto const kind : both_kinds)
+    {
+        for (std::size_t cut = 0; cut <= head.size(); ++cut)
+        {
+            INFO(text_of(kind) << " at " << cut);
+            CHECK(
+                call(node, "/orders/", {head.substr(0, cut), kind}).status ==
+                502);
+        }
+    }
+    CHECK(
+        call(node, "/orders/", {head + plain_text, cut_kind::reset}).status ==
+        502);
+    auto const whole = call(node, "/orders/", {head + plain_text});
+    CHECK(looks_whole(whole));
+    CHECK(whole.body == plain_text);
+}
+
 // Guards against a short body that is framed as whole.
 TEST_CASE_METHOD(
     cut_call_fixture,
@@ -370,6 +419,30 @@
     }
 }
 
+TEST_CASE_METHOD(
+    cut_call_fixture,
+    "cut answer: a stream without a length that ends before its first event is "
+    "no whole one")
+{
+    begin(false);
+    auto& node = start_node();
+    auto const prefix = GENERATE(std::string("/turns/"), std::string("/kept/"));
+    auto const head = head_begin + "Content-Type: text/event-stream\r\n\r\n";
+    for (auto const kind : both_kinds)
+    {
+        for (auto const* body : {"", "id: 1\n", "id: 1\ndata: pie"})
+        {
+            INFO(prefix << text_of(kind) << " behind " << body);
+            CHECK_FALSE(looks_whole(call(node, prefix, {head + body, kind})));
+        }
+    }
+    CHECK_FALSE(
+        looks_whole(call(node, prefix, {head + events(), cut_kind::reset})));
+    auto const whole = call(node, prefix, {head + events()});
+    CHECK(looks_whole(whole));
+    CHECK(whole.body == events());
+}
+
 TEST_CASE_METHOD(
     cut_call_fixture,
     "cut answer: a call that may be repeated is answered whole elsewhere")
@@ -453,6 +526,16 @@
     }
 }
 
+TEST_CASE_METHOD(
+    cut_reply_fixture,
+    "cut answer: a reply that has lost its length and body is none")
+{
+    CHECK_FALSE(call({"HTTP/1.1 200 OK\r\n\r\n"}).answered);
+    CHECK_FALSE(
+        call({"HTTP/1.1 200 OK\r\n\r\n" + store_rows_reply, cut_kind::reset})
+            .answered);
+}
+
 // Guards against a reply whose head has lost its length.
 TEST_CASE("cut answer: no part of a reply of the store decodes")
 {
