quota exchange: leave decisions to the predecessor until all nodes know a new one

After a machine joined, requests of a workspace were granted by two coordinators for up to 3 s: nodes that had learned of the new one asked it, the others its predecessor, and both granted the full rate.

A node that has just started now passes the requests of the groups where it ranks first to the node ranked below it, its predecessor, for 7 s. A request from a higher-ranked node tells its receiver that the decision is left to it, so no message changes. In the last 3 s all nodes ask the new node, which counts the answers in its own buckets; it then goes on from there, so that workspaces below their limit notice nothing. The two highest-ranked do so, for nodes that join together; the third decides, also after all nodes restart. Where passing on fails, as with nodes that know only the former way, the new node decides.

Buckets of another node's workspaces are no longer erased at once, as the predecessor goes on using them. Once they were not used for 300 ms they hold no more than a new bucket, and they are erased after a window. The test of the use after an erased bucket therefore erases it by the end of a window; it checks the same. Refunds take the way of requests.

New: joins of the two highest-ranked nodes, 12 seeds at spreads of 0 to 4.5 s; no refusal of a workspace at four fifths of its limit after a join, 6 seeds.

--- a/include/walnutmill/quota.hpp
+++ b/include/walnutmill/quota.hpp
@@ -98,15 +98,25 @@
     quota_answer
     acquire(quota_request const& request, time_point now, double share = 1);
 
+    /// Counts the answer of another node to a request in this node's bucket, so
+    /// that this node can go on from there as the coordinator.
+    void observe(
+        quota_request const& request, quota_decision decision, time_point now,
+        double share = 1);
+
     /// Refills all buckets. Call it a few times per second, so that each refill
     /// uses the share of its own interval. A pause of 1 s or more means that
     /// this node was stalled and another one may have been the coordinator, so
     /// no tokens are added for it.
     void tick(time_point now, double share);
 
-    /// Erases the buckets of workspaces that another node coordinates. If this
-    /// node becomes their coordinator again, they start as new buckets.
-    void erase_if(std::function<bool(workspace_name const&)> const& is_remote);
+    /// Limits the buckets of workspaces that another node coordinates and that
+    /// this one was not asked for lately: if it becomes their coordinator
+    /// again, they hold no more tokens than new buckets. Erases them after a
+    /// window.
+    void retire_if(
+        std::function<bool(workspace_name const&)> const& is_remote,
+        time_point now);
 
     /// Returns the token of a granted request that never reached an engine.
     /// Such a request does not count as use.
@@ -120,6 +130,10 @@
         rate_limit limit;
         double tokens = 0;
         time_point refilled_at{};
+        /// Time of the latest request.
+        time_point used_at{};
+        /// Another node may have granted requests since the latest one.
+        bool retired = false;
         /// Time at which the latest refused request can expect a token.
         time_point next_retry_at{};
         /// Granted requests, decaying, as of `counted_at`. Counted only while
--- a/src/entry/program_coordinators.cpp
+++ b/src/entry/program_coordinators.cpp
@@ -48,6 +48,11 @@
     return std::log((bits + 0.5) * scale) / weight;
 }
 
+double program_coordinators::own_score(std::string_view key) const
+{
+    return score(key, self_seed_, hash_weight(options_.own_capacity_weight));
+}
+
 void program_coordinators::set_nodes(std::vector<coordinator_candidate> others)
 {
     others_ = std::move(others);
@@ -66,8 +71,7 @@
 program_coordinators::rank(std::string_view key, std::size_t limit) const
 {
     std::vector<std::pair<double, std::uint32_t>> higher_ranked;
-    auto const own =
-        score(key, self_seed_, hash_weight(options_.own_capacity_weight));
+    auto const own = own_score(key);
     for (std::uint32_t i = 0; i < others_.size(); ++i)
     {
         auto const one = score(key, seeds_[i], weights_[i]);
@@ -92,13 +96,19 @@
 {
     for (auto const at : order.nodes)
     {
-        auto const found = unresponsive_until_.find(others_[at].node);
-        if (found == unresponsive_until_.end() || found->second <= now)
+        if (!is_skipped(others_[at].node, now))
             return &others_[at];
     }
     return nullptr;
 }
 
+bool program_coordinators::is_skipped(
+    std::string const& node, time_point now) const
+{
+    auto const found = unresponsive_until_.find(node);
+    return found != unresponsive_until_.end() && found->second > now;
+}
+
 program_coordinators::ranking const&
 program_coordinators::cached_ranking(std::string_view key) const
 {
@@ -124,6 +134,38 @@
     return first_available(rank(key, others_.size()), now);
 }
 
+coordinator_candidate const*
+program_coordinators::next_below(std::string_view key, time_point now) const
+{
+    auto const own = own_score(key);
+    coordinator_candidate const* next = nullptr;
+    double next_score = 0;
+    for (std::size_t i = 0; i < others_.size(); ++i)
+    {
+        auto const one = score(key, seeds_[i], weights_[i]);
+        if (one > own || (next != nullptr && one <= next_score) ||
+            is_skipped(others_[i].node, now))
+            continue;
+        next = &others_[i];
+        next_score = one;
+    }
+    return next;
+}
+
+std::size_t program_coordinators::nodes_above(std::string_view key) const
+{
+    return cached_ranking(key).nodes.size();
+}
+
+bool program_coordinators::ranks_above(
+    std::string_view node, std::string_view key) const
+{
+    auto const& above = cached_ranking(key).nodes;
+    return std::any_of(
+        above.begin(), above.end(),
+        [&](std::uint32_t at) { return others_[at].node == node; });
+}
+
 bool program_coordinators::is_top_ranked(std::string_view key) const
 {
     return cached_ranking(key).nodes.empty();
--- a/src/entry/program_coordinators.hpp
+++ b/src/entry/program_coordinators.hpp
@@ -75,6 +75,18 @@
     coordinator_candidate const*
     coordinator_of(std::string_view key, time_point now) const;
 
+    /// \return the highest-ranked node that ranks below this one for the key
+    /// and is not skipped; null if there is none.
+    coordinator_candidate const*
+    next_below(std::string_view key, time_point now) const;
+
+    /// \return the number of nodes that rank above this one for the key,
+    /// including those that are skipped, up to a few.
+    std::size_t nodes_above(std::string_view key) const;
+    /// \return true if the node is one of the few highest-ranked for the key,
+    /// and ranks above this one.
+    bool ranks_above(std::string_view node, std::string_view key) const;
+
     /// \return true if this node ranks first for the key among all nodes,
     /// including those that are skipped.
     bool is_top_ranked(std::string_view key) const;
@@ -95,6 +107,8 @@
     };
 
     double score(std::string_view key, std::uint64_t seed, double weight) const;
+    double own_score(std::string_view key) const;
+    bool is_skipped(std::string const& node, time_point now) const;
     double hash_weight(double capacity_weight) const;
     ranking rank(std::string_view key, std::size_t limit) const;
     coordinator_candidate const*
--- a/src/entry/quota.cpp
+++ b/src/entry/quota.cpp
@@ -16,6 +16,11 @@
 constexpr double headroom_fraction = 0.5;
 /// Pause between ticks from which this node counts as stalled.
 constexpr std::chrono::seconds stall_threshold{1};
+/// Time without a request after which the bucket of a workspace that another
+/// node coordinates retires. That node leaves its first decisions to this one.
+constexpr std::chrono::milliseconds retire_after{300};
+/// Time without a request after which the use of such a workspace is unknown.
+constexpr std::chrono::seconds forget_use_after{2};
 /// Upper bound of the retry-after time of a refused request.
 constexpr std::chrono::milliseconds max_retry_after{5'000};
 /// Time constant of the decay of counted grants. It spans two or more turns of
@@ -104,7 +109,14 @@
     }
     auto& entry = found->second;
     lru_.splice(lru_.end(), lru_, entry.lru_position);
+    entry.used_at = now;
     refill(entry, request.limit, now, share);
+    if (entry.retired)
+    {
+        entry.tokens = std::min(
+            entry.tokens, initial_tokens(request.limit, bounds_) * share);
+        entry.retired = false;
+    }
     return entry;
 }
 
@@ -198,6 +210,22 @@
         retry_after_until(entry.next_retry_at, now)};
 }
 
+void quota_coordinator::observe(
+    quota_request const& request, quota_decision decision, time_point now,
+    double share)
+{
+    if (request.limit.unlimited())
+        return;
+    auto& entry = find_or_create(request, now, share);
+    if (reports_use_)
+        decay_grants(entry, now);
+    if (decision != quota_decision::granted)
+        return;
+    entry.tokens = std::max(entry.tokens - 1, 0.0);
+    if (reports_use_)
+        entry.recent_grants += 1;
+}
+
 void quota_coordinator::tick(time_point now, double share)
 {
     auto const stalled =
@@ -214,17 +242,27 @@
     }
 }
 
-void quota_coordinator::erase_if(
-    std::function<bool(workspace_name const&)> const& is_remote)
+void quota_coordinator::retire_if(
+    std::function<bool(workspace_name const&)> const& is_remote, time_point now)
 {
     for (auto it = buckets_.begin(); it != buckets_.end();)
     {
-        if (!is_remote(it->first))
+        auto& entry = it->second;
+        auto const unused_for = now - entry.used_at;
+        if (unused_for < retire_after || !is_remote(it->first))
+        {
+            ++it;
+            continue;
+        }
+        if (unused_for < bounds_.window)
         {
+            entry.retired = true;
+            if (unused_for >= forget_use_after)
+                entry.counted_since = {};
             ++it;
             continue;
         }
-        lru_.erase(it->second.lru_position);
+        lru_.erase(entry.lru_position);
         it = buckets_.erase(it);
     }
 }
--- a/src/entry/quota_exchange.cpp
+++ b/src/entry/quota_exchange.cpp
@@ -12,8 +12,13 @@
 /// Number of groups that workspaces are hashed into; the workspaces of a group
 /// share a coordinator.
 constexpr std::uint64_t coordinator_groups = 64;
-/// Maximum number of times that a rate-limit request is forwarded.
-constexpr std::uint32_t max_forwards = 1;
+/// Maximum number of times that a rate-limit request is forwarded: to the
+/// coordinator by a node that is falsely thought to be it, and down by nodes
+/// that have just started.
+constexpr std::uint32_t max_forwards = 3;
+/// Number of highest-ranked nodes that leave decisions to the next one while
+/// they have just started. It bounds the hops after all nodes restart.
+constexpr std::size_t max_deferring_nodes = 2;
 /// Retry-after time while no coordinator is reachable.
 constexpr std::chrono::milliseconds undecided_retry_after{150};
 
@@ -66,6 +71,8 @@
             still_unreachable.emplace(candidate.node, candidate.address);
     }
     unreachable_ = std::move(still_unreachable);
+    if (!nodes_known_since_)
+        nodes_known_since_ = clock_();
     placement_.set_nodes(std::move(others));
 }
 
@@ -98,11 +105,33 @@
     decide(std::move(message), options_.max_candidates, std::move(done));
 }
 
+/// \return true if the other nodes have had the time to learn of this one.
+bool quota_exchange::is_settled() const
+{
+    return nodes_known_since_ &&
+           clock_() - *nodes_known_since_ >= options_.settle_time;
+}
+
+/// \return the node to ask for a decision; null if this one decides
+coordinator_candidate const*
+quota_exchange::node_to_ask(quota_message const& message) const
+{
+    auto const key = group_key(message.request.owner);
+    auto const now = clock_();
+    auto const is_left_to_this =
+        message.hops > 0 && placement_.ranks_above(message.node, key);
+    auto const* coordinator =
+        is_left_to_this ? nullptr : placement_.coordinator_of(key, now);
+    if (coordinator != nullptr || is_settled() ||
+        placement_.nodes_above(key) >= max_deferring_nodes)
+        return coordinator;
+    return placement_.next_below(key, now);
+}
+
 void quota_exchange::decide(
     quota_message message, int candidates_left, answer_fn done)
 {
-    auto const* coordinator =
-        placement_.coordinator_of(group_key(message.request.owner), clock_());
+    auto const* coordinator = node_to_ask(message);
     if (coordinator == nullptr)
     {
         done(decide_locally(message), {});
@@ -112,12 +141,15 @@
     if (forward_limit_reached || candidates_left == 0 ||
         pending_.size() >= options_.max_pending)
     {
-        done(undecided(), {});
+        // A node that only leaves the decision to another one makes it if that
+        // fails, as with one that has no notion of it.
+        auto const leaves_it =
+            placement_.coordinator_of(
+                group_key(message.request.owner), clock_()) == nullptr;
+        done(leaves_it ? decide_locally(message) : undecided(), {});
         return;
     }
     auto const request_id = ++last_request_id_;
-    message.node = self_;
-    message.request_id = request_id;
     auto const timeout =
         message.hops > 0 ? options_.forwarded_timeout : options_.timeout;
     pending_.emplace(
@@ -150,9 +182,12 @@
 void quota_exchange::send_request(std::uint64_t request_id)
 {
     auto const found = pending_.find(request_id);
-    if (found != pending_.end())
-        hooks_.send(
-            found->second.candidate.address, encode(found->second.message));
+    if (found == pending_.end())
+        return;
+    auto message = found->second.message;
+    message.node = self_;
+    message.request_id = request_id;
+    hooks_.send(found->second.candidate.address, encode(message));
 }
 
 void quota_exchange::schedule_timeouts(
@@ -208,15 +243,22 @@
 
 void quota_exchange::refund(workspace_name const& owner)
 {
-    auto const* coordinator =
-        placement_.coordinator_of(group_key(owner), clock_());
+    auto message = make_message(quota_message_type::refund);
+    message.request.owner = owner;
+    route_refund(std::move(message));
+}
+
+void quota_exchange::route_refund(quota_message message)
+{
+    auto const* coordinator = node_to_ask(message);
     if (coordinator == nullptr)
     {
-        coordinator_.refund(owner);
+        coordinator_.refund(message.request.owner);
         return;
     }
-    auto message = make_message(quota_message_type::refund);
-    message.request.owner = owner;
+    if (message.hops > max_forwards)
+        return;
+    message.node = self_;
     hooks_.send(coordinator->address, encode(message));
 }
 
@@ -252,8 +294,12 @@
         handle_answer(*message);
         break;
     case quota_message_type::refund:
-        coordinator_.refund(message->request.owner);
+    {
+        auto forwarded = *message;
+        ++forwarded.hops;
+        route_refund(std::move(forwarded));
         break;
+    }
     case quota_message_type::ping:
         // A node that does not know the members yet can't be a coordinator.
         if (placement_.knows_nodes())
@@ -279,16 +325,34 @@
     auto const pending = std::move(found->second);
     pending_.erase(found);
     mark_reachable(message.node);
+    observe(pending, message.answer.decision);
     pending.done(message.answer, message.node);
 }
 
+/// Counts an answer in this node's own bucket if this node is about to decide
+/// itself.
+void quota_exchange::observe(
+    pending_request const& pending, quota_decision decision)
+{
+    auto const now = clock_();
+    auto const is_known =
+        nodes_known_since_ && now - *nodes_known_since_ >= options_.join_time;
+    auto const& request = pending.message.request;
+    if (!is_known || is_settled() ||
+        placement_.coordinator_of(group_key(request.owner), now) != nullptr)
+        return;
+    coordinator_.observe(
+        {request.owner, newer_limit(pending.message)}, decision, now,
+        hooks_.reachable_share());
+}
+
 void quota_exchange::tick()
 {
     auto const now = clock_();
-    coordinator_.erase_if(
-        [this, now](workspace_name const& owner) {
-            return placement_.coordinator_of(group_key(owner), now) != nullptr;
-        });
+    coordinator_.retire_if(
+        [this, now](workspace_name const& owner)
+        { return placement_.coordinator_of(group_key(owner), now) != nullptr; },
+        now);
     coordinator_.tick(now, hooks_.reachable_share());
     if (unreachable_.empty() || now - last_ping_ < options_.ping_interval)
         return;
--- a/src/entry/quota_exchange.hpp
+++ b/src/entry/quota_exchange.hpp
@@ -17,6 +17,12 @@
 /// of the limit equal to its side's share of all nodes. A node that receives a
 /// rate-limit request but knows a preferred coordinator forwards the request,
 /// so that one node's false suspicion does not create a second coordinator.
+/// Nodes learn of one that joins at different moments, and until then go on
+/// asking its predecessor. A node that has just started therefore leaves its
+/// decisions to the node ranked below it, which is that predecessor, until all
+/// others know it. A request from a higher-ranked node tells its receiver so.
+/// The last of these answers pass through the new node, which counts them in
+/// its own buckets and goes on from there.
 /// The alternative, a lease on a row of the store, is lost during outages of
 /// the store and takes seconds to move to another node.
 
@@ -51,6 +57,13 @@
     int max_candidates = 3;
     /// Maximum number of pending rate-limit requests, own and forwarded.
     std::size_t max_pending = 4'096;
+    /// Time from a node's start until all others know it and ask it. They read
+    /// the members about every 3 s.
+    std::chrono::milliseconds join_time{4'000};
+    /// Time from a node's start until it decides where it ranks first. It
+    /// counts the grants before for long enough to know the use, which takes
+    /// 2 s, and how full the buckets are.
+    std::chrono::milliseconds settle_time{7'000};
     /// Interval between pings to unreachable nodes.
     std::chrono::milliseconds ping_interval{500};
     /// How long an unreachable node is skipped if it answers no ping.
@@ -130,12 +143,17 @@
 private:
     struct pending_request
     {
+        /// As received, or as made by this node.
         quota_message message;
         coordinator_candidate candidate;
         int candidates_left = 0;
         answer_fn done;
     };
 
+    bool is_settled() const;
+    coordinator_candidate const*
+    node_to_ask(quota_message const& message) const;
+    void route_refund(quota_message message);
     void decide(quota_message message, int candidates_left, answer_fn done);
     quota_answer decide_locally(quota_message const& message);
     rate_limit newer_limit(quota_message const& message) const;
@@ -143,6 +161,7 @@
     void schedule_timeouts(std::uint64_t request_id, duration timeout);
     void try_next_candidate(std::uint64_t request_id);
     void handle_answer(quota_message const& message);
+    void observe(pending_request const& pending, quota_decision decision);
     void mark_unreachable(coordinator_candidate const& node);
     void mark_reachable(std::string const& node);
     quota_message make_message(quota_message_type type) const;
@@ -153,6 +172,8 @@
     program_coordinators placement_;
     hooks hooks_;
     quota_exchange_options options_;
+    /// When the other nodes were first known.
+    std::optional<time_point> nodes_known_since_;
     std::uint64_t last_request_id_ = 0;
     std::unordered_map<std::uint64_t, pending_request> pending_;
     /// Addresses of unreachable nodes by node name.
--- a/test/program_coordinators-test.cpp
+++ b/test/program_coordinators-test.cpp
@@ -174,3 +174,36 @@
     clock.advance(seconds(3));
     CHECK(tried.count(at.coordinator_of("key", clock.now())->node) == 1);
 }
+
+TEST_CASE_METHOD(
+    coordinators_fixture,
+    "homes: the node below is the one that would replace this one")
+{
+    constexpr int nodes = 13;
+    for (int i = 0; i < 200; ++i)
+    {
+        auto const key = "p" + std::to_string(i);
+        std::string top;
+        for (int one = 0; one < nodes && top.empty(); ++one)
+        {
+            auto const name = "n" + std::to_string(one);
+            if (node(name, nodes).is_top_ranked(key))
+                top = name;
+        }
+        auto first = node(top, nodes);
+        auto const* below = first.next_below(key, clock.now());
+        REQUIRE(below != nullptr);
+        auto second = node(below->node, nodes);
+        CHECK(first.nodes_above(key) == 0);
+        CHECK(second.nodes_above(key) == 1);
+        CHECK(second.ranks_above(top, key));
+        CHECK_FALSE(first.ranks_above(below->node, key));
+        second.mark_unresponsive(top, clock.now());
+        CHECK(second.coordinator_of(key, clock.now()) == nullptr);
+        first.mark_unresponsive(below->node, clock.now());
+        auto const* third = first.next_below(key, clock.now());
+        REQUIRE(third != nullptr);
+        CHECK(third->node == second.next_below(key, clock.now())->node);
+    }
+    CHECK(node("n0", 1).next_below("p1", clock.now()) == nullptr);
+}
--- a/test/quota-test.cpp
+++ b/test/quota-test.cpp
@@ -68,6 +68,51 @@
     CHECK(4 * first <= (10 * 5 + 10) * 0.4);
 }
 
+TEST_CASE_METHOD(
+    quota_fixture,
+    "quota: a node that becomes the coordinator again grants as a new one")
+{
+    auto const as_new = grants_among(100);
+    fill_bucket();
+    auto const is_remote = [](workspace_name const&) { return true; };
+    coordinator.retire_if(
+        [](workspace_name const&) { return false; }, clock.now());
+    acquire();
+    clock.advance(milliseconds(250));
+    coordinator.retire_if(is_remote, clock.now());
+    CHECK(grants_among(100) == 10);
+    fill_bucket();
+    acquire();
+    clock.advance(milliseconds(300));
+    coordinator.retire_if(is_remote, clock.now());
+    CHECK(coordinator.size() == 1);
+    clock.advance(milliseconds(200));
+    CHECK(grants_among(100) <= as_new);
+    clock.advance(bounds.window);
+    coordinator.retire_if(is_remote, clock.now());
+    CHECK(coordinator.size() == 0);
+}
+
+TEST_CASE_METHOD(
+    quota_fixture,
+    "quota: a node goes on from the grants of another one that it has seen")
+{
+    auto const observe = [&](quota_decision decision) {
+        coordinator.observe({owner, limit}, decision, clock.now());
+    };
+    observe(quota_decision::over_limit);
+    clock.advance(seconds(10));
+    for (int i = 0; i < 7; ++i)
+        observe(quota_decision::granted);
+    observe(quota_decision::over_limit);
+    CHECK(grants_among(10) == 3);
+    // More than it expected leaves no debt.
+    for (int i = 0; i < 5; ++i)
+        observe(quota_decision::granted);
+    clock.advance(milliseconds(300));
+    CHECK(grants_among(10) == 3);
+}
+
 TEST_CASE("quota: a full bucket also holds a part of the slack")
 {
     quota_bounds const wide{seconds(5), 0.1, 20};
@@ -302,7 +347,9 @@
     CHECK_FALSE(acquire().use);
     clock.advance(duration(1));
     CHECK(acquire().use);
-    coordinator.erase_if([](workspace_name const&) { return true; });
+    clock.advance(bounds.window);
+    coordinator.retire_if(
+        [](workspace_name const&) { return true; }, clock.now());
     CHECK_FALSE(acquire().use);
 }
 
--- a/test/quota_exchange-test.cpp
+++ b/test/quota_exchange-test.cpp
@@ -114,6 +114,62 @@
     CHECK(static_cast<double>(seen.max_in_window) <= seen.allowed_in_window);
 }
 
+TEST_CASE("quota exchange: joined coordinators grant one limit at any spread")
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed)
+    {
+        for (auto const spread :
+             {milliseconds(0), milliseconds(1'000), milliseconds(3'000),
+              milliseconds(4'500)})
+        {
+            quota_cluster_options options;
+            options.seed = seed;
+            quota_cluster cluster(options);
+            workspace_name const tenant("tenant-joined");
+            // The two that rank first join one behind the other.
+            auto const first = cluster.coordinator_of(tenant);
+            cluster.remove(first);
+            auto const second = cluster.coordinator_of(tenant);
+            cluster.remove(second);
+            cluster.add_load({tenant, {100, 100}, 750});
+            cluster.run_for(seconds(10));
+            cluster.join(second, spread);
+            cluster.run_for(milliseconds(500 * seed));
+            cluster.join(first, spread);
+            cluster.run_for(seconds(12));
+            auto const& seen = cluster.result(tenant);
+            INFO("seed " << seed << ", spread " << spread.count());
+            CHECK(
+                static_cast<double>(seen.max_in_window) <=
+                seen.allowed_in_window);
+            CHECK(served_fraction(cluster, tenant) > 0.95);
+        }
+    }
+}
+
+TEST_CASE("quota exchange: a joined coordinator refuses none below the limit")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        quota_cluster_options options;
+        options.seed = seed;
+        options.loss = 0;
+        quota_cluster cluster(options);
+        workspace_name const tenant("tenant-joined");
+        auto const joined = cluster.coordinator_of(tenant);
+        cluster.remove(joined);
+        cluster.add_load({tenant, {100, 100}, 80});
+        cluster.run_for(seconds(10));
+        cluster.join(joined, seconds(3));
+        cluster.run_for(seconds(12));
+        auto const& seen = cluster.result(tenant);
+        INFO("seed " << seed);
+        CHECK(seen.over_limit == 0);
+        CHECK(seen.undecided == 0);
+        CHECK(seen.max_in_window > 0);
+    }
+}
+
 TEST_CASE("quota exchange: a frozen coordinator resumes with stale state")
 {
     quota_cluster cluster(cluster_options(85, 3));
