--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -183,6 +183,7 @@
     void fail(link_end how);
     void start_parser();
     bool process_head();
+    bool may_end_with_connection() const;
     void deliver_body();
     void finish_answer();
     void finish(link_end how);
@@ -213,6 +214,8 @@
     /// The answer being read belongs to an earlier request.
     bool skipping_ = false;
     bool writing_ = false;
+    /// Writing has failed because the connection was reset or timed out.
+    bool reset_ = false;
 };
 
 } // namespace walnutmill
