cbor: refuse deep nesting and impossible lengths before they are parsed

A row of the members' table that holds nested arrays ended every node that read the table, and again after each start. The library's CBOR reader calls itself for each level, so that 200,000 levels overflow a stack of 8 MB. An array with a stated length of 2^63 - 1 made it throw out_of_range although exceptions were disabled, and nothing caught it.

All decoders of CBOR but those of leases and of the budget service use it, and catch every std::exception of a single message or row.

--- a/src/caller_types.cpp
+++ b/src/caller_types.cpp
@@ -2,6 +2,8 @@
 
 #include <walnutmill/hash.hpp>
 
+#include "cbor.hpp"
+
 #include <array>
 #include <initializer_list>
 #include <nlohmann/json.hpp>
@@ -485,7 +487,7 @@
 {
     try
     {
-        return request_from(json::from_cbor(bytes));
+        return request_from(decode_cbor(bytes));
     }
     catch (std::exception const& e)
     {
@@ -503,7 +505,7 @@
 {
     try
     {
-        auto const j = json::from_cbor(bytes);
+        auto const j = decode_cbor(bytes);
         return stream_event{j.at("r"), j.at("i"), j.at("t")};
     }
     catch (std::exception const& e)
@@ -533,7 +535,7 @@
     forward_reply reply;
     try
     {
-        auto const j = json::from_cbor(bytes);
+        auto const j = decode_cbor(bytes);
         reply.moved = j.at("moved");
         if (j.contains("ok"))
             reply.result = answer_from(j.at("ok"));
--- a/src/entry/cluster_section.cpp
+++ b/src/entry/cluster_section.cpp
@@ -1,9 +1,12 @@
 #include "entry/cluster_section.hpp"
 
+#include "cbor.hpp"
+
 #include <walnutmill/hash.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace walnutmill
@@ -46,9 +49,9 @@
 {
     try
     {
-        return decode(json::from_cbor(bytes.begin(), bytes.end()));
+        return decode(decode_cbor(bytes));
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller logs the failure and reads the store itself.
         return std::nullopt;
--- a/src/entry/crash_message.cpp
+++ b/src/entry/crash_message.cpp
@@ -1,5 +1,7 @@
 #include "entry/crash_message.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -126,7 +128,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         constexpr std::size_t fields = 3;
         if (!body.is_array() || body.size() < fields ||
             body[0] != message_tag || !body[2].is_array() ||
@@ -147,7 +149,7 @@
         }
         return message;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller counts undecodable datagrams.
         return std::nullopt;
--- a/src/entry/history_exchange.cpp
+++ b/src/entry/history_exchange.cpp
@@ -1,5 +1,7 @@
 #include "entry/history_exchange.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <iterator>
@@ -38,7 +40,7 @@
 decode_turns(std::string_view bytes)
 {
     std::vector<std::shared_ptr<stored_turn const>> result;
-    auto const body = json::from_cbor(bytes, true, false);
+    auto const body = decode_cbor(bytes);
     if (!body.is_array())
         return result;
     for (auto const& one : body)
@@ -221,7 +223,7 @@
         reply(status_ok, {});
         return;
     }
-    auto const request = json::from_cbor(body, true, false);
+    auto const request = decode_cbor(body);
     if (target != chain_path)
         reply(status_not_found, {});
     else if (
--- a/src/entry/load_summary.cpp
+++ b/src/entry/load_summary.cpp
@@ -1,5 +1,7 @@
 #include "entry/load_summary.hpp"
 
+#include "cbor.hpp"
+
 #include <walnutmill/hash.hpp>
 
 #include <nlohmann/json.hpp>
@@ -48,7 +50,7 @@
 {
     std::string first(bytes);
     first[0] = static_cast<char>(array_header + count);
-    return json::from_cbor(first, false, false);
+    return decode_cbor_prefix(first);
 }
 
 /// Reads the known elements of an array. Elements of later versions, which the
@@ -62,7 +64,7 @@
     auto const count = is_short_array ? header - array_header : 0;
     auto body = count > known_elements
                     ? read_first_elements(bytes, known_elements)
-                    : json::from_cbor(bytes.begin(), bytes.end(), true, false);
+                    : decode_cbor(bytes);
     if (body.is_discarded() && count > load_elements)
         body = read_first_elements(bytes, load_elements);
     return body;
@@ -176,7 +178,7 @@
             speeds.speeds = decode_speeds(*content);
         return message;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // Malformed datagram. By default the next report follows in 200 ms.
         return std::nullopt;
--- a/src/entry/member_roster.cpp
+++ b/src/entry/member_roster.cpp
@@ -1,5 +1,7 @@
 #include "entry/member_roster.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -33,7 +35,7 @@
 /// \return empty if the row does not decode to a member.
 std::optional<entry_member> decode_member(stored_row const& row)
 {
-    auto const body = json::from_cbor(row.value, true, false);
+    auto const body = decode_cbor(row.value);
     entry_member member;
     member.node = row.at.key;
     for (auto const& [field, value] :
--- a/src/entry/origin_message.cpp
+++ b/src/entry/origin_message.cpp
@@ -1,5 +1,7 @@
 #include "entry/origin_message.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
@@ -51,7 +53,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         if (!body.is_array() || body.empty() || body[0] != message_tag)
             return std::nullopt;
         origin_message message;
@@ -73,7 +75,7 @@
             return std::nullopt;
         return message;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller counts undecodable datagrams.
         return std::nullopt;
--- a/src/entry/program_account.cpp
+++ b/src/entry/program_account.cpp
@@ -3,6 +3,8 @@
 
 #include <walnutmill/program_ledger.hpp>
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace walnutmill
@@ -37,7 +39,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         program_account account;
         account.spent = body.at("spent").get<std::uint64_t>();
         account.written_at = body.at("at").get<std::int64_t>();
@@ -48,7 +50,7 @@
         }
         return account;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The callers reject the turn rather than use a corrupt account.
         return std::nullopt;
--- a/src/entry/quota_message.cpp
+++ b/src/entry/quota_message.cpp
@@ -1,5 +1,7 @@
 #include "entry/quota_message.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -93,7 +95,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         if (!body.is_array() || body.empty() || body[0] != message_tag)
             return std::nullopt;
         auto const message = parse_message(body);
@@ -101,7 +103,7 @@
             return std::nullopt;
         return message;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller counts undecodable datagrams.
         return std::nullopt;
--- a/src/entry/turn_record.cpp
+++ b/src/entry/turn_record.cpp
@@ -3,6 +3,8 @@
 
 #include <walnutmill/turn_history.hpp>
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <sstream>
@@ -62,7 +64,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         auto result = std::make_shared<stored_turn>();
         result->id = id;
         for (auto const& one : body.at("chain"))
@@ -71,7 +73,7 @@
         result->output = binary_to_string(body.at("output"));
         return result;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller reports the store as unavailable, and the request is
         // retried.
--- a/src/entry/version_register.cpp
+++ b/src/entry/version_register.cpp
@@ -1,5 +1,7 @@
 #include "entry/version_register.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -68,7 +70,7 @@
     try
     {
         std::vector<registered_version> versions;
-        for (auto const& one : json::from_cbor(bytes.begin(), bytes.end()))
+        for (auto const& one : decode_cbor(bytes))
         {
             auto const begins_at = one.at(1).get<std::int64_t>();
             auto const ends_at = one.at(2).get<std::int64_t>();
@@ -80,7 +82,7 @@
         }
         return versions;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller treats the row as one without versions.
         return std::nullopt;
--- a/src/gossip_codec.cpp
+++ b/src/gossip_codec.cpp
@@ -1,5 +1,7 @@
 #include "gossip_codec.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace walnutmill
@@ -147,10 +149,10 @@
 {
     try
     {
-        auto const value = json::from_cbor(bytes.begin(), bytes.end());
+        auto const value = decode_cbor(bytes);
         return body_from_json(value);
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         return std::nullopt;
     }
--- a/src/peer_auth.cpp
+++ b/src/peer_auth.cpp
@@ -1,5 +1,7 @@
 #include "peer_auth.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 #include <openssl/hmac.h>
@@ -44,10 +46,7 @@
 
 json from_text(std::string_view message)
 {
-    constexpr bool whole_input = true;
-    constexpr bool may_throw = false;
-    return json::from_cbor(
-        message.begin(), message.end(), whole_input, may_throw);
+    return decode_cbor(message);
 }
 
 std::string bytes_of(json const& message, char const* key)
--- a/src/peer_frame.cpp
+++ b/src/peer_frame.cpp
@@ -1,5 +1,7 @@
 #include "peer_frame.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace walnutmill
@@ -79,13 +81,13 @@
 {
     try
     {
-        auto const value = json::from_cbor(bytes.begin(), bytes.end());
+        auto const value = decode_cbor(bytes);
         int const kind = value.value("kind", 0);
         if (!is_known(kind))
             return std::nullopt;
         return frame_from_json(value, kind);
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         return std::nullopt;
     }
--- a/src/peer_questions.cpp
+++ b/src/peer_questions.cpp
@@ -2,6 +2,7 @@
 
 #include <walnutmill/hash.hpp>
 
+#include "cbor.hpp"
 #include "node_rows.hpp"
 
 #include <condition_variable>
@@ -50,7 +51,7 @@
 
 json from_bytes(std::string_view bytes)
 {
-    return json::from_cbor(bytes, true, false);
+    return decode_cbor(bytes);
 }
 
 } // namespace
--- a/src/query_format.cpp
+++ b/src/query_format.cpp
@@ -1,5 +1,7 @@
 #include <walnutmill/query.hpp>
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -235,7 +237,7 @@
 {
     try
     {
-        auto const j = json::from_cbor(bytes);
+        auto const j = decode_cbor(bytes);
         result_table table;
         table.columns = j.at("c").get<std::vector<std::string>>();
         for (auto const& row : j.at("r"))
--- a/src/record.cpp
+++ b/src/record.cpp
@@ -1,5 +1,6 @@
 #include <walnutmill/record.hpp>
 
+#include "cbor.hpp"
 #include "record_json.hpp"
 
 namespace walnutmill
@@ -186,7 +187,7 @@
     try
     {
         std::vector<journal_record> records;
-        for (auto const& j : json::from_cbor(bytes))
+        for (auto const& j : decode_cbor(bytes))
             records.push_back(detail::record_from_json(j));
         return records;
     }
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -167,6 +167,13 @@
     rows_.put(table, key, value);
 }
 
+void standin_store::put_raw_row(
+    std::string const& table, std::string const& key, std::string text)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    rows_.put_raw(table, key, std::move(text));
+}
+
 void standin_store::remove(std::string const& table, std::string const& key)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -113,6 +113,9 @@
     void put_bytes(
         std::string const& table, std::string const& key,
         std::string_view value);
+    /// Stores a row of which answers hold this text, whatever it is.
+    void put_raw_row(
+        std::string const& table, std::string const& key, std::string text);
     void remove(std::string const& table, std::string const& key);
     /// While down, the store answers every call with 503.
     void set_down(bool down) { down_ = down; }
--- /dev/null
+++ b/test/odd_rows-test.cpp
@@ -0,0 +1,221 @@
+/// \file
+/// Rows of the store that other programs left in an unusual form: nodes go on,
+/// follow the tables and use the other rows.
+
+#include "entry_world.hpp"
+#include "fake_store.hpp"
+
+#include "entry/platform_view.hpp"
+
+#include <walnutmill/random.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace
+{
+
+using namespace walnutmill;
+using namespace walnutmill::testing;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t deep = 200'000;
+
+std::string repeated(std::string const& text, std::size_t times)
+{
+    std::string to;
+    for (std::size_t i = 0; i < times; ++i)
+        to += text;
+    return to;
+}
+
+std::string nested_json(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+/// An engine entry as JSON, in which further fields can be placed.
+std::string
+engine_text(std::string const& address, std::string const& more = {})
+{
+    return R"({"service":"desk","addr":")" + address +
+           R"(","zone":"z1","version":1,"slots":8,"state":"ready",)"
+           R"("cold_left_ms":0,"seq":1,"born":1700000000000)" +
+           more + "}";
+}
+
+/// One view over an in-memory store, on a clock that the test advances.
+struct odd_view_fixture
+{
+    manual_clock clock;
+    fake_store rows;
+    std::multimap<time_point, std::function<void()>> timers;
+    std::set<std::string> engines;
+    std::size_t members = 0;
+    std::string logged;
+    line_log log{
+        "n1", clock.fn(),
+        [this](std::string_view bytes)
+        {
+            logged.append(bytes);
+            return bytes.size();
+        },
+        log_limits()};
+    std::unique_ptr<platform_view> view;
+
+    odd_view_fixture()
+    {
+        clock.advance(seconds(100));
+        put_engine("e1", engine_text("10.0.0.9:80"));
+        platform_view::hooks to;
+        to.on_configuration = [](auto const&) {};
+        to.on_engines = [this](std::vector<engine_entry> const& now)
+        {
+            engines.clear();
+            for (auto const& one : now)
+                engines.insert(one.id.str());
+        };
+        to.on_members = [this](std::vector<entry_member> const& now)
+        { members = now.size(); };
+        to.schedule_after = [this](duration after, std::function<void()> what)
+        { timers.emplace(clock.now() + after, std::move(what)); };
+        view = std::make_unique<platform_view>(
+            rows.calls(), clock.fn(), seeded_random(1), log,
+            entry_member{"n1", "10.0.0.1:7000", "z1", "n1.1", 1}, seconds(1),
+            std::move(to));
+    }
+
+    void
+    put(std::string const& table, std::string const& partition,
+        std::string const& key, std::string value)
+    {
+        row_transaction one;
+        one.writes.push_back({{table, partition, key}, std::move(value)});
+        rows.calls().commit(
+            std::move(one), seconds(1), [](transaction_result const&) {});
+        rows.run();
+    }
+
+    void put_engine(std::string const& id, std::string value)
+    {
+        put("servers", "", id, std::move(value));
+    }
+
+    void put_member(std::string const& node, std::string value)
+    {
+        put("walnutmill-nodes", "members", node, std::move(value));
+    }
+
+    void remove_engine(std::string const& id)
+    {
+        row_transaction one;
+        one.removals.push_back({"servers", "", id});
+        rows.calls().commit(
+            std::move(one), seconds(1), [](transaction_result const&) {});
+        rows.run();
+    }
+
+    void run_for(duration time)
+    {
+        auto const end = clock.now() + time;
+        rows.run();
+        while (!timers.empty() && timers.begin()->first <= end)
+        {
+            auto const first = timers.begin();
+            clock.advance(first->first - clock.now());
+            auto const step = std::move(first->second);
+            timers.erase(first);
+            step();
+            rows.run();
+        }
+        clock.advance(end - clock.now());
+        log.flush();
+    }
+
+    std::size_t lines_of(std::string const& event) const
+    {
+        std::size_t found = 0;
+        auto const text = "\"event\":\"" + event + "\"";
+        for (auto at = logged.find(text); at != std::string::npos;
+             at = logged.find(text, at + 1))
+            ++found;
+        return found;
+    }
+
+    /// Checks that engines that come and go later are seen.
+    void check_followed()
+    {
+        auto before = engines;
+        put_engine("zz", engine_text("10.0.0.8:80"));
+        run_for(seconds(4));
+        CHECK(engines.count("zz") == 1);
+        remove_engine("zz");
+        run_for(seconds(4));
+        CHECK(engines == before);
+    }
+};
+
+/// A node on the loopback interface, with a stand-in for the store.
+struct odd_row_fixture : entry_world
+{
+    int engines = 4;
+
+    void check_served(node const& one)
+    {
+        test_caller caller(one.settings.listen_callers);
+        for (int i = 0; i < 4; ++i)
+            CHECK(
+                caller.call(post("/safe/x", "r" + std::to_string(i))).status ==
+                200);
+    }
+
+    /// Checks that calls are served and that engines that come and go later
+    /// are seen.
+    void check_followed(node const& one)
+    {
+        CHECK(eventually([&] { return knows_engines(one, engines); }));
+        check_served(one);
+        store.put_bytes("servers", "zz", engine_text(service_a.address()));
+        CHECK(eventually([&] { return knows_engines(one, engines + 1); }));
+        store.remove("servers", "zz");
+        CHECK(eventually([&] { return knows_engines(one, engines); }));
+        check_served(one);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    odd_view_fixture, "odd rows: a member's row that is no member is skipped")
+{
+    std::string const odd = GENERATE(
+        std::string(deep, '\x81'), repeated("\xa1\x61\x61", deep),
+        std::string(deep, '\x9f'), std::string(deep, '\x5f'),
+        std::string(deep, '\x7f'), std::string(deep, '\xc1'),
+        std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+        std::string("\xbb\x7f\xff\xff\xff\xff\xff\xff\xff"),
+        std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff"),
+        std::string("\x5b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+        std::string("\x7b\x7f\xff\xff\xff\xff\xff\xff\xff"),
+        std::string("\xa1\x01\x02"), std::string("\xf9\x7e"), std::string(),
+        std::string("{}"), nested_json(deep));
+    INFO(
+        odd.size() << " bytes from "
+                   << int(odd.empty() ? 0
+                                      : static_cast<unsigned char>(odd[0])));
+    put_member("odd", odd);
+    put_member(
+        "n2", encode(entry_member{"n2", "10.0.0.2:7000", "z1", "n2.1", 1}));
+    view->start();
+    run_for(seconds(4));
+    CHECK(members == 1);
+    check_followed();
+}
--- a/test/store_rows.cpp
+++ b/test/store_rows.cpp
@@ -62,6 +62,13 @@
     store({table, "", key}, value);
 }
 
+void store_rows::put_raw(
+    std::string const& table, std::string const& key, std::string text)
+{
+    put(table, key, "");
+    rows_[{table, "", key}].text = std::move(text);
+}
+
 void store_rows::remove(std::string const& table, std::string const& key)
 {
     erase({table, "", key});
