addresses: accept only decimal ports and addresses that can be reached

An engine whose entry had the address 127.0.0.1:-1 was taken for one at port 65535; :0, :+9, 0.0.0.0, group and broadcast addresses and an address with a null character were accepted as well, and calls were sent there. lexical_cast wraps negative numbers around, and the address parser stops at a null character.

An engine's address must also be neither unspecified nor that of a group.

--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -1,11 +1,11 @@
 #include "entry/http_link.hpp"
 
+#include "ip_endpoint.hpp"
 #include "platform/answer_id.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/lexical_cast/try_lexical_convert.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -50,18 +50,7 @@
 
 std::optional<tcp::endpoint> endpoint_of(std::string_view text)
 {
-    auto const colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    boost::system::error_code error;
-    auto const address =
-        asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
-    std::uint16_t port = 0;
-    auto const digits = text.substr(colon + 1);
-    if (error || !boost::conversion::try_lexical_convert(
-                     digits.data(), digits.size(), port))
-        return std::nullopt;
-    return tcp::endpoint(address, port);
+    return parse_endpoint(text);
 }
 
 void enable_dead_peer_detection(tcp::socket& socket)
--- a/src/setting_table.cpp
+++ b/src/setting_table.cpp
@@ -1,5 +1,7 @@
 #include "setting_table.hpp"
 
+#include "ip_endpoint.hpp"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
@@ -48,12 +50,10 @@
 std::string check_endpoint(std::string const& text)
 {
     auto const colon = text.rfind(':');
-    std::uint16_t port = 0;
-    bool const sound =
-        colon != std::string::npos &&
-        check_address(text.substr(0, colon)).empty() &&
-        boost::conversion::try_lexical_convert(text.substr(colon + 1), port);
-    return sound && port != 0 ? "" : "must be an IP number, ':' and a port";
+    bool const sound = colon != std::string::npos &&
+                       check_address(text.substr(0, colon)).empty() &&
+                       parse_port(text.substr(colon + 1));
+    return sound ? "" : "must be an IP number, ':' and a port";
 }
 
 std::string check_url(std::string const& text)
--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -193,6 +193,26 @@
 
 } // namespace
 
+TEST_CASE_METHOD(
+    odd_view_fixture, "odd rows: an engine at an address to which no "
+                      "connection can be made is not used")
+{
+    auto const* const address = GENERATE(
+        "127.0.0.1:-1", "127.0.0.1:-65535", "127.0.0.1:0", "127.0.0.1:+9",
+        "127.0.0.1: 9", "127.0.0.1:9 ", "127.0.0.1:65536", "127.0.0.1:99999",
+        "127.0.0.1:4294967305", "127.0.0.1:18446744073709551625",
+        "127.0.0.1:1e3", "127.0.0.1:0x50", "127.0.0.1:", "127.0.0.1", ":80",
+        "::1:80", "0.0.0.0:9", "255.255.255.255:9", "224.0.0.1:9",
+        R"(127.0.0.1\u0000:9)", R"(127.0.0.1\u0000\r\nX: y:9)", "127.1:9",
+        "127.0.0.256:9", " 127.0.0.1:9", "http://127.0.0.1:9", "host:9");
+    INFO(address);
+    put_engine("e2", engine_text(address));
+    view->start();
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1"});
+    check_followed();
+}
+
 TEST_CASE_METHOD(
     odd_view_fixture, "odd rows: a member's row that is no member is skipped")
 {
