--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -193,6 +193,61 @@
 
 } // namespace
 
+TEST_CASE_METHOD(
+    odd_view_fixture, "odd rows: an engine with an odd field that is not used "
+                      "is an engine")
+{
+    auto const* const more = GENERATE(
+        R"(,"x":1e999)", R"(,"x":-1e999)", R"(,"cold_left_ms":1e999)",
+        R"(,"x":99999999999999999999999999)", R"(,"x":"\ud800")",
+        R"(,"\ud800":1)", R"(,"x":{"addr":1e999})", R"(,"x":{"addr":[7]})");
+    INFO(more);
+    put_engine("e2", engine_text("10.0.0.7:80", more));
+    view->start();
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1", "e2"});
+    check_followed();
+}
+
+TEST_CASE_METHOD(
+    odd_view_fixture,
+    "odd rows: a deeply nested field of an engine that is not used is ignored")
+{
+    put_engine("e2", engine_text("10.0.0.7:80", ",\"x\":" + nested_json(deep)));
+    put_engine(
+        "e3", engine_text(
+                  "10.0.0.6:80", ",\"x\":" + repeated("{\"a\":", deep) + "1" +
+                                     std::string(deep, '}')));
+    view->start();
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1", "e2", "e3"});
+    check_followed();
+}
+
+TEST_CASE_METHOD(
+    odd_view_fixture,
+    "odd rows: a deeply nested entry or used field is no engine")
+{
+    put_engine("e2", nested_json(deep));
+    put_engine("e3", std::string(deep, '['));
+    put_engine("e4", repeated("{\"service\":", deep));
+    for (auto const* field :
+         {"service", "addr", "zone", "slots", "state", "version", "born"})
+    {
+        auto entry = json::parse(engine_text("10.0.0.7:80"));
+        entry.erase(field);
+        auto text = entry.dump();
+        text.pop_back();
+        put_engine(
+            std::string("f-") + field,
+            text + ",\"" + field + "\":" + nested_json(deep) + "}");
+    }
+    view->start();
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1"});
+    check_followed();
+}
+
 TEST_CASE_METHOD(
     odd_view_fixture, "odd rows: an engine at an address to which no "
                       "connection can be made is not used")
