--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -294,3 +294,31 @@
     CHECK(members == 1);
     check_followed();
 }
+
+TEST_CASE_METHOD(
+    odd_view_fixture, "odd rows: an odd configuration does not end the view")
+{
+    auto const document = [](std::string const& more, std::string const& share)
+    {
+        return R"({"version":3,"routes":[{"name":"r","host":"h",)"
+               R"("prefix":"/a/","service":"s")" +
+               share + R"(}],"services":[{"name":"s"}])" + more + "}";
+    };
+    std::string const odd = GENERATE_COPY(
+        nested_json(deep), std::string(deep, '['),
+        document(",\"x\":" + nested_json(deep), ""),
+        document(",\"tenants\":" + nested_json(deep), ""),
+        document(
+            ",\"tenants\":[{\"name\":\"t\",\"api_keys\":" + nested_json(deep) +
+                "}]",
+            ""),
+        document("", ",\"x\":" + nested_json(deep)),
+        document("", ",\"split\":" + nested_json(deep)),
+        document("", ",\"retain_s\":1e300"), document("", ",\"retain_s\":1e17"),
+        document("", ",\"timeout_ms\":-1e300"), document(",\"x\":1e999", ""));
+    INFO(odd.substr(0, 150));
+    put("op", "", "config", odd);
+    view->start();
+    run_for(seconds(4));
+    check_followed();
+}
