view: log an unreadable engine entry once per problem

An entry that is no engine was logged again whenever it was written, which its writer may do at every heartbeat. It is logged again only when its problem changes.

The tests with ids of any bytes passed on the code before; they are guards.

--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -487,11 +487,12 @@
     std::vector<engine_entry> entries;
     for (auto const& row : rows)
     {
-        auto const before = decoded_engines_.find(row.at.key);
-        auto one = before != decoded_engines_.end() &&
-                           before->second.version == row.version
-                       ? before->second
-                       : decoded_row{row.version, decode_engine(row)};
+        auto const found = decoded_engines_.find(row.at.key);
+        auto const* former =
+            found == decoded_engines_.end() ? nullptr : &found->second;
+        auto one = former != nullptr && former->version == row.version
+                       ? *former
+                       : decode_engine(row, former);
         if (one.entry)
             entries.push_back(*one.entry);
         seen.emplace(row.at.key, std::move(one));
@@ -500,13 +501,21 @@
     return entries;
 }
 
-std::optional<engine_entry> platform_view::decode_engine(stored_row const& row)
+/// \param former what the row was decoded to before; null if it is new. A row
+/// that is written again with the same problem is not logged again.
+platform_view::decoded_row
+platform_view::decode_engine(stored_row const& row, decoded_row const* former)
 {
     findings problems;
-    auto decoded = platform::decode_engine(row.at.key, row.value, problems);
-    if (!decoded)
+    decoded_row decoded;
+    decoded.version = row.version;
+    decoded.entry = platform::decode_engine(row.at.key, row.value, problems);
+    if (decoded.entry)
+        return decoded;
+    auto const& first = problems.items().front();
+    decoded.problem = first.message;
+    if (former == nullptr || former->problem != decoded.problem)
     {
-        auto const& first = problems.items().front();
         log_.write(
             log_priority::important, "engine.unreadable",
             {{"place", first.place},
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -150,6 +150,8 @@
         std::uint64_t version = 0;
         /// Empty: the row does not decode to an engine.
         std::optional<engine_entry> entry;
+        /// Why it does not.
+        std::string problem{};
     };
 
     /// A table as it is sent to followers.
@@ -208,7 +210,7 @@
     void engines_read(table_rows const& read, time_point began);
     std::vector<engine_entry>
     decode_engines(std::vector<stored_row> const& rows);
-    std::optional<engine_entry> decode_engine(stored_row const& row);
+    decoded_row decode_engine(stored_row const& row, decoded_row const* former);
     void read_members();
     void members_read(table_rows const& read);
     void schedule_first_self_write();
--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -268,6 +268,60 @@
     check_followed();
 }
 
+TEST_CASE_METHOD(
+    odd_view_fixture, "odd rows: an entry that names no engine is logged once "
+                      "however often it is written")
+{
+    view->start();
+    run_for(seconds(2));
+    for (int i = 0; i < 10; ++i)
+    {
+        put_engine(
+            "e2", engine_text("10.0.0.7:-1", ",\"n\":" + std::to_string(i)));
+        run_for(seconds(2));
+    }
+    CHECK(engines == std::set<std::string>{"e1"});
+    CHECK(lines_of("engine.unreadable") == 1);
+    put_engine("e2", "[]");
+    run_for(seconds(2));
+    CHECK(lines_of("engine.unreadable") == 2);
+    put_engine("e2", engine_text("10.0.0.7:80"));
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1", "e2"});
+}
+
+TEST_CASE_METHOD(
+    odd_view_fixture,
+    "odd rows: an entry whose long id is cut inside a character is logged")
+{
+    std::string const id = GENERATE(
+        std::string(63, 'a') + "\xc3\xa9",
+        std::string(62, 'a') + "\xe2\x82\xac", std::string(199, '\xff'),
+        std::string("a\xc3"), std::string(), std::string(100, '\0'));
+    put_engine(id, "no entry");
+    view->start();
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1"});
+    REQUIRE(lines_of("engine.unreadable") == 1);
+    auto const from = logged.rfind('\n', logged.find("engine.unreadable")) + 1;
+    CHECK(json::accept(logged.substr(from, logged.find('\n', from) - from)));
+    check_followed();
+}
+
+TEST_CASE_METHOD(
+    odd_view_fixture, "odd rows: an engine with an id of any bytes is an "
+                      "engine")
+{
+    std::string const id = GENERATE(
+        std::string(200, 'a'), std::string("a\xc3"), std::string("\xff"),
+        std::string("a\0b", 3), std::string("a\r\nb: c"));
+    put_engine(id, engine_text("10.0.0.7:80"));
+    view->start();
+    run_for(seconds(2));
+    CHECK(engines == std::set<std::string>{"e1", id});
+    check_followed();
+}
+
 TEST_CASE_METHOD(
     odd_view_fixture, "odd rows: a member's row that is no member is skipped")
 {
