--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -376,3 +376,16 @@
     run_for(seconds(4));
     check_followed();
 }
+
+TEST_CASE_METHOD(
+    odd_row_fixture,
+    "odd rows: a foreign key in the form of an encoded one hides no engine")
+{
+    store.put_bytes(
+        "servers", "%:" + service_a.id(), engine_text("127.0.0.1:9"));
+    store.remove("servers", service_b.id());
+    auto& node = start_node();
+    CHECK(eventually([&] { return knows_engines(node, engines); }));
+    check_served(node);
+    CHECK(service_a.calls().size() == 4);
+}
