store client: read the table again after changes that can't be decoded

A row with odd fields anywhere in the operator's table made the list of changes undecodable. Nodes asked for the same changes at each read, and no later configuration came into force. They read the configuration itself now, as they do when the store has forgotten the changes.

Evidence: "odd rows: a later row with odd fields does not hide a change of the configuration" failed on the code before, and passes now.

--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -191,7 +191,11 @@
                 outcome == store_outcome::unavailable && reply.status != 0;
             if (outcome == store_outcome::done &&
                 !platform::decode_changes(reply, result))
+            {
                 result.outcome = store_outcome::unavailable;
+                // The same changes would be as unreadable next time.
+                result.history_lost = true;
+            }
             done(std::move(result));
         };
         start(call, policy);
--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -377,6 +377,26 @@
     check_followed();
 }
 
+TEST_CASE_METHOD(
+    odd_row_fixture,
+    "odd rows: a later row with odd fields does not hide a change of the "
+    "configuration")
+{
+    auto& node = start_node();
+    check_served(node);
+    store.put_raw_row("op", "odd", R"({"key":"odd","ver":"x","value":""})");
+    auto changed = configuration();
+    changed["version"] = 4;
+    changed["routes"][2]["prefix"] = "/later/";
+    store.put("op", "config", changed);
+    CHECK(eventually(
+        [&]
+        {
+            test_caller caller(node.settings.listen_callers);
+            return caller.call(post("/later/x", "r")).status == 200;
+        }));
+}
+
 TEST_CASE_METHOD(
     odd_row_fixture,
     "odd rows: a foreign key in the form of an encoded one hides no engine")
