store codec: skip unreadable rows of the engines' and members' tables

One row of which the store's answer holds an odd field (a version that is no number or too large, a key that is missing or not UTF-8, half a surrogate pair or a control character) made the whole answer undecodable. Nodes that ran no longer followed the list of engines, and nodes that started never became ready.

Reads of these tables decode such an answer row by row now and leave out the rows that can't be read; a change of their number is logged. All other reads still fail as a whole, so that a lease or an account is never taken for absent.

--- a/include/walnutmill/versioned_store.hpp
+++ b/include/walnutmill/versioned_store.hpp
@@ -8,6 +8,7 @@
 /// Without versions, concurrent writers would overwrite each other's rows.
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -92,6 +93,9 @@
     std::string partition;
     std::string from;
     std::string to;
+    /// Whether rows of an unknown form are left out of the result. Otherwise
+    /// they make the read fail, so that no row is taken for absent.
+    bool skip_unreadable = false;
 };
 
 struct range_result
@@ -102,6 +106,8 @@
     std::uint64_t version = 0;
     /// The range has more rows after the last one returned.
     bool truncated = false;
+    /// Number of rows that were left out.
+    std::size_t unreadable = 0;
     /// Time of the store's steady clock when it answered; zero: not reported.
     std::chrono::milliseconds store_time{0};
 };
--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -435,9 +435,31 @@
     std::string const& table, std::string const& partition,
     std::function<void(std::optional<table_rows>)> done)
 {
+    row_range range;
+    range.table = table;
+    range.partition = partition;
+    // One row that another program wrote must not hide the others.
+    range.skip_unreadable = true;
     read_page(
-        {table, partition, "", ""}, std::make_shared<table_rows>(),
-        std::move(done));
+        std::move(range), std::make_shared<table_rows>(),
+        [this, table,
+         done = std::move(done)](std::optional<table_rows> const& read)
+        {
+            if (read)
+                report_unreadable(table, read->unreadable);
+            done(read);
+        });
+}
+
+/// Logs the number of unreadable rows of a table when it changes.
+void platform_view::report_unreadable(
+    std::string const& table, std::size_t rows)
+{
+    if (std::exchange(unreadable_rows_[table], rows) == rows)
+        return;
+    log_.write(
+        log_priority::important, "store.rows_unreadable",
+        {{"table", table}, {"rows", rows}});
 }
 
 void platform_view::read_page(
@@ -460,6 +482,7 @@
                 read->as_of = as_of(result);
             read->rows.insert(
                 read->rows.end(), result.rows.begin(), result.rows.end());
+            read->unreadable += result.unreadable;
             if (!result.truncated || result.rows.empty())
             {
                 done(std::move(*read));
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -29,6 +29,7 @@
 #include <array>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -165,6 +166,8 @@
     struct table_rows
     {
         std::vector<stored_row> rows;
+        /// Number of rows that could not be read.
+        std::size_t unreadable = 0;
         /// The store's version at the first page.
         std::uint64_t as_of = 0;
     };
@@ -207,6 +210,7 @@
     void read_page(
         row_range range, std::shared_ptr<table_rows> const& read,
         std::function<void(std::optional<table_rows>)> done);
+    void report_unreadable(std::string const& table, std::size_t rows);
     void engines_read(table_rows const& read, time_point began);
     std::vector<engine_entry>
     decode_engines(std::vector<stored_row> const& rows);
@@ -285,6 +289,8 @@
     engine_roster engines_;
     member_roster members_;
     std::unordered_map<std::string, decoded_row> decoded_engines_;
+    /// Number of unreadable rows of each table at its latest read.
+    std::map<std::string, std::size_t> unreadable_rows_;
     /// Selects the reader of the own failure domain.
     program_coordinators reader_;
     /// Until then the reader's answers replace own reads.
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -158,13 +158,13 @@
         call->table = range.table;
         call->started_at = runtime_.clock();
         call->deadline = call->started_at + timeout;
-        call->done = [done = std::move(done)](
+        call->done = [skip = range.skip_unreadable, done = std::move(done)](
                          store_outcome outcome, store_reply const& reply, bool)
         {
             range_result result;
             result.outcome = outcome;
             if (outcome == store_outcome::done &&
-                !platform::decode_range(reply, result))
+                !platform::decode_range(reply, result, skip))
                 result.outcome = store_outcome::unavailable;
             done(std::move(result));
         };
--- a/test/odd_rows-test.cpp
+++ b/test/odd_rows-test.cpp
@@ -377,6 +377,82 @@
     check_followed();
 }
 
+TEST_CASE_METHOD(
+    odd_row_fixture,
+    "odd rows: a node uses the engines beside odd entries and follows the list")
+{
+    store.put_bytes("servers", "o1", nested_json(deep));
+    store.put_bytes("servers", "o2", std::string(deep, '['));
+    store.put_bytes("servers", "o3", engine_text("127.0.0.1:-1"));
+    store.put_bytes("servers", "o4", engine_text("0.0.0.0:9"));
+    store.put_bytes("servers", "o5", engine_text("::1:9"));
+    store.put_bytes("servers", "o6", engine_text("127.0.0.1:99999"));
+    store.put_bytes("servers", std::string(199, 'o') + "\xc3\xa9", "");
+    store.put_bytes("servers", "%:o7%FF", engine_text("127.0.0.1:0"));
+    store.put_bytes(
+        "servers", "p1",
+        engine_text(service_a.address(), ",\"x\":" + nested_json(deep)));
+    store.put_bytes(
+        "servers", "p2", engine_text(service_a.address(), ",\"x\":1e999"));
+    store.put_bytes(
+        "servers", std::string(200, 'p'), engine_text(service_a.address()));
+    engines += 3;
+    check_followed(start_node());
+}
+
+TEST_CASE_METHOD(
+    odd_row_fixture,
+    "odd rows: entries that turn odd later don't end a node that reads them")
+{
+    auto& node = start_node();
+    check_followed(node);
+    store.put_bytes("servers", "o1", nested_json(deep));
+    store.put_bytes("servers", "o2", engine_text("127.0.0.1:+9"));
+    store.put_bytes("servers", service_b.id(), engine_text("127.0.0.1:-1"));
+    --engines;
+    check_followed(node);
+}
+
+TEST_CASE_METHOD(
+    odd_row_fixture,
+    "odd rows: a row of which the store's answer holds odd fields is skipped")
+{
+    std::string const row = GENERATE(
+        std::string(R"("key":"o","ver":"seven","value":"")"),
+        std::string(R"("key":"o","ver":-1,"value":"")"),
+        std::string(R"("key":"o","ver":1e999,"value":"")"),
+        std::string(R"("key":"o","ver":99999999999999999999999,"value":"")"),
+        std::string(R"("key":"o","ver":null,"value":"")"),
+        std::string(R"("key":"o","ver":[7],"value":"")"),
+        std::string(R"("key":7,"ver":1,"value":"")"),
+        std::string(R"("key":null,"ver":1,"value":"")"),
+        std::string(R"("ver":1,"value":"")"),
+        std::string(R"("key":"\ud800","ver":1,"value":"")"),
+        std::string("\"key\":\"o\xff\",\"ver\":1,\"value\":\"\""),
+        std::string("\"key\":\"o\xc3\",\"ver\":1,\"value\":\"\""),
+        std::string("\"key\":\"o\x01\",\"ver\":1,\"value\":\"\""),
+        std::string(R"("key":"o","part":null,"ver":1,"value":"")"),
+        std::string(R"("key":"o","table":5,"ver":1,"value":"")"),
+        std::string(R"("key":"o","tombstone":"yes","ver":1,"value":"")"));
+    INFO(row);
+    store.put_raw_row("servers", "o", "{" + row + "}");
+    check_followed(start_node());
+}
+
+TEST_CASE_METHOD(
+    odd_row_fixture,
+    "odd rows: a value that the store's answer holds nested deeply is skipped")
+{
+    store.put_raw_row(
+        "servers", "o",
+        R"({"key":"o","ver":1,"value":)" + nested_json(deep) + "}");
+    store.put_raw_row(
+        "servers", "p",
+        R"({"key":"p","ver":1,"value":"","x":)" + repeated("{\"a\":", deep) +
+            "1" + std::string(deep, '}') + "}");
+    check_followed(start_node());
+}
+
 TEST_CASE_METHOD(
     odd_row_fixture,
     "odd rows: a later row with odd fields does not hide a change of the "
