--- a/src/entry/platform_view.cpp
+++ b/src/entry/platform_view.cpp
@@ -435,9 +435,31 @@
     std::string const& table, std::string const& partition,
     std::function<void(std::optional<table_rows>)> done)
 {
+    row_range range;
+    range.table = table;
+    range.partition = partition;
+    // One row that another program wrote must not hide the others.
+    range.skip_unreadable = true;
     read_page(
-        {table, partition, "", ""}, std::make_shared<table_rows>(),
-        std::move(done));
+        std::move(range), std::make_shared<table_rows>(),
+        [this, table,
+         done = std::move(done)](std::optional<table_rows> const& read)
+        {
+            if (read)
+                report_unreadable(table, read->unreadable);
+            done(read);
+        });
+}
+
+/// Logs the number of unreadable rows of a table when it changes.
+void platform_view::report_unreadable(
+    std::string const& table, std::size_t rows)
+{
+    if (std::exchange(unreadable_rows_[table], rows) == rows)
+        return;
+    log_.write(
+        log_priority::important, "store.rows_unreadable",
+        {{"table", table}, {"rows", rows}});
 }
 
 void platform_view::read_page(
@@ -460,6 +482,7 @@
                 read->as_of = as_of(result);
             read->rows.insert(
                 read->rows.end(), result.rows.begin(), result.rows.end());
+            read->unreadable += result.unreadable;
             if (!result.truncated || result.rows.empty())
             {
                 done(std::move(*read));
@@ -487,11 +510,12 @@
     std::vector<engine_entry> entries;
     for (auto const& row : rows)
     {
-        auto const before = decoded_engines_.find(row.at.key);
-        auto one = before != decoded_engines_.end() &&
-                           before->second.version == row.version
-                       ? before->second
-                       : decoded_row{row.version, decode_engine(row)};
+        auto const found = decoded_engines_.find(row.at.key);
+        auto const* former =
+            found == decoded_engines_.end() ? nullptr : &found->second;
+        auto one = former != nullptr && former->version == row.version
+                       ? *former
+                       : decode_engine(row, former);
         if (one.entry)
             entries.push_back(*one.entry);
         seen.emplace(row.at.key, std::move(one));
@@ -500,13 +524,21 @@
     return entries;
 }
 
-std::optional<engine_entry> platform_view::decode_engine(stored_row const& row)
+/// \param former what the row was decoded to before; null if it is new. A row
+/// that is written again with the same problem is not logged again.
+platform_view::decoded_row
+platform_view::decode_engine(stored_row const& row, decoded_row const* former)
 {
     findings problems;
-    auto decoded = platform::decode_engine(row.at.key, row.value, problems);
-    if (!decoded)
+    decoded_row decoded;
+    decoded.version = row.version;
+    decoded.entry = platform::decode_engine(row.at.key, row.value, problems);
+    if (decoded.entry)
+        return decoded;
+    auto const& first = problems.items().front();
+    decoded.problem = first.message;
+    if (former == nullptr || former->problem != decoded.problem)
     {
-        auto const& first = problems.items().front();
         log_.write(
             log_priority::important, "engine.unreadable",
             {{"place", first.place},
--- a/src/entry/platform_view.hpp
+++ b/src/entry/platform_view.hpp
@@ -29,6 +29,7 @@
 #include <array>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -150,6 +151,8 @@
         std::uint64_t version = 0;
         /// Empty: the row does not decode to an engine.
         std::optional<engine_entry> entry;
+        /// Why it does not.
+        std::string problem{};
     };
 
     /// A table as it is sent to followers.
@@ -163,6 +166,8 @@
     struct table_rows
     {
         std::vector<stored_row> rows;
+        /// Number of rows that could not be read.
+        std::size_t unreadable = 0;
         /// The store's version at the first page.
         std::uint64_t as_of = 0;
     };
@@ -205,10 +210,11 @@
     void read_page(
         row_range range, std::shared_ptr<table_rows> const& read,
         std::function<void(std::optional<table_rows>)> done);
+    void report_unreadable(std::string const& table, std::size_t rows);
     void engines_read(table_rows const& read, time_point began);
     std::vector<engine_entry>
     decode_engines(std::vector<stored_row> const& rows);
-    std::optional<engine_entry> decode_engine(stored_row const& row);
+    decoded_row decode_engine(stored_row const& row, decoded_row const* former);
     void read_members();
     void members_read(table_rows const& read);
     void schedule_first_self_write();
@@ -283,6 +289,8 @@
     engine_roster engines_;
     member_roster members_;
     std::unordered_map<std::string, decoded_row> decoded_engines_;
+    /// Number of unreadable rows of each table at its latest read.
+    std::map<std::string, std::size_t> unreadable_rows_;
     /// Selects the reader of the own failure domain.
     program_coordinators reader_;
     /// Until then the reader's answers replace own reads.
--- a/src/entry/version_register.cpp
+++ b/src/entry/version_register.cpp
@@ -1,5 +1,7 @@
 #include "entry/version_register.hpp"
 
+#include "cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -79,7 +81,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         if (!body.is_array())
             return std::nullopt;
         std::vector<registered_version> versions;
@@ -95,7 +97,7 @@
         }
         return versions;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // The caller treats the row as one of unknown versions.
         return std::nullopt;
