history: keep a chain for as long as its last turn

Callers got 503 "the store of turns does not answer" for good for a conversation that had gone on for longer than its retention and ten minutes, once no node had its first turns in memory.

Cause: a stored turn names its predecessors by id, and row_sweeper removes the row of each turn by the age of that row alone. The first rows expired while later turns still named them. Also found: a turn that continued an expired turn from a node's cache was stored with ids of rows long gone, and a turn that is kept for longer than its predecessors were lost them.

A turn is now stored with the text of its whole chain as its input, and names no turn, where a row of the chain may be removed earlier than five minutes after the turn's own retention. Such a row needs no other row, in whatever partition, and is read by earlier versions as it is. No row is renewed, so no renewal can race with a removal. Cached turns carry the time of their writing by the node's steady clock, and peers send the ages of turns. Where an age is unknown (peers of earlier versions, rows dated more than a minute in the future) the text is stored.

Cost: no call to the store more than before. With a retention of 60 s, turns of conversations younger than five minutes are stored as before.

--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -44,6 +44,9 @@
     std::string output;
     /// Time for which the row is to be retained; not part of the encoding.
     std::chrono::seconds kept_for{0};
+    /// When the row was written, or earlier, by this node's clock; not part of
+    /// the encoding. The default means that it is unknown.
+    time_point written_at = time_point::min();
 
     /// \return the estimated memory use in bytes, overhead included.
     std::size_t bytes() const;
@@ -53,8 +56,11 @@
 std::string encode(stored_turn const& turn);
 /// Decodes the result of encode().
 /// \return null if the bytes are not a valid turn.
-std::shared_ptr<stored_turn const>
-decode_turn(request_id const& id, std::string_view bytes);
+/// \param kept_for, written_at as in stored_turn
+std::shared_ptr<stored_turn const> decode_turn(
+    request_id const& id, std::string_view bytes,
+    std::chrono::seconds kept_for = std::chrono::seconds(0),
+    time_point written_at = time_point::min());
 
 /// Header at the start of the first row of a stored turn.
 struct turn_header
@@ -93,6 +99,9 @@
     std::vector<request_id> ids;
     /// Inputs and outputs of these turns, concatenated in order.
     std::string text;
+    /// Earliest time at which a row of these turns may be removed; the default
+    /// means that it is unknown.
+    time_point removable_at = time_point::min();
 };
 
 struct history_options
@@ -118,6 +127,8 @@
         schedule_after;
     /// Clock for the time of writing, by which expired turns are removed.
     utc_fn utc = system_utc();
+    /// Clock for the ages of cached turns.
+    clock_fn clock = monotonic_clock();
 };
 
 /// Access to the turn caches of other nodes.
@@ -155,6 +166,9 @@
     /// \param candidate index below partition_candidates; 0 is the partition
     /// that is used by default
     static std::string partition(request_id const& id, std::size_t candidate);
+    /// A turn's rows are removed once they are older than its retention and
+    /// this margin, which allows for clocks that differ by minutes.
+    static constexpr std::chrono::seconds removal_margin{600};
 
     explicit turn_history(versioned_store store, history_options options = {});
     ~turn_history();
@@ -169,6 +183,13 @@
     void
     load(request_id const& last, chain_fn done, std::string const& group = {});
 
+    /// Makes a turn the successor of a chain, to be stored next. As a rule it
+    /// refers to the earlier turns by id. If any of their rows may be removed
+    /// before the turn's own retention ends, its input begins with the text of
+    /// the chain instead and it refers to no other turn.
+    /// \param turn a turn with its own input and its retention
+    void continue_chain(turn_chain const& chain, stored_turn& turn) const;
+
     /// Writes a turn to the store.
     /// \param timeout limit of each transaction; the time spent before a
     /// fallback to another partition is subtracted
@@ -213,7 +234,8 @@
         range_result const& result);
     void fetch_chunks(
         request_id const& id, std::size_t candidate, std::string first_chunk,
-        std::size_t chunk_count, turn_fn const& done);
+        turn_header const& head, turn_fn const& done);
+    time_point time_of_writing(turn_header const& head) const;
     void load_chain(chain_load_ptr const& load_state);
     void on_turn_loaded(chain_load_ptr const& load_state);
     bool answers(request_id const& id, std::size_t candidate) const;
--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -588,11 +588,11 @@
     // so the turn must be durable before that.
     stored_turn turn;
     turn.id = stored_turn_id_;
-    turn.chain = chain_.ids;
     turn.input = request_.body();
     turn.output = std::move(output_);
     turn.kept_for =
         std::chrono::duration_cast<std::chrono::seconds>(route_->kept_for);
+    node_.history.continue_chain(chain_, turn);
     auto const began = node_.clock();
     begin_wait(wait_reason::store);
     node_.history.store_turn(
--- a/src/entry/history_exchange.cpp
+++ b/src/entry/history_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <iterator>
 #include <utility>
 
@@ -19,23 +21,48 @@
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 
-json encode_turns(std::vector<std::shared_ptr<stored_turn const>> const& turns)
+/// The longest age or retention of a turn that is plausible, ten years.
+constexpr std::int64_t max_seconds = 320'000'000;
+
+json encode_turns(
+    std::vector<std::shared_ptr<stored_turn const>> const& turns,
+    time_point now)
 {
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
     auto result = json::array();
     for (auto const& one : turns)
     {
         auto const bytes = encode(*one);
-        result.push_back(
-            {{"id", one->id.str()},
-             {"turn", json::binary(json::binary_t::container_type(
-                          bytes.begin(), bytes.end()))}});
+        json item{
+            {"id", one->id.str()},
+            {"turn", json::binary(json::binary_t::container_type(
+                         bytes.begin(), bytes.end()))}};
+        if (one->written_at != time_point::min())
+        {
+            auto const age = std::max(now - one->written_at, duration(0));
+            item["age_ms"] = duration_cast<milliseconds>(age).count() + 1;
+            item["kept_s"] = one->kept_for.count();
+        }
+        result.push_back(std::move(item));
     }
     return result;
 }
 
+/// \return the number of a field; -1 if it is missing or not valid.
+std::int64_t
+bounded_number(json const& item, char const* field, std::int64_t max)
+{
+    auto const found = item.find(field);
+    if (found == item.end() || !found->is_number_integer())
+        return -1;
+    auto const number = found->get<std::int64_t>();
+    return number > max ? -1 : number;
+}
+
 /// \return the valid turns. Invalid ones are skipped and read from the store.
 std::vector<std::shared_ptr<stored_turn const>>
-decode_turns(std::string_view bytes)
+decode_turns(std::string_view bytes, time_point now)
 {
     std::vector<std::shared_ptr<stored_turn const>> result;
     auto const body = json::from_cbor(bytes, true, false);
@@ -47,9 +74,15 @@
             !one.contains("turn") || !one["turn"].is_binary())
             continue;
         auto const& turn = one["turn"].get_binary();
+        // Nodes of earlier versions do not send the age.
+        auto const age = bounded_number(one, "age_ms", max_seconds * 1'000);
+        auto const kept = bounded_number(one, "kept_s", max_seconds);
+        auto const dated = age >= 0 && kept >= 0;
         auto decoded = decode_turn(
             request_id(one["id"].get<std::string>()),
-            std::string(turn.begin(), turn.end()));
+            std::string(turn.begin(), turn.end()),
+            std::chrono::seconds(dated ? kept : 0),
+            dated ? now - std::chrono::milliseconds(age) : time_point::min());
         if (decoded)
             result.push_back(std::move(decoded));
     }
@@ -181,7 +214,7 @@
             }
             if (answered)
             {
-                for (auto const& one : decode_turns(reply.body))
+                for (auto const& one : decode_turns(reply.body, clock_()))
                     history_.add_to_cache(one);
             }
             done();
@@ -200,7 +233,8 @@
     // If the request fails, the turn is read from the store when needed.
     caller_.call(
         {peer->address,
-         cbor_request(announce_path, peer->address, encode_turns(turns)),
+         cbor_request(
+             announce_path, peer->address, encode_turns(turns, clock_())),
          {options_.timeout}},
         [](exchange_reply const&) {});
 }
@@ -216,7 +250,7 @@
 {
     if (target == announce_path)
     {
-        for (auto const& one : decode_turns(body))
+        for (auto const& one : decode_turns(body, clock_()))
             history_.add_to_cache(one);
         reply(status_ok, {});
         return;
@@ -230,8 +264,9 @@
         reply(status_bad_request, {});
     else
     {
-        auto const bytes = json::to_cbor(encode_turns(history_.cached_chain(
-            request_id(request["last"].get<std::string>()))));
+        auto const turns = history_.cached_chain(
+            request_id(request["last"].get<std::string>()));
+        auto const bytes = json::to_cbor(encode_turns(turns, clock_()));
         reply(status_ok, std::string(bytes.begin(), bytes.end()));
     }
 }
--- a/src/entry/row_sweeper.hpp
+++ b/src/entry/row_sweeper.hpp
@@ -14,6 +14,7 @@
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/random.hpp>
+#include <walnutmill/turn_history.hpp>
 #include <walnutmill/versioned_store.hpp>
 #include <walnutmill/wall_clock.hpp>
 
@@ -54,7 +55,7 @@
 {
     /// Added to the longest retention of any route, to allow for clocks that
     /// differ by minutes.
-    std::chrono::seconds margin{600};
+    std::chrono::seconds margin = turn_history::removal_margin;
     std::chrono::milliseconds timeout{2'000};
 };
 
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -16,6 +16,12 @@
 /// Size of the values at which a transaction is closed. The platform accepts
 /// 1 MB including base64 encoding and names; values of half that size fit.
 constexpr std::size_t transaction_bytes = 500'000;
+/// Part of the removal margin that is left for clocks that differ and for a
+/// turn that is written late.
+constexpr auto clock_allowance = turn_history::removal_margin / 2;
+/// A row dated further in the future shows that clocks differ by more than is
+/// usual, so the age of the row is unknown.
+constexpr std::chrono::seconds max_clock_lead{60};
 
 row_address
 chunk_address(request_id const& id, std::size_t candidate, std::size_t chunk)
@@ -25,6 +31,14 @@
         turn_history::chunk_key(id, chunk)};
 }
 
+/// \return the earliest time at which the rows of a turn may be removed.
+time_point removable_at(stored_turn const& turn)
+{
+    return turn.written_at == time_point::min()
+               ? time_point::min()
+               : turn.written_at + turn.kept_for + turn_history::removal_margin;
+}
+
 /// Splits a turn into rows, last chunk first. The row of the first chunk begins
 /// with the header, which contains the number of rows.
 std::vector<row_value> make_rows(
@@ -250,8 +264,12 @@
     turn_chain chain;
     chain.ids = load_state->last->chain;
     chain.ids.push_back(load_state->last->id);
+    chain.removable_at = removable_at(*load_state->last);
     for (auto const& turn : load_state->turns)
+    {
         chain.text.append(turn->input).append(turn->output);
+        chain.removable_at = std::min(chain.removable_at, removable_at(*turn));
+    }
     chain.text.append(load_state->last->input).append(load_state->last->output);
     load_state->done(history_answer::found, std::move(chain));
 }
@@ -292,8 +310,8 @@
         if (head)
         {
             fetch_chunks(
-                lookup->id, candidate, value.substr(head->size),
-                head->chunk_count, lookup->done);
+                lookup->id, candidate, value.substr(head->size), *head,
+                lookup->done);
         }
         else
         {
@@ -323,7 +341,7 @@
 
 void turn_history::fetch_chunks(
     request_id const& id, std::size_t candidate, std::string first_chunk,
-    std::size_t chunk_count, turn_fn const& done)
+    turn_header const& head, turn_fn const& done)
 {
     struct chunk_set
     {
@@ -332,23 +350,26 @@
         bool failed = false;
     };
     auto const all = std::make_shared<chunk_set>();
-    all->chunks.resize(std::max<std::size_t>(chunk_count, 1));
+    all->chunks.resize(std::max<std::size_t>(head.chunk_count, 1));
     all->chunks[0] = std::move(first_chunk);
-    auto const on_chunk_read = [this, all, id, done]
+    auto const on_chunk_read = [this, all, id, done, kept_for = head.kept_for,
+                                written_at = time_of_writing(head)]
     {
         if (--all->missing > 0)
             return;
         std::string bytes;
         for (auto const& part : all->chunks)
             bytes += part;
-        auto const turn = all->failed ? nullptr : decode_turn(id, bytes);
+        auto const turn = all->failed
+                              ? nullptr
+                              : decode_turn(id, bytes, kept_for, written_at);
         if (turn)
             add_to_cache(turn);
         done(
             turn ? history_answer::found : history_answer::store_unavailable,
             turn);
     };
-    for (std::size_t i = 1; i < chunk_count; ++i)
+    for (std::size_t i = 1; i < head.chunk_count; ++i)
     {
         ++all->missing;
         auto const at = chunk_address(id, candidate, i);
@@ -371,11 +392,32 @@
     return !store_.answers || store_.answers(partition(id, candidate));
 }
 
+void turn_history::continue_chain(
+    turn_chain const& chain, stored_turn& turn) const
+{
+    auto const needed_until =
+        options_.clock() + turn.kept_for + clock_allowance;
+    if (chain.removable_at >= needed_until)
+        turn.chain = chain.ids;
+    else
+        turn.input.insert(0, chain.text);
+}
+
+/// \return the time at which the row was written, by this node's clock.
+time_point turn_history::time_of_writing(turn_header const& head) const
+{
+    std::chrono::seconds const age(options_.utc() - head.written_at);
+    if (age < -max_clock_lead)
+        return time_point::min();
+    return options_.clock() - std::max(age, std::chrono::seconds(0));
+}
+
 void turn_history::store_turn(
     stored_turn turn, std::chrono::milliseconds timeout, stored_fn done,
     std::string const& group)
 {
     auto const write = std::make_shared<turn_write>();
+    turn.written_at = options_.clock();
     write->turn = std::make_shared<stored_turn const>(std::move(turn));
     write->group = group;
     write->done = std::move(done);
--- a/src/entry/turn_record.cpp
+++ b/src/entry/turn_record.cpp
@@ -57,8 +57,9 @@
     return {bytes.begin(), bytes.end()};
 }
 
-std::shared_ptr<stored_turn const>
-decode_turn(request_id const& id, std::string_view bytes)
+std::shared_ptr<stored_turn const> decode_turn(
+    request_id const& id, std::string_view bytes, std::chrono::seconds kept_for,
+    time_point written_at)
 {
     try
     {
@@ -69,6 +70,8 @@
             result->chain.emplace_back(one.get<std::string>());
         result->input = binary_to_string(body.at("input"));
         result->output = binary_to_string(body.at("output"));
+        result->kept_for = kept_for;
+        result->written_at = written_at;
         return result;
     }
     catch (json::exception const&)
--- a/test/fake_store.hpp
+++ b/test/fake_store.hpp
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -96,6 +97,14 @@
         faults_[step] = fault;
     }
     void set_down(bool down) { down_ = down; }
+    /// Reads and changes of a partition that is down are refused.
+    void set_partition_down(std::string const& partition, bool down)
+    {
+        if (down)
+            partitions_down_.insert(partition);
+        else
+            partitions_down_.erase(partition);
+    }
     /// Sets the store's own clock; until then its answers tell no time.
     void set_clock(clock_fn clock) { clock_ = std::move(clock); }
 
@@ -116,11 +125,19 @@
         return {at.table, at.partition, at.key};
     }
 
-    store_fault next_fault()
+    static std::string partition_of(row_transaction const& one)
+    {
+        if (!one.writes.empty())
+            return one.writes.front().at.partition;
+        return one.removals.empty() ? std::string()
+                                    : one.removals.front().partition;
+    }
+
+    store_fault next_fault(std::string const& partition)
     {
         ++steps_;
         perform_late();
-        if (down_)
+        if (down_ || partitions_down_.count(partition) > 0)
             return store_fault::refuse;
         auto const found = faults_.find(steps_);
         return found == faults_.end() ? store_fault::none : found->second;
@@ -161,7 +178,7 @@
     transaction_result commit_step(row_transaction const& one)
     {
         ++commits_;
-        auto const fault = next_fault();
+        auto const fault = next_fault(partition_of(one));
         transaction_result to;
         to.in_doubt =
             fault != store_fault::none && fault != store_fault::refuse;
@@ -189,7 +206,7 @@
     range_result read_step(row_range const& range)
     {
         range_result to;
-        if (next_fault() != store_fault::none)
+        if (next_fault(range.partition) != store_fault::none)
             return to;
         to.outcome = store_outcome::done;
         to.version = version_;
@@ -230,6 +247,7 @@
     std::size_t steps_ = 0;
     std::size_t commits_ = 0;
     bool down_ = false;
+    std::set<std::string> partitions_down_;
     clock_fn clock_;
 };
 
