sweeper: go by the versions of rows as well as the time of day

A node whose time of day was set forward took all rows for expired and removed turns and accounts that are still needed: their callers would get 404, or 503 where only predecessors were removed.

The store's versions grow with each transaction, so a row was written before any moment at which the store had reached the row's version. The sweeper notes when it saw which version, by the node's steady clock, and removes a row only if that shows it to be older than its retention and the margin, too. Removal stays conditional on the row's version.

Effect: a node removes nothing before it has run for the retention and ten minutes.

--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -163,7 +163,7 @@
       awaiting_store_(clock_, store_wait_hooks()),
       sweeper_(
           store_.calls(store_client::unavailable_policy::fail_fast),
-          system_utc(), swept_tables()),
+          system_utc(), swept_tables(), options_of_sweeper()),
       retention_(clock_),
       sections_(
           runtime_, log_,
@@ -286,6 +286,13 @@
     return to;
 }
 
+sweep_options entry_node::options_of_sweeper()
+{
+    sweep_options to;
+    to.clock = clock_;
+    return to;
+}
+
 start_leases::hooks entry_node::lease_hooks()
 {
     start_leases::hooks to;
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -119,6 +119,7 @@
         platform_view::configuration_confirmation const& confirmation);
     ledger_options options_of_ledger();
     history_options options_of_history();
+    sweep_options options_of_sweeper();
     void sweep_rows();
 
     boost::asio::io_context io_;
--- a/src/entry/row_sweeper.cpp
+++ b/src/entry/row_sweeper.cpp
@@ -14,6 +14,9 @@
 
 /// Maximum entries of one transaction; the platform's limit is 100.
 constexpr std::size_t max_entries_per_transaction = 90;
+/// At one observation in 5 s this covers 85 minutes. Longer times are covered
+/// with longer intervals.
+constexpr std::size_t max_observations = 1'024;
 
 } // namespace
 
@@ -42,6 +45,33 @@
     return kept_for;
 }
 
+void version_ages::observe(std::uint64_t version)
+{
+    auto const now = clock_();
+    if (version == 0 ||
+        (!observations_.empty() && now - observations_.back().at < interval_))
+        return;
+    observations_.push_back({now, version});
+    if (observations_.size() < max_observations)
+        return;
+    // Fewer observations only delay removals.
+    std::vector<observation> thinned;
+    for (std::size_t i = 0; i < observations_.size(); i += 2)
+        thinned.push_back(observations_[i]);
+    observations_ = std::move(thinned);
+    interval_ *= 2;
+}
+
+bool version_ages::is_older(
+    std::uint64_t version, std::chrono::seconds age) const
+{
+    auto const latest = clock_() - age;
+    return std::any_of(
+        observations_.begin(), observations_.end(),
+        [version, latest](observation const& one)
+        { return one.at <= latest && one.version >= version; });
+}
+
 struct row_sweeper::pass
 {
     struct expired_row
@@ -66,7 +96,8 @@
     versioned_store store, utc_fn utc, std::vector<swept_table> tables,
     sweep_options options)
     : store_(std::move(store)), utc_(std::move(utc)),
-      tables_(std::move(tables)), options_(options)
+      tables_(std::move(tables)), options_(std::move(options)),
+      ages_(options_.clock)
 {
 }
 
@@ -110,13 +141,17 @@
     // A page that can't be read is retried by the next pass.
     state->has_more = page.outcome == store_outcome::done && page.truncated &&
                       !page.rows.empty();
+    if (options_.clock)
+        ages_.observe(page.version);
     for (auto const& row : page.rows)
     {
         auto const age = tables_[state->table].age_of(row);
         if (!age)
             continue;
         auto const kept_for = std::max(state->retention, age->kept_for);
-        if (age->written_at < state->cutoff - kept_for.count())
+        if (age->written_at < state->cutoff - kept_for.count() &&
+            (!options_.clock ||
+             ages_.is_older(row.version, kept_for + options_.margin)))
             state->rows.push_back({row, age->dependent_rows});
     }
     if (!page.rows.empty())
--- a/src/entry/row_sweeper.hpp
+++ b/src/entry/row_sweeper.hpp
@@ -57,6 +57,11 @@
     /// differ by minutes.
     std::chrono::seconds margin = turn_history::removal_margin;
     std::chrono::milliseconds timeout{2'000};
+    /// If set, a row is removed only if its version also shows it to be expired
+    /// by this clock. A time of day that is set forward would otherwise expire
+    /// all rows. Nothing is removed until the sweeper has run for the retention
+    /// and the margin. If null, only the time of day counts.
+    clock_fn clock;
 };
 
 /// The longest time for which turns are retained. A promise outlives the
@@ -82,6 +87,34 @@
     std::vector<former_promise> former_;
 };
 
+/// What is known of the age of rows by their versions, independently of the
+/// time of day: a row was written before any moment at which the store had
+/// reached its version.
+class version_ages
+{
+public:
+    explicit version_ages(clock_fn clock) : clock_(std::move(clock)) {}
+
+    /// The store has reached this version; 0 is ignored.
+    void observe(std::uint64_t version);
+    /// \return true if it is certain that a row of this version was written at
+    /// least \c age ago.
+    bool is_older(std::uint64_t version, std::chrono::seconds age) const;
+
+private:
+    struct observation
+    {
+        time_point at;
+        std::uint64_t version;
+    };
+
+    clock_fn clock_;
+    /// Oldest first.
+    std::vector<observation> observations_;
+    /// Shortest time between two observations that are retained.
+    duration interval_ = std::chrono::seconds(5);
+};
+
 class row_sweeper
 {
 public:
@@ -112,6 +145,7 @@
     utc_fn utc_;
     std::vector<swept_table> tables_;
     sweep_options options_;
+    version_ages ages_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/test/row_sweeper-test.cpp
+++ b/test/row_sweeper-test.cpp
@@ -369,3 +369,105 @@
     }
     check_kept_after_restart(previous);
 }
+
+namespace
+{
+
+/// A sweeper that also goes by the versions of rows.
+struct version_sweeper_fixture : conversation_fixture
+{
+    row_sweeper versions_sweeper{
+        store.calls(), utc, swept_tables(), options_with_clock()};
+
+    sweep_options options_with_clock()
+    {
+        sweep_options to;
+        to.clock = clock.fn();
+        return to;
+    }
+
+    std::size_t sweep_versions() { return sweep_all(versions_sweeper); }
+
+    /// Sweeps at intervals.
+    std::size_t sweep_for(seconds time, seconds interval)
+    {
+        std::size_t removed = 0;
+        for (seconds passed{0}; passed < time; passed += interval)
+        {
+            pass(interval);
+            removed += sweep_versions();
+        }
+        return removed;
+    }
+};
+
+} // namespace
+
+// Guards against the loss of all turns where the time of day is set forward.
+TEST_CASE_METHOD(
+    version_sweeper_fixture,
+    "sweeper: a step of the time of day removes no row early")
+{
+    sweep_for(seconds(1'000), seconds(50));
+    REQUIRE(continue_turn({}, "a"));
+    for (auto const step : {86'400, -700, 700})
+    {
+        now += step;
+        CHECK(sweep_for(seconds(200), seconds(20)) == 0);
+    }
+    check_kept_after_restart("a");
+    CHECK(sweep_for(seconds(100), seconds(20)) == 1);
+}
+
+TEST_CASE_METHOD(
+    version_sweeper_fixture,
+    "sweeper: a sweeper that has just started removes nothing")
+{
+    REQUIRE(continue_turn({}, "a"));
+    pass(seconds(86'400));
+    CHECK(sweep_versions() == 0);
+    CHECK(sweep_for(seconds(640), seconds(20)) == 0);
+    CHECK(sweep_for(seconds(40), seconds(20)) == 1);
+}
+
+TEST_CASE_METHOD(
+    version_sweeper_fixture,
+    "sweeper: a turn does not rely on rows that are dated in the future")
+{
+    sweep_for(seconds(1'000), seconds(50));
+    REQUIRE(continue_turn({}, "a"));
+    sweep_for(seconds(500), seconds(50));
+    now -= 700;
+    node = start();
+    REQUIRE(continue_turn("a", "b"));
+    now += 700;
+    sweep_for(seconds(250), seconds(50));
+    REQUIRE(
+        store.find(
+            {turn_history::table(), turn_history::partition(request_id("a"), 0),
+             "a"}) == nullptr);
+    check_kept_after_restart("b");
+}
+
+TEST_CASE("sweeper: ages of versions are never overstated")
+{
+    manual_clock clock;
+    version_ages ages(clock.fn());
+    CHECK_FALSE(ages.is_older(1, seconds(0)));
+    std::vector<time_point> written;
+    for (std::uint64_t version = 1; version <= 5'000; ++version)
+    {
+        written.push_back(clock.now());
+        ages.observe(version);
+        clock.advance(seconds(3));
+    }
+    for (std::uint64_t version = 1; version <= 5'000; version += 7)
+    {
+        for (auto const age : {60, 660, 4'200, 14'000})
+        {
+            if (ages.is_older(version, seconds(age)))
+                CHECK(clock.now() - written[version - 1] >= seconds(age));
+        }
+    }
+    CHECK(ages.is_older(4'700, seconds(660)));
+}
