history: log which turn of a chain failed to load, and how

Lines of calls that were answered 503 "the store of turns does not answer" did not tell which of up to 20 turns failed, or whether its read timed out, was refused or found nothing. Reads of the store now return the cause of a failure, turn_history passes on the oldest failed turn with its cause and position and the number of failed turns, and call.ended has them as fields. What is answered and read is unchanged.

Tests of the causes and of the fields of call.ended. "a failed load keeps the turns that it read" is a guard: turns that were read are cached when another read of the load fails, and the next try reads only the failed one (so already before this change by reading; run on this code only).

--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -92,6 +92,37 @@
     store_unavailable
 };
 
+/// Why a turn could not be loaded.
+enum class turn_failure
+{
+    none,
+    /// The store did not answer in time.
+    unanswered,
+    /// The store answered with an error, for example over its rate.
+    refused,
+    /// The partition had left requests unanswered, so none was sent.
+    not_sent,
+    /// The store confirmed that a row of the turn does not exist.
+    missing,
+    /// A row of the turn is not valid.
+    malformed
+};
+std::string_view to_string(turn_failure failure);
+
+/// The turn for which a chain could not be loaded.
+struct history_failure
+{
+    request_id turn;
+    turn_failure cause = turn_failure::none;
+    /// Position of the turn in its chain; 1 is the oldest.
+    std::size_t position = 1;
+    /// Turns of the chain, of which some may not be known: 1 if the failed turn
+    /// is the requested one.
+    std::size_t chain_length = 1;
+    /// Turns that could not be loaded.
+    std::size_t failed_turns = 1;
+};
+
 /// A turn with its predecessors, as the context of the next turn.
 struct turn_chain
 {
@@ -102,6 +133,8 @@
     /// Earliest time at which a row of these turns may be removed; the default
     /// means that it is unknown.
     time_point removable_at = time_point::min();
+    /// Set unless the chain was found.
+    std::optional<history_failure> failure;
 };
 
 struct history_options
@@ -218,7 +251,13 @@
     using turn_lookup_ptr = std::shared_ptr<turn_lookup>;
     struct turn_write;
     using turn_write_ptr = std::shared_ptr<turn_write>;
-    using turn_fn = std::function<void(history_answer, turn_ptr)>;
+    struct turn_result
+    {
+        history_answer answer = history_answer::store_unavailable;
+        turn_ptr turn;
+        turn_failure failure = turn_failure::none;
+    };
+    using turn_fn = std::function<void(turn_result)>;
     struct cached_turn
     {
         turn_ptr turn;
@@ -237,6 +276,9 @@
         turn_header const& head, turn_fn const& done);
     time_point time_of_writing(turn_header const& head) const;
     void load_chain(chain_load_ptr const& load_state);
+    static void record_failure(
+        chain_load_ptr const& load_state, std::size_t index,
+        turn_failure cause);
     void on_turn_loaded(chain_load_ptr const& load_state);
     bool answers(request_id const& id, std::size_t candidate) const;
     void write_candidate(turn_write_ptr const& write);
--- a/include/walnutmill/versioned_store.hpp
+++ b/include/walnutmill/versioned_store.hpp
@@ -85,6 +85,22 @@
     std::vector<stored_row> rows;
 };
 
+/// Why a call received no conclusive reply.
+enum class call_failure
+{
+    none,
+    /// The last attempt was sent and not answered in time.
+    unanswered,
+    /// The last attempt was answered with an error, for example because the
+    /// store's rate was exceeded.
+    refused,
+    /// The partition had left requests unanswered for some time, so none was
+    /// sent.
+    not_sent,
+    /// The reply could not be decoded.
+    malformed
+};
+
 /// Keys in the half-open range [from, to). An empty key means no bound.
 struct row_range
 {
@@ -97,6 +113,8 @@
 struct range_result
 {
     store_outcome outcome = store_outcome::unavailable;
+    /// Set if the outcome is \c unavailable and the cause is known.
+    call_failure failure = call_failure::none;
     std::vector<stored_row> rows;
     /// The store's newest version when the rows were read; 0: not reported.
     std::uint64_t version = 0;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -370,6 +370,8 @@
                     ? std::to_string(chain.ids.size()) + " turns"
                 : answer == history_answer::unknown_turn ? "unknown"
                                                          : "unavailable";
+            if (chain.failure)
+                self->log_history_failure(*chain.failure);
             if (answer == history_answer::found)
             {
                 self->chain_ = std::move(chain);
@@ -388,6 +390,15 @@
         call_.program.program.str());
 }
 
+void call_flow::log_history_failure(history_failure const& failure)
+{
+    log_fields_["history_failure"] = to_string(failure.cause);
+    log_fields_["history_failed_turn"] = failure.turn.str();
+    log_fields_["history_failed_position"] = failure.position;
+    log_fields_["history_length"] = failure.chain_length;
+    log_fields_["history_failed_turns"] = failure.failed_turns;
+}
+
 void call_flow::on_deadline()
 {
     if (done_)
--- a/src/entry/store_client.cpp
+++ b/src/entry/store_client.cpp
@@ -91,7 +91,9 @@
     /// An attempt was sent but not answered, so its outcome is unknown.
     bool in_doubt = false;
     bool ended = false;
-    std::function<void(store_outcome, store_reply const&, bool in_doubt)> done;
+    /// Of the last attempt.
+    call_failure failure = call_failure::not_sent;
+    std::function<void(pending const&, store_outcome, store_reply const&)> done;
 };
 
 store_client::store_client(
@@ -133,16 +135,16 @@
         call->table = table_of(transaction);
         call->started_at = runtime_.clock();
         call->deadline = call->started_at + timeout;
-        call->done =
-            [done = std::move(done)](
-                store_outcome outcome, store_reply const& reply, bool in_doubt)
+        call->done = [done = std::move(done)](
+                         pending const& ended, store_outcome outcome,
+                         store_reply const& reply)
         {
             transaction_result result;
             result.outcome = outcome;
             if (outcome != store_outcome::unavailable &&
                 !platform::decode_transaction(reply, result))
                 result.outcome = store_outcome::unavailable;
-            result.in_doubt = in_doubt || (outcome != result.outcome);
+            result.in_doubt = ended.in_doubt || (outcome != result.outcome);
             done(std::move(result));
         };
         start(call, policy);
@@ -159,13 +161,19 @@
         call->started_at = runtime_.clock();
         call->deadline = call->started_at + timeout;
         call->done = [done = std::move(done)](
-                         store_outcome outcome, store_reply const& reply, bool)
+                         pending const& ended, store_outcome outcome,
+                         store_reply const& reply)
         {
             range_result result;
             result.outcome = outcome;
+            if (outcome == store_outcome::unavailable)
+                result.failure = ended.failure;
             if (outcome == store_outcome::done &&
                 !platform::decode_range(reply, result))
+            {
                 result.outcome = store_outcome::unavailable;
+                result.failure = call_failure::malformed;
+            }
             done(std::move(result));
         };
         start(call, policy);
@@ -181,8 +189,9 @@
         call->table = table;
         call->started_at = runtime_.clock();
         call->deadline = call->started_at + timeout;
-        call->done = [done = std::move(done)](
-                         store_outcome outcome, store_reply const& reply, bool)
+        call->done =
+            [done = std::move(done)](
+                pending const&, store_outcome outcome, store_reply const& reply)
         {
             changes_result result;
             result.outcome = outcome;
@@ -299,6 +308,8 @@
     store_reply const answer{reply.status, std::move(reply.body)};
     auto const server_unavailable =
         platform::kind_of(answer) == platform::reply_kind::server_unavailable;
+    call->failure =
+        reply.answered ? call_failure::refused : call_failure::unanswered;
     if (reply.answered && !server_unavailable)
     {
         paths_.succeeded(path, runtime_.clock());
@@ -369,7 +380,7 @@
             {call->verb, call->table, runtime_.clock() - call->started_at,
              call->attempts, call->abandoned_bytes});
     }
-    call->done(store_outcome::unavailable, {}, call->in_doubt);
+    call->done(*call, store_outcome::unavailable, {});
 }
 
 void store_client::deliver(
@@ -389,7 +400,7 @@
         kind == platform::reply_kind::done       ? store_outcome::done
         : kind == platform::reply_kind::conflict ? store_outcome::conflict
                                                  : store_outcome::unavailable;
-    call->done(outcome, reply, call->in_doubt);
+    call->done(*call, outcome, reply);
 }
 
 void store_client::record_success(std::string const& partition)
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -31,6 +31,30 @@
         turn_history::chunk_key(id, chunk)};
 }
 
+turn_failure failure_of(range_result const& result)
+{
+    switch (result.failure)
+    {
+    case call_failure::refused:
+        return turn_failure::refused;
+    case call_failure::not_sent:
+        return turn_failure::not_sent;
+    case call_failure::malformed:
+        return turn_failure::malformed;
+    case call_failure::none:
+    case call_failure::unanswered:
+        break;
+    }
+    return turn_failure::unanswered;
+}
+
+turn_chain failed_chain(history_failure failure)
+{
+    turn_chain result;
+    result.failure = std::move(failure);
+    return result;
+}
+
 /// \return the earliest time at which the rows of a turn may be removed.
 time_point removable_at(stored_turn const& turn)
 {
@@ -65,6 +89,26 @@
 
 } // namespace
 
+std::string_view to_string(turn_failure failure)
+{
+    switch (failure)
+    {
+    case turn_failure::none:
+        break;
+    case turn_failure::unanswered:
+        return "timeout";
+    case turn_failure::refused:
+        return "refused";
+    case turn_failure::not_sent:
+        return "not sent";
+    case turn_failure::missing:
+        return "missing";
+    case turn_failure::malformed:
+        return "malformed";
+    }
+    return "none";
+}
+
 char const* turn_history::table()
 {
     return table_name;
@@ -89,7 +133,9 @@
     turn_ptr last;
     std::vector<turn_ptr> turns;
     std::size_t missing = 0;
-    bool failed = false;
+    /// The oldest turn that could not be loaded.
+    std::optional<history_failure> failure;
+    std::size_t failed_turns = 0;
     chain_fn done;
 };
 
@@ -103,6 +149,8 @@
     std::size_t candidates_read = 0;
     /// The read of a candidate failed, so the turn may exist.
     bool inconclusive = false;
+    /// Of the first candidate that failed.
+    turn_failure failure = turn_failure::none;
     bool finished = false;
 };
 
@@ -213,14 +261,15 @@
     }
     fetch(
         last,
-        [this, load_state](history_answer answer, turn_ptr const& turn)
+        [this, load_state, last](turn_result const& result)
         {
-            if (answer != history_answer::found)
+            if (result.answer != history_answer::found)
             {
-                load_state->done(answer, {});
+                load_state->done(
+                    result.answer, failed_chain({last, result.failure}));
                 return;
             }
-            load_state->last = turn;
+            load_state->last = result.turn;
             load_chain(load_state);
         });
 }
@@ -238,27 +287,41 @@
         ++load_state->missing;
         fetch(
             ids[i],
-            [this, load_state, i](history_answer answer, turn_ptr const& turn)
+            [this, load_state, i](turn_result const& result)
             {
-                load_state->turns[i] = turn;
+                load_state->turns[i] = result.turn;
                 // A chain with a missing predecessor can't be continued,
                 // whatever the reason. Only the last turn can be reported as
                 // unknown; a missing predecessor is reported as unavailable.
-                load_state->failed =
-                    load_state->failed || answer != history_answer::found;
+                if (result.answer != history_answer::found)
+                    record_failure(load_state, i, result.failure);
                 on_turn_loaded(load_state);
             });
     }
     on_turn_loaded(load_state);
 }
 
+void turn_history::record_failure(
+    chain_load_ptr const& load_state, std::size_t index, turn_failure cause)
+{
+    ++load_state->failed_turns;
+    auto& failure = load_state->failure;
+    if (failure && failure->position <= index + 1)
+        return;
+    auto const& ids = load_state->last->chain;
+    failure = history_failure{ids[index], cause, index + 1, ids.size() + 1};
+}
+
 void turn_history::on_turn_loaded(chain_load_ptr const& load_state)
 {
     if (--load_state->missing > 0)
         return;
-    if (load_state->failed)
+    if (load_state->failure)
     {
-        load_state->done(history_answer::store_unavailable, {});
+        load_state->failure->failed_turns = load_state->failed_turns;
+        load_state->done(
+            history_answer::store_unavailable,
+            failed_chain(*load_state->failure));
         return;
     }
     turn_chain chain;
@@ -317,12 +380,17 @@
         {
             // The turn exists but its header is invalid, so it is not
             // reported as unknown.
-            lookup->done(history_answer::store_unavailable, nullptr);
+            lookup->done(
+                {history_answer::store_unavailable, nullptr,
+                 turn_failure::malformed});
         }
         return;
     }
-    lookup->inconclusive =
-        lookup->inconclusive || result.outcome != store_outcome::done;
+    if (result.outcome != store_outcome::done && !lookup->inconclusive)
+    {
+        lookup->inconclusive = true;
+        lookup->failure = failure_of(result);
+    }
     if (lookup->candidates_read < partition_candidates)
     {
         for (auto other = lookup->candidates_read; other < partition_candidates;
@@ -333,10 +401,12 @@
     if (lookup->pending > 0)
         return;
     lookup->finished = true;
-    lookup->done(
-        lookup->inconclusive ? history_answer::store_unavailable
-                             : history_answer::unknown_turn,
-        nullptr);
+    if (lookup->inconclusive)
+        lookup->done(
+            {history_answer::store_unavailable, nullptr, lookup->failure});
+    else
+        lookup->done(
+            {history_answer::unknown_turn, nullptr, turn_failure::missing});
 }
 
 void turn_history::fetch_chunks(
@@ -347,7 +417,7 @@
     {
         std::vector<std::string> chunks;
         std::size_t missing = 1;
-        bool failed = false;
+        turn_failure failure = turn_failure::none;
     };
     auto const all = std::make_shared<chunk_set>();
     all->chunks.resize(std::max<std::size_t>(head.chunk_count, 1));
@@ -360,14 +430,21 @@
         std::string bytes;
         for (auto const& part : all->chunks)
             bytes += part;
-        auto const turn = all->failed
-                              ? nullptr
-                              : decode_turn(id, bytes, kept_for, written_at);
-        if (turn)
-            add_to_cache(turn);
-        done(
-            turn ? history_answer::found : history_answer::store_unavailable,
-            turn);
+        if (all->failure != turn_failure::none)
+        {
+            done({history_answer::store_unavailable, nullptr, all->failure});
+            return;
+        }
+        auto const turn = decode_turn(id, bytes, kept_for, written_at);
+        if (!turn)
+        {
+            done(
+                {history_answer::store_unavailable, nullptr,
+                 turn_failure::malformed});
+            return;
+        }
+        add_to_cache(turn);
+        done({history_answer::found, turn, turn_failure::none});
     };
     for (std::size_t i = 1; i < head.chunk_count; ++i)
     {
@@ -377,8 +454,10 @@
             {at.table, at.partition, at.key, at.key + '\0'}, options_.timeout,
             [all, i, on_chunk_read](range_result const& result)
             {
-                if (result.rows.empty())
-                    all->failed = true;
+                if (result.outcome != store_outcome::done)
+                    all->failure = failure_of(result);
+                else if (result.rows.empty())
+                    all->failure = turn_failure::missing;
                 else
                     all->chunks[i] = result.rows.front().value;
                 on_chunk_read();
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -1438,3 +1438,23 @@
     CHECK(caller->status() == 401);
     CHECK(engine_calls() == 0);
 }
+
+TEST_CASE_METHOD(
+    call_flow_fixture, "call: a failed history is logged with turn and cause")
+{
+    turn_history other(store.calls());
+    stored_turn before;
+    before.id = request_id("t0");
+    before.chain = {request_id("older"), request_id("old")};
+    other.store_turn(std::move(before), seconds(1), [](bool) {});
+    store.run();
+    send(entry_world::turn("t1", "Previous-Turn: t0\r\n", "/kept/"));
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 503);
+    auto const line = last_line("call.ended");
+    for (auto const* field :
+         {"\"history_failure\":\"missing\"",
+          "\"history_failed_turn\":\"older\"", "\"history_failed_position\":1",
+          "\"history_length\":3", "\"history_failed_turns\":2"})
+        CHECK_THAT(line, Catch::Contains(field));
+}
--- a/test/fake_store.hpp
+++ b/test/fake_store.hpp
@@ -206,8 +206,14 @@
     range_result read_step(row_range const& range)
     {
         range_result to;
-        if (next_fault(range.partition) != store_fault::none)
+        auto const fault = next_fault(range.partition);
+        if (fault != store_fault::none)
+        {
+            to.failure = fault == store_fault::refuse
+                             ? call_failure::refused
+                             : call_failure::unanswered;
             return to;
+        }
         to.outcome = store_outcome::done;
         to.version = version_;
         if (clock_)
--- a/test/turn_history-test.cpp
+++ b/test/turn_history-test.cpp
@@ -342,3 +342,104 @@
         CHECK(announced == i);
     }
 }
+
+namespace
+{
+
+struct failed_load_fixture : history_fixture
+{
+    failed_load_fixture()
+    {
+        REQUIRE(store_turn("a", {}, "in1 ", "out1\n"));
+        REQUIRE(store_turn("b", {"a"}, "in2 ", "out2\n"));
+        REQUIRE(store_turn("c", {"a", "b"}, "in3 ", "out3\n"));
+        node = start();
+    }
+
+    static row_address row_of(std::string const& id)
+    {
+        request_id const turn(id);
+        return {
+            turn_history::table(), turn_history::partition(turn, 0),
+            turn_history::chunk_key(turn, 0)};
+    }
+
+    void change(row_transaction transaction)
+    {
+        store.calls().commit(
+            std::move(transaction), seconds(1),
+            [](transaction_result const&) {});
+        store.run();
+    }
+
+    void check_failure(
+        std::string const& id, turn_failure cause, std::size_t position)
+    {
+        auto const [answer, chain] = load("c");
+        CHECK(answer == history_answer::store_unavailable);
+        REQUIRE(chain.failure);
+        CHECK(chain.failure->turn.str() == id);
+        CHECK(to_string(chain.failure->cause) == to_string(cause));
+        CHECK(chain.failure->position == position);
+        CHECK(chain.failure->failed_turns == 1);
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(
+    failed_load_fixture, "history: a failed read is reported with its turn")
+{
+    // The reads are those of c, a and b.
+    store.fail_step(store.steps() + 1, store_fault::refuse);
+    check_failure("c", turn_failure::refused, 1);
+    store.fail_step(store.steps() + 1, store_fault::lose);
+    check_failure("c", turn_failure::unanswered, 1);
+    store.fail_step(store.steps() + 3, store_fault::refuse);
+    check_failure("b", turn_failure::refused, 2);
+    CHECK(load("c").first == history_answer::found);
+    CHECK_FALSE(load("c").second.failure);
+}
+
+TEST_CASE_METHOD(
+    failed_load_fixture,
+    "history: a removed predecessor is reported as missing")
+{
+    row_transaction removal;
+    removal.removals.push_back(row_of("a"));
+    change(std::move(removal));
+    check_failure("a", turn_failure::missing, 1);
+}
+
+TEST_CASE_METHOD(
+    failed_load_fixture, "history: an invalid row is reported as malformed")
+{
+    for (auto const* value : {"no turn", "turn 1 1000000 60\nno turn"})
+    {
+        node = start();
+        row_transaction garbage;
+        garbage.writes.push_back({row_of("b"), value});
+        change(std::move(garbage));
+        check_failure("b", turn_failure::malformed, 2);
+    }
+}
+
+TEST_CASE_METHOD(
+    failed_load_fixture, "history: an unknown turn is reported as missing")
+{
+    auto const [answer, chain] = load("nowhere");
+    CHECK(answer == history_answer::unknown_turn);
+    REQUIRE(chain.failure);
+    CHECK(chain.failure->cause == turn_failure::missing);
+}
+
+// Shows which reads of a failed load are spared by the next try.
+TEST_CASE_METHOD(
+    failed_load_fixture, "history: a failed load keeps the turns that it read")
+{
+    store.fail_step(store.steps() + 2, store_fault::refuse);
+    check_failure("a", turn_failure::refused, 1);
+    auto const steps = store.steps();
+    CHECK(load("c").first == history_answer::found);
+    CHECK(store.steps() == steps + 1);
+}
