--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -44,6 +44,9 @@
     std::string output;
     /// Time for which the row is to be retained; not part of the encoding.
     std::chrono::seconds kept_for{0};
+    /// When the row was written, or earlier, by this node's clock; not part of
+    /// the encoding. The default means that it is unknown.
+    time_point written_at = time_point::min();
 
     /// \return the estimated memory use in bytes, overhead included.
     std::size_t bytes() const;
@@ -53,8 +56,11 @@
 std::string encode(stored_turn const& turn);
 /// Decodes the result of encode().
 /// \return null if the bytes are not a valid turn.
-std::shared_ptr<stored_turn const>
-decode_turn(request_id const& id, std::string_view bytes);
+/// \param kept_for, written_at as in stored_turn
+std::shared_ptr<stored_turn const> decode_turn(
+    request_id const& id, std::string_view bytes,
+    std::chrono::seconds kept_for = std::chrono::seconds(0),
+    time_point written_at = time_point::min());
 
 /// Header at the start of the first row of a stored turn.
 struct turn_header
@@ -86,6 +92,37 @@
     store_unavailable
 };
 
+/// Why a turn could not be loaded.
+enum class turn_failure
+{
+    none,
+    /// The store did not answer in time.
+    unanswered,
+    /// The store answered with an error, for example over its rate.
+    refused,
+    /// The partition had left requests unanswered, so none was sent.
+    not_sent,
+    /// The store confirmed that a row of the turn does not exist.
+    missing,
+    /// A row of the turn is not valid.
+    malformed
+};
+std::string_view to_string(turn_failure failure);
+
+/// The turn for which a chain could not be loaded.
+struct history_failure
+{
+    request_id turn;
+    turn_failure cause = turn_failure::none;
+    /// Position of the turn in its chain; 1 is the oldest.
+    std::size_t position = 1;
+    /// Turns of the chain, of which some may not be known: 1 if the failed turn
+    /// is the requested one.
+    std::size_t chain_length = 1;
+    /// Turns that could not be loaded.
+    std::size_t failed_turns = 1;
+};
+
 /// A turn with its predecessors, as the context of the next turn.
 struct turn_chain
 {
@@ -93,6 +130,11 @@
     std::vector<request_id> ids;
     /// Inputs and outputs of these turns, concatenated in order.
     std::string text;
+    /// Earliest time at which a row of these turns may be removed; the default
+    /// means that it is unknown.
+    time_point removable_at = time_point::min();
+    /// Set unless the chain was found.
+    std::optional<history_failure> failure;
 };
 
 struct history_options
@@ -118,6 +160,8 @@
         schedule_after;
     /// Clock for the time of writing, by which expired turns are removed.
     utc_fn utc = system_utc();
+    /// Clock for the ages of cached turns.
+    clock_fn clock = monotonic_clock();
 };
 
 /// Access to the turn caches of other nodes.
@@ -155,6 +199,9 @@
     /// \param candidate index below partition_candidates; 0 is the partition
     /// that is used by default
     static std::string partition(request_id const& id, std::size_t candidate);
+    /// A turn's rows are removed once they are older than its retention and
+    /// this margin, which allows for clocks that differ by minutes.
+    static constexpr std::chrono::seconds removal_margin{600};
 
     explicit turn_history(versioned_store store, history_options options = {});
     ~turn_history();
@@ -169,6 +216,13 @@
     void
     load(request_id const& last, chain_fn done, std::string const& group = {});
 
+    /// Makes a turn the successor of a chain, to be stored next. As a rule it
+    /// refers to the earlier turns by id. If any of their rows may be removed
+    /// before the turn's own retention ends, its input begins with the text of
+    /// the chain instead and it refers to no other turn.
+    /// \param turn a turn with its own input and its retention
+    void continue_chain(turn_chain const& chain, stored_turn& turn) const;
+
     /// Writes a turn to the store.
     /// \param timeout limit of each transaction; the time spent before a
     /// fallback to another partition is subtracted
@@ -197,7 +251,13 @@
     using turn_lookup_ptr = std::shared_ptr<turn_lookup>;
     struct turn_write;
     using turn_write_ptr = std::shared_ptr<turn_write>;
-    using turn_fn = std::function<void(history_answer, turn_ptr)>;
+    struct turn_result
+    {
+        history_answer answer = history_answer::store_unavailable;
+        turn_ptr turn;
+        turn_failure failure = turn_failure::none;
+    };
+    using turn_fn = std::function<void(turn_result)>;
     struct cached_turn
     {
         turn_ptr turn;
@@ -213,8 +273,12 @@
         range_result const& result);
     void fetch_chunks(
         request_id const& id, std::size_t candidate, std::string first_chunk,
-        std::size_t chunk_count, turn_fn const& done);
+        turn_header const& head, turn_fn const& done);
+    time_point time_of_writing(turn_header const& head) const;
     void load_chain(chain_load_ptr const& load_state);
+    static void record_failure(
+        chain_load_ptr const& load_state, std::size_t index,
+        turn_failure cause);
     void on_turn_loaded(chain_load_ptr const& load_state);
     bool answers(request_id const& id, std::size_t candidate) const;
     void write_candidate(turn_write_ptr const& write);
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -120,6 +120,7 @@
     ledger_options options_of_ledger();
     void log_blocked_turn(blocked_turn const& one);
     history_options options_of_history();
+    sweep_options options_of_sweeper();
     void sweep_rows();
 
     boost::asio::io_context io_;
