start lease: refuse deeply nested rows before they are parsed

What callers saw: nothing here. A lease row of nested arrays, as another writer may leave it, would end each node that coordinates its partition; likewise a message to the budget service. Cause: the library's CBOR reader calls itself for each level. Change: both use decode_cbor() as the other decoders do, and a lease that cannot be read for any reason counts as none. Evidence: the decoders' test has a case for leases now; it ended with SIGSEGV on such bytes for other rows before, not run for leases on the code before.

--- a/src/entry/budget_service.cpp
+++ b/src/entry/budget_service.cpp
@@ -1,5 +1,6 @@
 #include "entry/budget_service.hpp"
 
+#include "cbor.hpp"
 #include "entry/partitions.hpp"
 
 #include <nlohmann/json.hpp>
@@ -190,7 +191,7 @@
          answer](exchange_reply const& reply)
         {
             auto const body = reply.answered && reply.status == status_ok
-                                  ? json::from_cbor(reply.body, true, false)
+                                  ? decode_cbor(reply.body)
                                   : json();
             auto const answer_text = body.is_object()
                                          ? body.value("answer", std::string())
@@ -278,7 +279,7 @@
 void budget_service::serve_admission(
     std::string_view body, std::function<void(int, std::string)> const& reply)
 {
-    auto const message = json::from_cbor(body, true, false);
+    auto const message = decode_cbor(body);
     if (!message.is_object())
     {
         reply(status_bad_request, {});
@@ -376,7 +377,7 @@
 void budget_service::serve_settlement(
     std::string_view body, std::function<void(int, std::string)> const& reply)
 {
-    auto const settlement = json::from_cbor(body, true, false);
+    auto const settlement = decode_cbor(body);
     if (!settlement.is_object())
     {
         reply(status_bad_request, {});
--- a/src/entry/start_lease.cpp
+++ b/src/entry/start_lease.cpp
@@ -1,5 +1,6 @@
 #include <walnutmill/start_lease.hpp>
 
+#include "cbor.hpp"
 #include "entry/partitions.hpp"
 
 #include <nlohmann/json.hpp>
@@ -39,7 +40,7 @@
 {
     try
     {
-        auto const body = json::from_cbor(bytes.begin(), bytes.end());
+        auto const body = decode_cbor(bytes);
         start_lease lease;
         lease.holder = body.at("holder").get<std::string>();
         for (auto const& one : body.at("former"))
@@ -49,7 +50,7 @@
         }
         return lease;
     }
-    catch (json::exception const&)
+    catch (std::exception const&)
     {
         // Treated as a lease without a holder, so that it can be acquired.
         return std::nullopt;
--- a/test/cbor-test.cpp
+++ b/test/cbor-test.cpp
@@ -13,6 +13,7 @@
 
 #include <walnutmill/program_ledger.hpp>
 #include <walnutmill/record.hpp>
+#include <walnutmill/start_lease.hpp>
 #include <walnutmill/turn_history.hpp>
 
 #include <catch2/catch.hpp>
@@ -88,6 +89,8 @@
      { return decode_registered_versions(bytes).has_value(); }},
     {"account",
      [](auto const& bytes) { return decode_account(bytes).has_value(); }},
+    {"lease",
+     [](auto const& bytes) { return decode_lease(bytes).has_value(); }},
     {"turn", [](auto const& bytes)
      { return decode_turn(request_id("t1"), bytes) != nullptr; }},
     {"frame",
@@ -103,8 +106,8 @@
 {
     std::string const name = GENERATE(
         "configuration row", "engines", "members", "sections", "query",
-        "crashes", "loads", "origin", "quota", "versions", "account", "turn",
-        "frame", "gossip", "records");
+        "crashes", "loads", "origin", "quota", "versions", "account", "lease",
+        "turn", "frame", "gossip", "records");
     for (auto const& bytes : odd_bytes())
     {
         INFO(
