entry node: list suspects whose ids are not UTF-8

A request with an id that is not UTF-8, under which an engine had ended, ended the node as soon as an operator asked for the suspects: the list was written as JSON by a call that throws at such bytes, and nothing caught it. The bytes are replaced now, as in log lines.

--- a/src/entry/entry_node_crashes.cpp
+++ b/src/entry/entry_node_crashes.cpp
@@ -183,7 +183,8 @@
             if (is_suspect)
                 all.push_back(std::move(fields));
         });
-    return all.dump(2);
+    // Ids of callers may hold bytes that are not UTF-8.
+    return all.dump(2, ' ', false, json::error_handler_t::replace);
 }
 
 /// Serves metrics, the list of suspect requests, and the release of one.
--- a/test/request_crashes-test.cpp
+++ b/test/request_crashes-test.cpp
@@ -314,3 +314,19 @@
     CHECK(caller.call(post("/safe/x", "r1")).status == 502);
     CHECK(runs >= 2);
 }
+
+TEST_CASE_METHOD(
+    request_crashes_fixture,
+    "request crashes: a request whose id is not UTF-8 is listed as a suspect")
+{
+    auto& node = start_node();
+    send_ending(node, "r1\xff");
+    auto const suspects = [&]
+    {
+        test_caller caller(node.settings.listen_metrics);
+        return caller.call("GET /suspects HTTP/1.1\r\nHost: x\r\n\r\n").body;
+    };
+    CHECK(
+        eventually([&] { return suspects().find("r1") != std::string::npos; }));
+    check_others_are_served(node);
+}
