program ledger: keep the turn that waits from ending its program

What callers would have seen: 402, which ends a program at once, although the budget truly held one more turn. Cause: claims of dead nodes were taken for tokens spent. Change: such a turn is refused with 503 as before; 402 is given for tokens known to be spent.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -51,7 +51,8 @@
     {
         std::uint64_t tokens = 0;
         /// Number of the node's latest change. The node uses it to recognize
-        /// that a change whose response was lost has taken effect.
+        /// that a change whose response was lost has taken effect. 0 for
+        /// escrow, which another node has reserved for the holder of a lease.
         std::uint64_t change = 0;
     };
 
@@ -284,7 +285,7 @@
         /// Reservations of other nodes, and since when they are unchanged.
         std::map<std::string, observed_reservation> others;
         /// One turn may start beside reservations of failed nodes.
-        bool abandoned = false;
+        bool may_exceed_budget = false;
         time_point last_use{};
     };
 
@@ -299,9 +300,7 @@
     bool is_abandoned(
         program_state const& state, std::string const& holder,
         program_account::reservation const& held) const;
-    bool reservations_abandoned(
-        program_state const& state, program_account const& account) const;
-    bool is_blocked_for_good(
+    bool is_wait_futile(
         program_state const& state, program_account const& account) const;
     std::uint64_t desired_reservation(
         program_state const& state, program_account const& account) const;
@@ -323,7 +322,8 @@
     void update_from_row(
         program_id const& program, program_state& state, stored_row const* row);
     void apply_change(program_state& state, sent_change const& sent);
-    void charge_untracked_reservation(program_state& state) const;
+    void
+    charge_untracked_reservation(program_state& state, bool started_here) const;
     bool should_settle(
         program_id const& program, program_state const& state,
         duration quiet) const;
--- a/include/walnutmill/start_lease.hpp
+++ b/include/walnutmill/start_lease.hpp
@@ -175,6 +175,9 @@
     bool may_start(program_id const& program) const;
     /// Records that the program was started without an account.
     void record_started(program_id const& program);
+    /// \return true if this node has started the program without an account
+    /// and has not seen its account since.
+    bool has_started(program_id const& program) const;
     /// Records that the program has an account.
     void record_account(program_id const& program);
     /// Confirms the lease: this node wrote an account under that version.
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -148,8 +148,9 @@
     for (auto const& one : state.queue)
     {
         auto const fits =
-            state.abandoned ? taken + wanted <= state.budget
-                            : taken + wanted + one.most_tokens <= state.budget;
+            state.may_exceed_budget
+                ? taken + wanted <= state.budget
+                : taken + wanted + one.most_tokens <= state.budget;
         if (!fits)
             break;
         wanted += one.most_tokens;
@@ -196,15 +197,13 @@
     // turn.
     if (waits() && state.attempts > 0)
     {
-        state.abandoned = reservations_abandoned(state, account);
+        state.may_exceed_budget = is_wait_futile(state, account);
         reservation = desired_reservation(state, account);
         if (waits())
         {
             report_blocked(program, state, account);
-            answer_all(
-                state, is_blocked_for_good(state, account)
-                           ? admission_answer::exhausted
-                           : admission_answer::contended);
+            state.may_exceed_budget = false;
+            answer_all(state, admission_answer::contended);
             return;
         }
     }
@@ -260,13 +259,12 @@
 }
 
 /// \return true if the first waiting turn would not fit either if all live
-/// nodes released their reservations. A turn that starts beside the others can
-/// exceed the program's budget by that turn at most, once.
-bool program_ledger::reservations_abandoned(
+/// nodes released their reservations. A turn that starts beside the abandoned
+/// ones can exceed the program's budget by that turn at most, once.
+bool program_ledger::is_wait_futile(
     program_state const& state, program_account const& account) const
 {
-    auto claimed = account.spent + state.used + state.in_flight +
-                   state.queue.front().most_tokens;
+    auto claimed = account.spent + state.used + state.queue.front().most_tokens;
     for (auto const& [holder, held] : account.reserved)
     {
         if (holder != self_ && is_abandoned(state, holder, held))
@@ -275,30 +273,6 @@
     return claimed > state.budget;
 }
 
-/// \return true if reservations that are never released, and the tokens spent,
-/// exceed the budget: no further turn can start.
-bool program_ledger::is_blocked_for_good(
-    program_state const& state, program_account const& account) const
-{
-    if (leases_ == nullptr)
-        return false;
-    auto const now = clock_();
-    auto const is_unused_escrow = [&](std::string const& holder)
-    {
-        auto const seen = state.others.find(holder);
-        return seen != state.others.end() && seen->second.change == 0 &&
-               now - seen->second.unchanged_since >= options_.abandoned_after;
-    };
-    auto claimed = account.spent + state.used;
-    for (auto const& [holder, held] : account.reserved)
-    {
-        if (holder != self_ && (!leases_->is_incarnation_alive(holder) ||
-                                is_unused_escrow(holder)))
-            claimed += held.tokens;
-    }
-    return claimed > state.budget;
-}
-
 void program_ledger::commit_reservation(
     program_id const& program, program_state& state, std::uint64_t reservation)
 {
@@ -323,7 +297,7 @@
     transaction.writes.push_back({at, encode(account)});
     state.unresolved.push_back(sent);
     state.change_pending = true;
-    state.abandoned = false;
+    state.may_exceed_budget = false;
     ++changes_in_progress_;
     store_.commit(
         std::move(transaction), options_.store_timeout,
@@ -435,6 +409,8 @@
 void program_ledger::update_from_row(
     program_id const& program, program_state& state, stored_row const* row)
 {
+    auto const started_here =
+        leases_ != nullptr && leases_->has_started(program);
     if (row != nullptr && leases_ != nullptr)
         leases_->record_account(program);
     auto const version = row != nullptr ? row->version : 0;
@@ -460,17 +436,23 @@
                 return one.base_version != version || one.number == own.change;
             }),
         state.unresolved.end());
-    charge_untracked_reservation(state);
+    charge_untracked_reservation(state, started_here);
 }
 
 /// Counts a reservation of this node as spent if the node has no record of it:
 /// it was made before the program was removed from memory, and may be spent.
-void program_ledger::charge_untracked_reservation(program_state& state) const
+/// Escrow that another node has reserved for this one is unused unless this
+/// node has started the program.
+void program_ledger::charge_untracked_reservation(
+    program_state& state, bool started_here) const
 {
     if (!state.account || state.reserved > 0 || !state.unresolved.empty())
         return;
     auto& own = state.account->reserved[self_];
-    state.account->spent += own.tokens;
+    auto const is_unused_escrow =
+        own.change == 0 && leases_ != nullptr && !started_here;
+    if (!is_unused_escrow)
+        state.account->spent += own.tokens;
     own.tokens = 0;
 }
 
--- a/src/entry/start_lease.cpp
+++ b/src/entry/start_lease.cpp
@@ -383,6 +383,12 @@
         emit_event("started_program", partition, program.str());
 }
 
+bool start_leases::has_started(program_id const& program) const
+{
+    auto const& state = partitions_.at(partition_of(program.str()));
+    return state.started_programs.count(program) > 0;
+}
+
 void start_leases::record_account(program_id const& program)
 {
     auto& state = partitions_.at(partition_of(program.str()));
