--- a/include/walnutmill/versioned_store.hpp
+++ b/include/walnutmill/versioned_store.hpp
@@ -113,8 +113,6 @@
 struct range_result
 {
     store_outcome outcome = store_outcome::unavailable;
-    /// Set if the outcome is \c unavailable and the cause is known.
-    call_failure failure = call_failure::none;
     std::vector<stored_row> rows;
     /// The store's newest version when the rows were read; 0: not reported.
     std::uint64_t version = 0;
@@ -122,6 +120,8 @@
     bool truncated = false;
     /// Time of the store's steady clock when it answered; zero: not reported.
     std::chrono::milliseconds store_time{0};
+    /// Set if the outcome is \c unavailable and the cause is known.
+    call_failure failure = call_failure::none;
 };
 
 /// Rows of a table that changed after a version.
