history: repeat failed reads of a chain within the call's time

After a loss of all caches a turn that continues a chain of 18 turns needs 18 reads of the store, and got 503 "the store of turns does not answer" if one of them failed or was refused, with most of its time left.

A load now repeats the failed reads after 50, 100, 200 and 400 ms, within half of the call's remaining time and at most 1 s. Only these reads are repeated: what was read stays with the load and in the cache, and a candidate partition that does not hold the turn is not asked again. A load looks up eight turns at a time instead of all. Missing and malformed turns and a store of which all partitions are silent end the load at once, as before; a turn is reported as unknown only if all three candidates say so.

--- a/include/walnutmill/turn_history.hpp
+++ b/include/walnutmill/turn_history.hpp
@@ -149,13 +149,20 @@
     std::size_t row_bytes = 45'000;
     /// Timeout of each read of the store.
     std::chrono::milliseconds timeout{2'500};
+    /// Limit of the turns of one load that are looked up at the same time. A
+    /// chain of 18 turns that no node has cached takes three round trips.
+    std::size_t max_reads_per_load = 8;
+    /// Delays before failed reads of a load are repeated; each is twice the one
+    /// before.
+    std::chrono::milliseconds first_retry_delay{50};
+    std::chrono::milliseconds max_retry_delay{400};
     /// Interval at which a pending write is checked. If its partition is
     /// unresponsive, the turn is also written to another one that responds. A
     /// partition counts as unresponsive after 300 ms, so the first check comes
     /// shortly after that.
     std::chrono::milliseconds fallback_check_interval{350};
     /// Runs a function after a delay. If null, each turn is written to one
-    /// partition only.
+    /// partition only, and failed reads are not repeated.
     std::function<void(std::chrono::milliseconds, std::function<void()>)>
         schedule_after;
     /// Clock for the time of writing, by which expired turns are removed.
@@ -213,8 +220,12 @@
     /// \param done called once, possibly before load() returns
     /// \param group turns of the same group are cached by the same peer; if
     /// empty, no peer is asked
-    void
-    load(request_id const& last, chain_fn done, std::string const& group = {});
+    /// \param retry_for time from now for which reads that failed are repeated
+    /// while the store is not lost. Turns that were read meanwhile are not read
+    /// again.
+    void load(
+        request_id const& last, chain_fn done, std::string const& group = {},
+        std::chrono::milliseconds retry_for = std::chrono::milliseconds(0));
 
     /// Makes a turn the successor of a chain, to be stored next. As a rule it
     /// refers to the earlier turns by id. If any of their rows may be removed
@@ -265,21 +276,27 @@
     };
 
     turn_ptr find(request_id const& id);
-    void load_from_store(request_id const& last, chain_fn done);
-    void fetch(request_id const& id, turn_fn done);
-    void read_candidate(turn_lookup_ptr const& lookup, std::size_t candidate);
+    void load_from_store(chain_load_ptr const& load_state);
+    void load_chain(chain_load_ptr const& load_state);
+    void read_waiting(chain_load_ptr const& load_state);
+    void on_predecessor_read(
+        chain_load_ptr const& load_state, std::size_t index,
+        turn_result const& result);
+    void end_round(chain_load_ptr const& load_state);
+    bool schedule_retry(
+        chain_load_ptr const& load_state, std::function<void()> what);
+    void run_lookup(turn_lookup_ptr const& lookup, turn_fn const& done);
+    void read_candidate(
+        turn_lookup_ptr const& lookup, std::size_t candidate,
+        turn_fn const& done);
     void on_candidate_read(
         turn_lookup_ptr const& lookup, std::size_t candidate,
-        range_result const& result);
+        turn_fn const& done, range_result const& result);
     void fetch_chunks(
         request_id const& id, std::size_t candidate, std::string first_chunk,
         turn_header const& head, turn_fn const& done);
     time_point time_of_writing(turn_header const& head) const;
-    void load_chain(chain_load_ptr const& load_state);
-    static void record_failure(
-        chain_load_ptr const& load_state, std::size_t index,
-        turn_failure cause);
-    void on_turn_loaded(chain_load_ptr const& load_state);
+    bool answers(request_id const& id) const;
     bool answers(request_id const& id, std::size_t candidate) const;
     void write_candidate(turn_write_ptr const& write);
     void schedule_fallback(turn_write_ptr const& write);
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -26,6 +26,11 @@
 /// of a call (0.3 to 0.5 s). Bursts last some seconds, and callers retry only a
 /// few times.
 constexpr milliseconds retry_after_when_full{600};
+/// Upper bound of the time for which failed reads of a history are repeated; at
+/// most half of the call's remaining time is used. A turn whose partition stays
+/// away is refused then, because it holds a reservation of its program's budget
+/// while it waits.
+constexpr milliseconds max_history_retry{1'000};
 
 constexpr int status_bad_request = 400;
 constexpr int status_budget = 402;
@@ -387,7 +392,10 @@
                 self->refuse_without_store(
                     "the store of turns does not answer");
         },
-        call_.program.program.str());
+        call_.program.program.str(),
+        std::min(
+            max_history_retry,
+            std::chrono::duration_cast<milliseconds>(time_left() / 2)));
 }
 
 void call_flow::log_history_failure(history_failure const& failure)
--- a/src/entry/turn_history.cpp
+++ b/src/entry/turn_history.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
+#include <map>
 #include <numeric>
 #include <utility>
 
@@ -48,6 +50,14 @@
     return turn_failure::unanswered;
 }
 
+/// \return true if another attempt may find the turn.
+bool is_transient(turn_failure failure)
+{
+    return failure == turn_failure::unanswered ||
+           failure == turn_failure::refused ||
+           failure == turn_failure::not_sent;
+}
+
 turn_chain failed_chain(history_failure failure)
 {
     turn_chain result;
@@ -130,28 +140,46 @@
 /// State of loading a chain.
 struct turn_history::chain_load
 {
+    struct failed_read
+    {
+        std::size_t index;
+        turn_failure cause;
+    };
+
+    turn_lookup_ptr last_lookup;
     turn_ptr last;
     std::vector<turn_ptr> turns;
-    std::size_t missing = 0;
-    /// The oldest turn that could not be loaded.
-    std::optional<history_failure> failure;
-    std::size_t failed_turns = 0;
+    /// Lookups of the predecessors that are not cached, by their index.
+    std::map<std::size_t, turn_lookup_ptr> lookups;
+    /// Predecessors that are to be read.
+    std::deque<std::size_t> waiting;
+    std::vector<failed_read> failed;
+    std::size_t in_flight = 0;
+    bool starting_reads = false;
+    /// Failed reads are repeated until then.
+    time_point retry_until;
+    int retries = 0;
     chain_fn done;
 };
 
-/// State of looking up one turn in the store.
+/// State of looking up one turn in the store. A lookup that has failed may be
+/// repeated.
 struct turn_history::turn_lookup
 {
     request_id id;
-    turn_fn done;
+    /// Candidates that do not hold the turn. It was stored before it was looked
+    /// up, so they are not read again.
+    std::array<bool, partition_candidates> empty{};
+    /// Number of the current run; replies to earlier ones are ignored.
+    std::size_t run = 0;
     /// Candidates that have not answered.
     std::size_t pending = 0;
-    std::size_t candidates_read = 0;
+    /// Candidates after the first one are read as well.
+    bool reads_others = false;
     /// The read of a candidate failed, so the turn may exist.
     bool inconclusive = false;
     /// Of the first candidate that failed.
     turn_failure failure = turn_failure::none;
-    bool finished = false;
 };
 
 /// State of writing one turn.
@@ -233,99 +261,151 @@
 }
 
 void turn_history::load(
-    request_id const& last, chain_fn done, std::string const& group)
+    request_id const& last, chain_fn done, std::string const& group,
+    std::chrono::milliseconds retry_for)
 {
+    auto const load_state = std::make_shared<chain_load>();
+    load_state->done = std::move(done);
+    load_state->retry_until = options_.clock() + retry_for;
+    load_state->last_lookup = std::make_shared<turn_lookup>();
+    load_state->last_lookup->id = last;
     if (!peers_.request_chain || group.empty() || has_cached_chain(last))
     {
-        load_from_store(last, std::move(done));
+        load_from_store(load_state);
         return;
     }
     peers_.request_chain(
         group, last,
-        [this, alive = alive_, last, done = std::move(done)]
+        [this, alive = alive_, load_state]
         {
             if (*alive)
-                load_from_store(last, done);
+                load_from_store(load_state);
         });
 }
 
-void turn_history::load_from_store(request_id const& last, chain_fn done)
+void turn_history::load_from_store(chain_load_ptr const& load_state)
 {
-    auto const load_state = std::make_shared<chain_load>();
-    load_state->done = std::move(done);
-    load_state->last = find(last);
+    auto const& lookup = load_state->last_lookup;
+    load_state->last = find(lookup->id);
     if (load_state->last)
     {
         load_chain(load_state);
         return;
     }
-    fetch(
-        last,
-        [this, load_state, last](turn_result const& result)
+    auto const done = [this, load_state](turn_result const& result)
+    {
+        if (result.answer == history_answer::found)
         {
-            if (result.answer != history_answer::found)
-            {
-                load_state->done(
-                    result.answer, failed_chain({last, result.failure}));
-                return;
-            }
             load_state->last = result.turn;
             load_chain(load_state);
-        });
+            return;
+        }
+        auto const& id = load_state->last_lookup->id;
+        if (is_transient(result.failure) && answers(id) &&
+            schedule_retry(
+                load_state,
+                [this, load_state] { load_from_store(load_state); }))
+            return;
+        load_state->done(result.answer, failed_chain({id, result.failure}));
+    };
+    run_lookup(lookup, done);
 }
 
 void turn_history::load_chain(chain_load_ptr const& load_state)
 {
     auto const& ids = load_state->last->chain;
     load_state->turns.resize(ids.size());
-    load_state->missing = 1;
     for (std::size_t i = 0; i < ids.size(); ++i)
     {
         load_state->turns[i] = find(ids[i]);
-        if (load_state->turns[i])
-            continue;
-        ++load_state->missing;
-        fetch(
-            ids[i],
-            [this, load_state, i](turn_result const& result)
-            {
-                load_state->turns[i] = result.turn;
-                // A chain with a missing predecessor can't be continued,
-                // whatever the reason. Only the last turn can be reported as
-                // unknown; a missing predecessor is reported as unavailable.
-                if (result.answer != history_answer::found)
-                    record_failure(load_state, i, result.failure);
-                on_turn_loaded(load_state);
-            });
+        if (!load_state->turns[i])
+            load_state->waiting.push_back(i);
     }
-    on_turn_loaded(load_state);
+    read_waiting(load_state);
 }
 
-void turn_history::record_failure(
-    chain_load_ptr const& load_state, std::size_t index, turn_failure cause)
+/// Starts reads of waiting predecessors up to the limit. Ends the round once
+/// all have ended.
+void turn_history::read_waiting(chain_load_ptr const& load_state)
 {
-    ++load_state->failed_turns;
-    auto& failure = load_state->failure;
-    if (failure && failure->position <= index + 1)
+    if (load_state->starting_reads)
         return;
-    auto const& ids = load_state->last->chain;
-    failure = history_failure{ids[index], cause, index + 1, ids.size() + 1};
+    load_state->starting_reads = true;
+    while (!load_state->waiting.empty() &&
+           load_state->in_flight < options_.max_reads_per_load)
+    {
+        auto const index = load_state->waiting.front();
+        load_state->waiting.pop_front();
+        ++load_state->in_flight;
+        auto& lookup = load_state->lookups[index];
+        if (!lookup)
+        {
+            lookup = std::make_shared<turn_lookup>();
+            lookup->id = load_state->last->chain[index];
+        }
+        run_lookup(
+            lookup, [this, load_state, index](turn_result const& result)
+            { on_predecessor_read(load_state, index, result); });
+    }
+    load_state->starting_reads = false;
+    if (load_state->in_flight == 0 && load_state->waiting.empty())
+        end_round(load_state);
 }
 
-void turn_history::on_turn_loaded(chain_load_ptr const& load_state)
+void turn_history::on_predecessor_read(
+    chain_load_ptr const& load_state, std::size_t index,
+    turn_result const& result)
 {
-    if (--load_state->missing > 0)
+    --load_state->in_flight;
+    load_state->turns[index] = result.turn;
+    if (!result.turn)
+    {
+        load_state->failed.push_back({index, result.failure});
+        // A chain with a missing predecessor can't be continued.
+        if (!is_transient(result.failure))
+            load_state->waiting.clear();
+    }
+    read_waiting(load_state);
+}
+
+void turn_history::end_round(chain_load_ptr const& load_state)
+{
+    auto& failed = load_state->failed;
+    auto const& ids = load_state->last->chain;
+    auto const may_retry =
+        !failed.empty() &&
+        std::all_of(
+            failed.begin(), failed.end(),
+            [](auto const& one) { return is_transient(one.cause); }) &&
+        std::any_of(
+            failed.begin(), failed.end(),
+            [this, &ids](auto const& one) { return answers(ids[one.index]); });
+    if (may_retry && schedule_retry(
+                         load_state,
+                         [this, load_state]
+                         {
+                             for (auto const& one : load_state->failed)
+                                 load_state->waiting.push_back(one.index);
+                             load_state->failed.clear();
+                             read_waiting(load_state);
+                         }))
         return;
-    if (load_state->failure)
+    if (!failed.empty())
     {
-        load_state->failure->failed_turns = load_state->failed_turns;
+        // Only the last turn can be reported as unknown; a missing predecessor
+        // is reported as unavailable.
+        auto const oldest = std::min_element(
+            failed.begin(), failed.end(),
+            [](auto const& a, auto const& b) { return a.index < b.index; });
         load_state->done(
             history_answer::store_unavailable,
-            failed_chain(*load_state->failure));
+            failed_chain(
+                {ids[oldest->index], oldest->cause, oldest->index + 1,
+                 ids.size() + 1, failed.size()}));
         return;
     }
     turn_chain chain;
-    chain.ids = load_state->last->chain;
+    chain.ids = ids;
     chain.ids.push_back(load_state->last->id);
     chain.removable_at = removable_at(*load_state->last);
     for (auto const& turn : load_state->turns)
@@ -337,76 +417,107 @@
     load_state->done(history_answer::found, std::move(chain));
 }
 
-void turn_history::fetch(request_id const& id, turn_fn done)
+/// \return false if no time is left; \c what is not run then.
+bool turn_history::schedule_retry(
+    chain_load_ptr const& load_state, std::function<void()> what)
 {
-    auto const lookup = std::make_shared<turn_lookup>();
-    lookup->id = id;
-    lookup->done = std::move(done);
-    read_candidate(lookup, 0);
+    auto const delay = std::min(
+        options_.first_retry_delay * (1 << std::min(load_state->retries, 10)),
+        options_.max_retry_delay);
+    if (!options_.schedule_after ||
+        options_.clock() + delay >= load_state->retry_until)
+        return false;
+    ++load_state->retries;
+    options_.schedule_after(
+        delay,
+        [alive = alive_, what = std::move(what)]
+        {
+            if (*alive)
+                what();
+        });
+    return true;
+}
+
+void turn_history::run_lookup(
+    turn_lookup_ptr const& lookup, turn_fn const& done)
+{
+    ++lookup->run;
+    lookup->pending = 1;
+    lookup->reads_others = false;
+    lookup->inconclusive = false;
+    lookup->failure = turn_failure::none;
+    std::size_t candidate = 0;
+    while (candidate + 1 < partition_candidates && lookup->empty[candidate])
+        ++candidate;
+    read_candidate(lookup, candidate, done);
 }
 
 void turn_history::read_candidate(
-    turn_lookup_ptr const& lookup, std::size_t candidate)
+    turn_lookup_ptr const& lookup, std::size_t candidate, turn_fn const& done)
 {
-    ++lookup->candidates_read;
-    ++lookup->pending;
     auto const at = chunk_address(lookup->id, candidate, 0);
     store_.read(
         {at.table, at.partition, at.key, at.key + '\0'}, options_.timeout,
-        [this, alive = alive_, lookup, candidate](range_result const& result)
+        [this, alive = alive_, lookup, candidate, done,
+         run = lookup->run](range_result const& result)
         {
-            if (*alive && !lookup->finished)
-                on_candidate_read(lookup, candidate, result);
+            if (*alive && lookup->run == run)
+                on_candidate_read(lookup, candidate, done, result);
         });
 }
 
 void turn_history::on_candidate_read(
-    turn_lookup_ptr const& lookup, std::size_t candidate,
+    turn_lookup_ptr const& lookup, std::size_t candidate, turn_fn const& done,
     range_result const& result)
 {
     --lookup->pending;
     if (result.outcome == store_outcome::done && !result.rows.empty())
     {
-        lookup->finished = true;
+        ++lookup->run;
         auto const& value = result.rows.front().value;
         auto const head = decode_turn_header(value);
         if (head)
         {
             fetch_chunks(
-                lookup->id, candidate, value.substr(head->size), *head,
-                lookup->done);
+                lookup->id, candidate, value.substr(head->size), *head, done);
         }
         else
         {
             // The turn exists but its header is invalid, so it is not
             // reported as unknown.
-            lookup->done(
+            done(
                 {history_answer::store_unavailable, nullptr,
                  turn_failure::malformed});
         }
         return;
     }
-    if (result.outcome != store_outcome::done && !lookup->inconclusive)
+    lookup->empty[candidate] = result.outcome == store_outcome::done;
+    if (!lookup->empty[candidate] && !lookup->inconclusive)
     {
         lookup->inconclusive = true;
         lookup->failure = failure_of(result);
     }
-    if (lookup->candidates_read < partition_candidates)
+    if (!lookup->reads_others)
     {
-        for (auto other = lookup->candidates_read; other < partition_candidates;
-             ++other)
-            read_candidate(lookup, other);
-        return;
+        lookup->reads_others = true;
+        std::vector<std::size_t> others;
+        for (auto i = candidate + 1; i < partition_candidates; ++i)
+        {
+            if (!lookup->empty[i])
+                others.push_back(i);
+        }
+        lookup->pending += others.size();
+        for (auto const other : others)
+            read_candidate(lookup, other, done);
+        if (!others.empty())
+            return;
     }
     if (lookup->pending > 0)
         return;
-    lookup->finished = true;
     if (lookup->inconclusive)
-        lookup->done(
-            {history_answer::store_unavailable, nullptr, lookup->failure});
+        done({history_answer::store_unavailable, nullptr, lookup->failure});
     else
-        lookup->done(
-            {history_answer::unknown_turn, nullptr, turn_failure::missing});
+        done({history_answer::unknown_turn, nullptr, turn_failure::missing});
 }
 
 void turn_history::fetch_chunks(
@@ -422,10 +533,11 @@
     auto const all = std::make_shared<chunk_set>();
     all->chunks.resize(std::max<std::size_t>(head.chunk_count, 1));
     all->chunks[0] = std::move(first_chunk);
-    auto const on_chunk_read = [this, all, id, done, kept_for = head.kept_for,
+    auto const on_chunk_read = [this, alive = alive_, all, id, done,
+                                kept_for = head.kept_for,
                                 written_at = time_of_writing(head)]
     {
-        if (--all->missing > 0)
+        if (--all->missing > 0 || !*alive)
             return;
         std::string bytes;
         for (auto const& part : all->chunks)
@@ -466,6 +578,17 @@
     on_chunk_read();
 }
 
+/// \return true if any candidate partition of a turn responds.
+bool turn_history::answers(request_id const& id) const
+{
+    for (std::size_t i = 0; i < partition_candidates; ++i)
+    {
+        if (answers(id, i))
+            return true;
+    }
+    return false;
+}
+
 bool turn_history::answers(request_id const& id, std::size_t candidate) const
 {
     return !store_.answers || store_.answers(partition(id, candidate));
--- a/test/turn_history-test.cpp
+++ b/test/turn_history-test.cpp
@@ -5,9 +5,15 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace
 {
@@ -443,3 +449,213 @@
     CHECK(load("c").first == history_answer::found);
     CHECK(store.steps() == steps + 1);
 }
+
+namespace
+{
+
+/// A node without cached turns loads a chain of 18 turns within a time limit.
+struct timed_load_fixture : history_fixture
+{
+    static constexpr int turns = 18;
+
+    manual_clock clock;
+    /// Delayed functions, with the time at which they are due.
+    std::multimap<time_point, std::function<void()>> timers;
+    /// Refuses a read if it returns true; called for each read.
+    std::function<bool(row_range const&)> is_refused = [](row_range const&)
+    { return false; };
+    bool store_is_lost = false;
+    std::size_t reads = 0;
+    std::size_t reads_in_flight = 0;
+    std::size_t most_reads_in_flight = 0;
+
+    timed_load_fixture()
+    {
+        std::vector<std::string> chain;
+        for (int i = 1; i <= turns; ++i)
+        {
+            auto const id = "t" + std::to_string(i);
+            REQUIRE(store_turn(id, chain, "in" + id + " ", "out\n"));
+            chain.push_back(id);
+        }
+        restart();
+    }
+
+    void restart()
+    {
+        history_options options;
+        options.clock = clock.fn();
+        options.schedule_after =
+            [this](std::chrono::milliseconds after, std::function<void()> what)
+        { timers.emplace(clock.now() + after, std::move(what)); };
+        node = std::make_unique<turn_history>(limited_calls(), options);
+        timers.clear();
+        reads = 0;
+        most_reads_in_flight = 0;
+    }
+
+    versioned_store limited_calls()
+    {
+        auto to = store.calls();
+        to.answers = [this](std::string const&) { return !store_is_lost; };
+        to.read = [this, read = to.read](
+                      row_range range, std::chrono::milliseconds timeout,
+                      std::function<void(range_result)> done)
+        {
+            ++reads;
+            ++reads_in_flight;
+            most_reads_in_flight =
+                std::max(most_reads_in_flight, reads_in_flight);
+            auto const refused = is_refused(range);
+            read(
+                std::move(range), timeout,
+                [this, refused, done = std::move(done)](range_result result)
+                {
+                    --reads_in_flight;
+                    if (refused)
+                    {
+                        result = {};
+                        result.failure = call_failure::refused;
+                    }
+                    done(std::move(result));
+                });
+        };
+        return to;
+    }
+
+    history_answer load_within(
+        std::string const& id,
+        std::chrono::milliseconds limit = std::chrono::milliseconds(1'500))
+    {
+        std::optional<history_answer> answered;
+        auto const began = clock.now();
+        node->load(
+            request_id(id),
+            [&](history_answer answer, turn_chain const& chain)
+            {
+                answered = answer;
+                if (answer == history_answer::found)
+                    CHECK(chain.ids.size() == turns);
+            },
+            {}, limit);
+        store.run();
+        while (!answered && !timers.empty())
+        {
+            auto const due = timers.begin()->first;
+            if (due > clock.now())
+                clock.advance(due - clock.now());
+            auto const what = std::move(timers.begin()->second);
+            timers.erase(timers.begin());
+            what();
+            store.run();
+        }
+        REQUIRE(answered);
+        CHECK(clock.now() - began <= limit);
+        return *answered;
+    }
+
+    static bool is_of(row_range const& range, std::string const& id)
+    {
+        return range.from == id;
+    }
+};
+
+} // namespace
+
+// Guards against refusing a turn for one lost answer after all caches are lost.
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: a failed read of a long chain is repeated")
+{
+    for (auto const fault : {store_fault::refuse, store_fault::lose})
+    {
+        for (std::size_t step = 1; step <= turns; ++step)
+        {
+            restart();
+            store.fail_step(store.steps() + step, fault);
+            CHECK(load_within("t18") == history_answer::found);
+            // The failed read, its repetition and the other two candidates.
+            CHECK(reads <= turns + 3);
+        }
+    }
+}
+
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: a long chain loads at a store over its rate")
+{
+    auto window = clock.now();
+    int in_window = 0;
+    is_refused = [&](row_range const&)
+    {
+        if (clock.now() - window >= std::chrono::milliseconds(50))
+        {
+            window = clock.now();
+            in_window = 0;
+        }
+        return ++in_window > 5;
+    };
+    CHECK(load_within("t18") == history_answer::found);
+    CHECK(reads <= 5 * turns);
+}
+
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: the reads in flight of a load are limited")
+{
+    CHECK(load_within("t18") == history_answer::found);
+    CHECK(reads == turns);
+    CHECK(most_reads_in_flight <= 8);
+}
+
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: repeated reads end with the time of the load")
+{
+    is_refused = [](row_range const& range) { return is_of(range, "t7"); };
+    CHECK(load_within("t18") == history_answer::store_unavailable);
+    CHECK(timers.empty());
+    restart();
+    CHECK(
+        load_within("t18", std::chrono::milliseconds(0)) ==
+        history_answer::store_unavailable);
+    CHECK(timers.empty());
+    restart();
+    is_refused = [](row_range const& range) { return is_of(range, "t18"); };
+    CHECK(load_within("t18") == history_answer::store_unavailable);
+}
+
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: a turn is unknown only if all reads say so")
+{
+    auto const partition = turn_history::partition(request_id("nowhere"), 1);
+    int refusals = 3;
+    is_refused = [&](row_range const& range)
+    { return range.partition == partition && refusals-- > 0; };
+    CHECK(load_within("nowhere") == history_answer::unknown_turn);
+    // The other two candidates are read once.
+    CHECK(reads == 2 + 4);
+    is_refused = [&](row_range const& range)
+    { return range.partition == partition; };
+    CHECK(load_within("nowhere") == history_answer::store_unavailable);
+}
+
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: reads of a lost store are not repeated")
+{
+    store.set_down(true);
+    store_is_lost = true;
+    CHECK(load_within("t18") == history_answer::store_unavailable);
+    CHECK(reads == turn_history::partition_candidates);
+    CHECK(timers.empty());
+}
+
+TEST_CASE_METHOD(
+    timed_load_fixture, "history: a missing predecessor is not looked up again")
+{
+    row_transaction removal;
+    removal.removals.push_back(
+        {turn_history::table(), turn_history::partition(request_id("t3"), 0),
+         "t3"});
+    store.calls().commit(
+        std::move(removal), seconds(1), [](transaction_result const&) {});
+    store.run();
+    CHECK(load_within("t18") == history_answer::store_unavailable);
+    CHECK(timers.empty());
+}
