call: infer no version while the configuration may have changed

Callers' streams could go on at an engine of another service, and so of another version, at a node that missed a change of the configuration. If a stream's origin is not known, the version is inferred from the row of the one service to which the route leads. A node that reads that row, but not the configuration, took the service from before the change: streams that others had begun at the new one went on at the old one.

Now no version is inferred while the configuration is older than the bound within which a change must be in force, as no call is denied then either. Streams whose origin is known go on as before, and nothing changes at a node that reads the configuration.

Still open: within the bound (2 s), before the node's next reading, the same may happen.

--- a/src/entry/call_resumption.cpp
+++ b/src/entry/call_resumption.cpp
@@ -73,8 +73,9 @@
 
 void call_flow::find_origin_in_register()
 {
-    // A stream of several services may have begun at any of them.
-    if (route_->shares.size() > 1)
+    // A stream of several services may have begun at any of them. So may one
+    // whose route has changed, if this node does not know of the change.
+    if (route_->shares.size() > 1 || !is_configuration_in_force())
     {
         origin_not_found();
         return;
--- a/test/stream_version-test.cpp
+++ b/test/stream_version-test.cpp
@@ -583,3 +583,54 @@
     CHECK(resume_series("before") == 0);
     CHECK(mixed_streams() == 0);
 }
+
+TEST_CASE_METHOD(
+    release_fixture,
+    "release: a node whose configuration is old infers no version for a route "
+    "that may have moved")
+{
+    auto const is_split = GENERATE(false, true);
+    INFO(is_split);
+    begin_series("before");
+    relay.silence({members_table, "op"});
+    register_engine(engine_b, "llm2", "1.1");
+    register_engine(engine_d, "llm2", "1.1");
+    auto configured = configuration();
+    configured["version"] = 4;
+    auto service = configured["services"][0];
+    service["name"] = "llm2";
+    configured["services"].push_back(service);
+    auto& route = configured["routes"][0];
+    if (is_split)
+    {
+        route.erase("service");
+        route["split"] = {
+            {{"service", "llm"}, {"weight", 1}},
+            {{"service", "llm2"}, {"weight", 1}}};
+    }
+    else
+        route["service"] = "llm2";
+    store.put("op", "config", configured);
+    int number = 0;
+    // New streams are refused until the new service is registered.
+    REQUIRE(eventually(
+        [&]
+        {
+            test_caller caller(in_step->settings.listen_callers);
+            caller.send(turn("probe" + std::to_string(++number)));
+            caller.receive_until("\r\n\r\n");
+            return !engine_d.calls().empty();
+        }));
+    begin_series("amid");
+    // Without a current configuration the node does not deny an unknown path.
+    REQUIRE(eventually(
+        [&]
+        {
+            test_caller caller(out_of_step->settings.listen_callers);
+            auto const id = "unknown" + std::to_string(++number);
+            return caller.call(turn(id, {}, "/unknown/")).status == 503;
+        }));
+    CHECK(resume_series("amid") == 0);
+    CHECK(mixed_streams() == 0);
+    relay.silence({members_table});
+}
