--- a/test/cbor-test.cpp
+++ b/test/cbor-test.cpp
@@ -36,7 +36,6 @@
 {
     constexpr std::size_t levels = 200'000;
     std::string maps;
-    std::string tags;
     for (std::size_t i = 0; i < levels; ++i)
         maps += "\xa1\x61\x61";
     std::vector<std::string> all{
