--- a/test/workspace_competition.cpp
+++ b/test/workspace_competition.cpp
@@ -294,9 +294,10 @@
     {
         schedule(
             *options_.coordinators_lost_at,
-            [this] {
-                coordinator_.erase_if([](workspace_name const&)
-                                      { return true; });
+            [this]
+            {
+                coordinator_ = quota_coordinator(bounds);
+                coordinator_.set_reports_use(options_.uses_shares);
             });
     }
     auto const end = started_ + options_.arrivals_to + end_after_arrivals;
