--- a/test/history_exchange-test.cpp
+++ b/test/history_exchange-test.cpp
@@ -32,7 +32,7 @@
     {
     }
 
-    history_options options()
+    history_options options() const
     {
         history_options to;
         to.clock = clock.fn();
--- a/test/turn_history-test.cpp
+++ b/test/turn_history-test.cpp
@@ -456,7 +456,7 @@
 /// A node without cached turns loads a chain of 18 turns within a time limit.
 struct timed_load_fixture : history_fixture
 {
-    static constexpr int turns = 18;
+    static constexpr std::size_t turns = 18;
 
     manual_clock clock;
     /// Delayed functions, with the time at which they are due.
@@ -472,7 +472,7 @@
     timed_load_fixture()
     {
         std::vector<std::string> chain;
-        for (int i = 1; i <= turns; ++i)
+        for (std::size_t i = 1; i <= turns; ++i)
         {
             auto const id = "t" + std::to_string(i);
             REQUIRE(store_turn(id, chain, "in" + id + " ", "out\n"));
