--- a/test/store_rows.hpp
+++ b/test/store_rows.hpp
@@ -37,8 +37,8 @@
     put(std::string const& table, std::string const& key,
         std::string_view value);
     /// Stores a row of which answers hold this text, whatever it is.
-    void put_raw(
-        std::string const& table, std::string const& key, std::string text);
+    void
+    put_raw(std::string const& table, std::string const& key, std::string text);
     void remove(std::string const& table, std::string const& key);
     /// \return the number of rows of a table
     std::size_t count(std::string const& table) const;
