--- a/test/cut_serve_answer-test.cpp
+++ b/test/cut_serve_answer-test.cpp
@@ -58,7 +58,7 @@
         auto const done = std::make_shared<std::promise<outcome>>();
         auto ended = done->get_future();
         attempt_hooks hooks;
-        hooks.token = [](std::uint32_t, std::string) {};
+        hooks.token = [](std::uint32_t, std::string const&) {};
         hooks.answer = [done](attempt_answer const&) {
             done->set_value({1, std::nullopt});
         };
