--- a/test/cut_answer-test.cpp
+++ b/test/cut_answer-test.cpp
@@ -206,11 +206,10 @@
     "is broken")
 {
     std::string const long_body(8'000'000, 'x');
+    auto const answer = head_begin + "\r\n" + plain_text;
     for (int i = 0; i < 10; ++i)
     {
-        auto const got = exchange(
-            {head_begin + "\r\n" + plain_text, cut_kind::reset, true},
-            long_body);
+        auto const got = exchange({answer, cut_kind::reset, true}, long_body);
         REQUIRE(got.end);
         CHECK(*got.end == link_end::broken);
     }
