budget.blocked: say whether the turn is kept

Whether a dead holder can have granted the tokens that it holds in escrow depends on whether the program's turns have to be stored, which no line said. The ledger takes a turn_request in place of six parameters, so that the coordinator learns of it; no decision depends on it yet.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -108,6 +108,8 @@
     program_id program;
     std::uint64_t budget = 0;
     std::uint64_t most_tokens = 0;
+    /// As in turn_request.
+    bool is_kept = false;
     std::uint64_t spent = 0;
     /// Spent by ended turns of this node and not yet in the account.
     std::uint64_t unsettled = 0;
@@ -133,6 +135,22 @@
     unknown
 };
 
+/// A turn whose admission is requested.
+struct turn_request
+{
+    /// Budget of the program, in tokens.
+    std::uint64_t budget = 0;
+    /// Maximum number of tokens that the turn generates.
+    std::uint64_t most_tokens = 0;
+    /// The turn cannot complete without the store, so the program must not
+    /// start without it either.
+    bool needs_store = false;
+    /// The turn is stored before its stream ends, and other turns continue it.
+    bool is_kept = false;
+    /// This node's role for the program's account.
+    account_role role = account_role::coordinator;
+};
+
 struct ledger_options
 {
     /// Fraction of the unclaimed budget that a coordinator reserves. Programs
@@ -206,23 +224,16 @@
     program_ledger& operator=(program_ledger const&) = delete;
 
     /// Requests a turn.
-    /// \param budget of the program, in tokens
-    /// \param most_tokens maximum number of tokens that the turn generates
     /// \param answer called once, possibly before admit() returns
-    /// \param needs_store the turn cannot complete without the store, so the
-    /// program must not start without it either
-    /// \param role this node's role for the program's account
     void admit(
-        program_id const& program, std::uint64_t budget,
-        std::uint64_t most_tokens, answer_fn answer, bool needs_store = false,
-        account_role role = account_role::coordinator);
+        program_id const& program, turn_request const& turn, answer_fn answer);
 
     /// \return true if the program is in memory, as a turn of it was requested
     /// recently.
     bool is_tracking(program_id const& program) const;
 
     /// Records that an admitted turn has ended.
-    /// \param most_tokens as passed to admit()
+    /// \param most_tokens as in its turn_request
     /// \param delivered_tokens number of tokens delivered to the caller
     void settle(
         program_id const& program, std::uint64_t most_tokens,
@@ -267,6 +278,8 @@
     struct program_state
     {
         std::uint64_t budget = 0;
+        /// The latest requested turn is kept.
+        bool is_kept = false;
         /// The row as last seen. Empty if not read yet or not in the store.
         std::optional<program_account> account;
         std::uint64_t version = 0;
--- a/src/entry/budget_service.cpp
+++ b/src/entry/budget_service.cpp
@@ -129,7 +129,9 @@
         return;
     }
     ledger_.admit(
-        request.program, request.budget, request.most_tokens,
+        request.program,
+        {request.budget, request.most_tokens, request.needs_store,
+         request.is_kept, role},
         [this, alive = alive_, request,
          answer = std::move(answer)](admission_answer what)
         {
@@ -143,8 +145,7 @@
                        {},
                        {},
                        std::move(cache_locations)});
-        },
-        request.needs_store, role);
+        });
 }
 
 void budget_service::admit(
@@ -185,6 +186,7 @@
               {"most", request.most_tokens},
               {"only_begun", request.only_begun},
               {"needs_store", request.needs_store},
+              {"kept", request.is_kept},
               {"turn", requested.turn}}),
          small_exchange(options_.admission_timeout)},
         [this, request, requested, requests_left,
@@ -291,6 +293,7 @@
     request.most_tokens = message.value("most", std::uint64_t{0});
     request.only_begun = message.value("only_begun", false);
     request.needs_store = message.value("needs_store", false);
+    request.is_kept = message.value("kept", false);
     auto const turn = message.value("turn", std::string());
     // A repeated request waits for the admission that is already in progress.
     auto const in_progress = pending_.count(turn) > 0;
--- a/src/entry/budget_service.hpp
+++ b/src/entry/budget_service.hpp
@@ -70,8 +70,9 @@
         std::uint64_t most_tokens = 0;
         /// Admit the turn only if its program has already started.
         bool only_begun = false;
-        /// The turn cannot complete without the store.
+        /// As in turn_request.
         bool needs_store = false;
+        bool is_kept = false;
     };
 
     using answer_fn = std::function<void(admission_answer, grant)>;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -274,7 +274,8 @@
     node_.budgets.admit(
         {program.program, *program.token_budget, max_tokens_,
          only_started_programs,
-         route_->keeps_turns && !may_run_speculatively(pressure)},
+         route_->keeps_turns && !may_run_speculatively(pressure),
+         route_->keeps_turns},
         [self = shared_from_this()](
             admission_answer answer, budget_service::grant const& grant)
         {
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -293,6 +293,7 @@
         {{"program", one.program.str()},
          {"budget_tokens", one.budget},
          {"most_tokens", one.most_tokens},
+         {"kept", one.is_kept},
          {"spent_tokens", one.spent},
          {"unsettled_tokens", one.unsettled},
          {"in_flight_tokens", one.in_flight},
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -68,15 +68,16 @@
 }
 
 void program_ledger::admit(
-    program_id const& program, std::uint64_t budget, std::uint64_t most_tokens,
-    answer_fn answer, bool needs_store, account_role role)
+    program_id const& program, turn_request const& turn, answer_fn answer)
 {
     auto& state = programs_[program];
-    state.role = role;
-    state.budget = budget;
+    state.role = turn.role;
+    state.budget = turn.budget;
+    state.is_kept = turn.is_kept;
     state.last_use = clock_();
     state.releasing = false;
-    state.queue.push_back({most_tokens, std::move(answer), needs_store});
+    state.queue.push_back(
+        {turn.most_tokens, std::move(answer), turn.needs_store});
     if (!state.change_pending)
         state.attempts = 0;
     process_queue(program, state);
@@ -479,6 +480,7 @@
     blocked_turn report;
     report.program = program;
     report.budget = state.budget;
+    report.is_kept = state.is_kept;
     report.spent = account.spent;
     report.unsettled = state.used;
     report.in_flight = state.in_flight;
--- a/test/budget_after_losses-test.cpp
+++ b/test/budget_after_losses-test.cpp
@@ -123,8 +123,8 @@
     {
         auto answer = admission_answer::store_unavailable;
         node.ledger.admit(
-            program, budget, tokens,
-            [&answer](admission_answer one) { answer = one; }, false, role);
+            program, {budget, tokens, false, false, role},
+            [&answer](admission_answer one) { answer = one; });
         store.run();
         return answer;
     }
--- a/test/program_ledger-test.cpp
+++ b/test/program_ledger-test.cpp
@@ -65,7 +65,7 @@
         auto answer = admission_answer::store_unavailable;
         int answers = 0;
         node.admit(
-            program, budget, tokens,
+            program, {budget, tokens},
             [&](admission_answer one)
             {
                 answer = one;
@@ -158,9 +158,8 @@
     auto& fallback_node = start_node();
     auto answer = admission_answer::store_unavailable;
     fallback_node.admit(
-        program, 9'000, max_turn_tokens,
-        [&](admission_answer one) { answer = one; }, false,
-        account_role::fallback);
+        program, {9'000, max_turn_tokens, false, false, account_role::fallback},
+        [&](admission_answer one) { answer = one; });
     store.run();
     CHECK(answer == admission_answer::admitted);
     CHECK(account().reserved_by_others("") == max_turn_tokens);
@@ -171,8 +170,8 @@
 {
     auto& fallback_node = start_node();
     fallback_node.admit(
-        program, 9'000, max_turn_tokens, [](admission_answer) {}, false,
-        account_role::fallback);
+        program, {9'000, max_turn_tokens, false, false, account_role::fallback},
+        [](admission_answer) {});
     store.run();
     fallback_node.settle(program, max_turn_tokens, 100);
     fallback_node.tick();
@@ -193,8 +192,9 @@
     for (int turn = 0; turn < 10; ++turn)
     {
         node.admit(
-            program, 9'000, max_turn_tokens, [](admission_answer) {}, false,
-            account_role::unknown);
+            program,
+            {9'000, max_turn_tokens, false, false, account_role::unknown},
+            [](admission_answer) {});
         store.run();
         CHECK(account().reserved_by_others("") == max_turn_tokens);
         clock.advance(milliseconds(300));
@@ -304,7 +304,7 @@
         auto const at = static_cast<std::size_t>(random() * 3);
         auto& node = *world.nodes[at];
         node.admit(
-            world.program, budget, max_turn_tokens,
+            world.program, {budget, max_turn_tokens},
             [&, at](admission_answer answer)
             {
                 if (answer != admission_answer::admitted)
--- a/test/row_sweeper-test.cpp
+++ b/test/row_sweeper-test.cpp
@@ -47,7 +47,7 @@
         ledger_options options;
         options.utc = utc;
         program_ledger ledger(store.calls(), clock.fn(), "n", options);
-        ledger.admit(program_id(program), 900, 572, [](admission_answer) {});
+        ledger.admit(program_id(program), {900, 572}, [](admission_answer) {});
         store.run();
     }
 
--- a/test/start_lease-test.cpp
+++ b/test/start_lease-test.cpp
@@ -138,8 +138,8 @@
     {
         auto answer = admission_answer::not_begun;
         node.ledger.admit(
-            one, of, max_turn_tokens,
-            [&](admission_answer what) { answer = what; }, needs_store);
+            one, {of, max_turn_tokens, needs_store},
+            [&](admission_answer what) { answer = what; });
         store.run();
         return answer;
     }
@@ -443,7 +443,7 @@
         auto const chosen = turn / turns_per_group * programs + turn % programs;
         program_id const program("p" + std::to_string(chosen));
         node->ledger.admit(
-            program, small_budget, max_turn_tokens,
+            program, {small_budget, max_turn_tokens},
             [&, node, program, chosen](admission_answer answer)
             {
                 if (answer != admission_answer::admitted)
