program ledger: hold one kept turn in escrow, not half of the budget

Callers saw 503 "the budget is taken by turns under way" for every try of a turn that continues a kept one, although nothing of the program was under way and its budget held the turn.

Cause: the first version of an account puts half of the budget aside for a former holder of the partition's lease, also where that holder died before the program began. Where turns are kept no holder can have granted that much: such a turn has to be stored before its stream ends, so that without the store a program gets no further than one turn.

Change: for kept turns the escrow is one turn, for the holder as for those who reserve it. Since one turn may start beside a failed node's reservation, all of the budget is left to a program that begins after a loss. Escrow grows with the next change of the account if a later turn is larger or not kept.

The budget holds in 240 simulations of outages, kills and wrong views with kept turns.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -22,7 +22,11 @@
 /// the program is idle: about two writes per program.
 ///
 /// While the store is unavailable, a program without an account may spend the
-/// escrow of its partition's lease (start_lease.hpp).
+/// escrow of its partition's lease (start_lease.hpp). Turns that are kept have
+/// to be stored before their streams end, so a program of such turns cannot get
+/// beyond one of them, and its escrow is one turn. All of its budget is left
+/// for it if a holder died before the program began, since one turn may start
+/// beside a failed node's reservation.
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
@@ -278,7 +282,8 @@
     struct program_state
     {
         std::uint64_t budget = 0;
-        /// The latest requested turn is kept.
+        /// Of the latest requested turn.
+        std::uint64_t most_tokens = 0;
         bool is_kept = false;
         /// The row as last seen. Empty if not read yet or not in the store.
         std::optional<program_account> account;
@@ -327,6 +332,7 @@
     void read_account(program_id const& program);
     void
     handle_store_unavailable(program_id const& program, program_state& state);
+    static std::uint64_t escrow_of(program_state const& state);
     program_account
     base_account(program_id const& program, program_state const& state) const;
     void update_from_conflict(
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -73,6 +73,7 @@
     auto& state = programs_[program];
     state.role = turn.role;
     state.budget = turn.budget;
+    state.most_tokens = turn.most_tokens;
     state.is_kept = turn.is_kept;
     state.last_use = clock_();
     state.releasing = false;
@@ -167,20 +168,36 @@
     return std::max(wanted, ahead);
 }
 
-/// \return the account on which this node's next change is based. A new account
-/// holds in escrow the tokens that lease holders may have spent without the
-/// store.
+/// \return the tokens that the holder of a lease may grant to the program
+/// without the store.
+std::uint64_t program_ledger::escrow_of(program_state const& state)
+{
+    auto const escrow = start_escrow(state.budget);
+    return state.is_kept ? std::min(escrow, state.most_tokens) : escrow;
+}
+
+/// \return the account on which this node's next change is based. It holds in
+/// escrow the tokens that lease holders may have spent without the store.
 program_account program_ledger::base_account(
     program_id const& program, program_state const& state) const
 {
-    if (state.account)
-        return *state.account;
     program_account made;
+    if (state.account)
+    {
+        made = *state.account;
+        // A program's turns may differ in size and in whether they are kept.
+        for (auto& [holder, held] : made.reserved)
+        {
+            if (holder != self_ && held.change == 0 && held.tokens > 0)
+                held.tokens = std::max(held.tokens, escrow_of(state));
+        }
+        return made;
+    }
     if (leases_ == nullptr)
         return made;
     auto const partition = partition_of(program.str());
     for (auto const& holder : leases_->other_escrow_holders(partition))
-        made.reserved[holder] = {start_escrow(state.budget), 0};
+        made.reserved[holder] = {escrow_of(state), 0};
     return made;
 }
 
@@ -373,7 +390,7 @@
     if (may_start)
     {
         leases_->record_started(program);
-        state.reserved = std::max(state.reserved, start_escrow(state.budget));
+        state.reserved = std::max(state.reserved, escrow_of(state));
         answer_decided_turns(state);
     }
     answer_all(state, admission_answer::store_unavailable);
--- a/test/budget_after_losses-test.cpp
+++ b/test/budget_after_losses-test.cpp
@@ -81,6 +81,7 @@
     std::vector<std::unique_ptr<lossy_node>> nodes;
     int incarnations = 0;
     program_id const program{"p1"};
+    bool turns_are_kept = false;
 
     lossy_node& start_node()
     {
@@ -123,7 +124,7 @@
     {
         auto answer = admission_answer::store_unavailable;
         node.ledger.admit(
-            program, {budget, tokens, false, false, role},
+            program, {budget, tokens, false, turns_are_kept, role},
             [&answer](admission_answer one) { answer = one; });
         store.run();
         return answer;
@@ -243,3 +244,21 @@
     holder.ledger.settle(program, max_turn_tokens, 264);
     CHECK(request_turn(holder, budget) == admission_answer::exhausted);
 }
+
+struct kept_turns_fixture : loss_fixture
+{
+    kept_turns_fixture() { turns_are_kept = true; }
+};
+
+// Guards against escrow for a node that died before the program began.
+TEST_CASE_METHOD(
+    kept_turns_fixture,
+    "budget after losses: kept turns of a program that begins after one get "
+    "the whole budget")
+{
+    restart_all();
+    auto& node = restart_all();
+    constexpr std::uint64_t budget = 3 * max_turn_tokens;
+    CHECK(run_turns(node, budget, max_turn_tokens, 5) == 3);
+    CHECK(request_turn(node, budget) == admission_answer::exhausted);
+}
--- a/test/start_lease-test.cpp
+++ b/test/start_lease-test.cpp
@@ -191,6 +191,26 @@
     CHECK(account(program).reserved_by_others("") == 0);
 }
 
+TEST_CASE_METHOD(
+    lease_fixture,
+    "leases: a program of kept turns gets one turn without an account")
+{
+    auto& coordinator = start_coordinator("h.1");
+    store.set_down(true);
+    auto const request_kept_turn = [&]
+    {
+        auto answer = admission_answer::not_begun;
+        coordinator.ledger.admit(
+            program, {budget, max_turn_tokens, false, true},
+            [&](admission_answer what) { answer = what; });
+        store.run();
+        return answer;
+    };
+    CHECK(request_kept_turn() == admission_answer::admitted);
+    coordinator.ledger.settle(program, max_turn_tokens, 264);
+    CHECK(request_kept_turn() == admission_answer::store_unavailable);
+}
+
 TEST_CASE_METHOD(
     lease_fixture, "leases: a node without the lease starts no program")
 {
@@ -400,7 +420,8 @@
 /// \return the largest number of tokens granted to a program beyond its budget
 std::int64_t simulate_outages(
     std::uint32_t seed, milliseconds step_time,
-    std::vector<std::pair<std::size_t, store_fault>> const& faults)
+    std::vector<std::pair<std::size_t, store_fault>> const& faults,
+    bool turns_are_kept = false)
 {
     lease_fixture world;
     for (auto const& [step, fault] : faults)
@@ -443,7 +464,7 @@
         auto const chosen = turn / turns_per_group * programs + turn % programs;
         program_id const program("p" + std::to_string(chosen));
         node->ledger.admit(
-            program, {small_budget, max_turn_tokens},
+            program, {small_budget, max_turn_tokens, false, turns_are_kept},
             [&, node, program, chosen](admission_answer answer)
             {
                 if (answer != admission_answer::admitted)
@@ -514,6 +535,20 @@
     }
 }
 
+TEST_CASE("leases: the budget of kept turns holds over outages and kills")
+{
+    for (std::uint32_t seed = 1; seed <= 120; ++seed)
+    {
+        for (auto const step_time : {milliseconds(400), milliseconds(1'500)})
+        {
+            INFO("seed " << seed << ", " << step_time.count() << " ms");
+            REQUIRE(
+                simulate_outages(seed, step_time, {}, true) <
+                static_cast<std::int64_t>(max_turn_tokens));
+        }
+    }
+}
+
 // The store does not answer for seven seconds. Without the check whether a
 // partition answers, each partition causes one read a second.
 TEST_CASE("leases: the lease of an unresponsive partition is not accessed")
