program ledger: reserve one kept turn ahead and settle when it ends

Callers saw turns that continue a kept one refused with 503 until they gave up, after all nodes had died, although the budget held the turn: such as budget 270, received 180, wanted 90.

Cause: a coordinator reserves half of the unclaimed budget, and settles when it needs more. What it had reserved and not handed out counts as spent once it has died, and nobody left knows better; each loss takes such a part.

Change, for programs whose turns are kept: one turn is reserved ahead (an eighth of a large unclaimed budget), an ended turn is settled as soon as the next one would not fit beside it, an idle program has nothing reserved, and beside other nodes' reservations nothing is reserved ahead. A loss then costs at most one turn, which the budget's rule grants. Other programs are as before: their callers keep no state here, and a write for each turn would overload the store of a large deployment.

Traced in their lines: a reservation of an idle program, and turns that a dying node had admitted and not yet sent. Red before: eight turns' budget over four losses, 6 and 5 of 11 turns; four tests of the ledger and one of the budget service.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -21,6 +21,12 @@
 /// reserves half of the unclaimed budget, and settles when it needs more or
 /// the program is idle: about two writes per program.
 ///
+/// Programs whose turns are kept go on after all nodes have failed, and then
+/// lack what the failed nodes had reserved and not spent. For them a node
+/// reserves one turn ahead, or an eighth of a large unclaimed budget. It
+/// settles as soon as the next turn would not fit any more, and releases the
+/// rest once the program is idle.
+///
 /// While the store is unavailable, a program without an account may spend the
 /// escrow of its partition's lease (start_lease.hpp). Turns that are kept have
 /// to be stored before their streams end, so a program of such turns cannot get
@@ -166,17 +172,23 @@
     /// leaves them. With half, four failures leave a sixteenth of the budget;
     /// with a quarter after the first one it is a fifth.
     double reserve_ahead_beside_others = 0.25;
+    /// Fraction for a program whose turns are kept, if that is more than one
+    /// turn. Beside other nodes' reservations nothing is reserved ahead, so
+    /// that a further failure costs the program no tokens.
+    double reserve_ahead_of_kept_turns = 0.125;
     /// Time after which a node that is not the program's coordinator releases
-    /// an idle reservation. It is longer than most pauses between turns (20 to
-    /// 150 ms on average). Together with the write it stays below 1 s, the time
-    /// after which a rejection for lack of budget must count each ended turn
-    /// as the tokens it spent.
+    /// an idle reservation, and a coordinator one of a program whose turns are
+    /// kept. It is longer than most pauses between turns (20 to 150 ms on
+    /// average). Together with the write it stays below 1 s, the time after
+    /// which a rejection for lack of budget must count each ended turn as the
+    /// tokens it spent.
     duration idle_release_delay = std::chrono::milliseconds(700);
     /// \return true if this node is the program's coordinator. If null, no
-    /// node is. A coordinator keeps its reservations: it knows what turns have
-    /// spent, while no node knows when a program has ended. Releasing them
-    /// costs one of 2.6 writes per program, and a release in progress when the
-    /// store fails blocks the program's turns until the store recovers.
+    /// node is. A coordinator keeps its reservations, except for kept turns: it
+    /// knows what turns have spent, while no node knows when a program has
+    /// ended. Releasing them costs one of 2.6 writes per program, and a release
+    /// in progress when the store fails blocks the program's turns until the
+    /// store recovers.
     std::function<bool(program_id const&)> is_coordinator;
     /// Idle time after which a program that started without the store gets its
     /// account. It is longer than the delay before a rejected caller retries
@@ -314,12 +326,16 @@
     bool
     never_fits(program_state const& state, std::uint64_t most_tokens) const;
     void update_account(program_id const& program, program_state& state);
+    void settle_kept_turns(program_id const& program, program_state& state);
     void observe_others(program_state& state) const;
     bool is_abandoned(
         program_state const& state, std::string const& holder,
         program_account::reservation const& held) const;
     bool is_wait_futile(
         program_state const& state, program_account const& account) const;
+    std::uint64_t reserve_ahead(
+        program_state const& state, program_account const& account,
+        std::uint64_t unclaimed) const;
     std::uint64_t desired_reservation(
         program_state const& state, program_account const& account) const;
     void commit_reservation(
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -138,9 +138,33 @@
     }
 }
 
+/// \return the least number of tokens that a coordinator reserves.
+/// \param unclaimed tokens that are neither spent nor reserved by other nodes
+std::uint64_t program_ledger::reserve_ahead(
+    program_state const& state, program_account const& account,
+    std::uint64_t unclaimed) const
+{
+    auto const part = [unclaimed](double fraction)
+    {
+        return static_cast<std::uint64_t>(
+            static_cast<double>(unclaimed) * fraction);
+    };
+    auto const beside_others = account.reserved_by_others(self_) > 0;
+    if (!state.is_kept)
+    {
+        return part(
+            beside_others ? options_.reserve_ahead_beside_others
+                          : options_.reserve_ahead_fraction);
+    }
+    if (beside_others || unclaimed < state.most_tokens)
+        return 0;
+    return std::max(
+        state.most_tokens, part(options_.reserve_ahead_of_kept_turns));
+}
+
 /// \return the number of tokens this node should have reserved once its used
 /// tokens are settled: enough for the turns in progress and the waiting turns
-/// that may start, and at a coordinator at least half of the unclaimed budget.
+/// that may start, and at a coordinator a part of the unclaimed budget.
 std::uint64_t program_ledger::desired_reservation(
     program_state const& state, program_account const& account) const
 {
@@ -160,12 +184,8 @@
     if (state.releasing || state.role != account_role::coordinator ||
         taken >= state.budget)
         return wanted;
-    auto const fraction = account.reserved_by_others(self_) > 0
-                              ? options_.reserve_ahead_beside_others
-                              : options_.reserve_ahead_fraction;
-    auto const ahead = static_cast<std::uint64_t>(
-        static_cast<double>(state.budget - taken) * fraction);
-    return std::max(wanted, ahead);
+    return std::max(
+        wanted, reserve_ahead(state, account, state.budget - taken));
 }
 
 /// \return the tokens that the holder of a lease may grant to the program
@@ -344,6 +364,7 @@
         update_from_row(program, state, &row);
         state.attempts = 0;
         process_queue(program, state);
+        settle_kept_turns(program, state);
         return;
     }
     if (result.outcome == store_outcome::conflict)
@@ -527,6 +548,21 @@
     state.in_flight -= std::min(state.in_flight, most_tokens);
     state.used += delivered_tokens;
     state.last_use = clock_();
+    settle_kept_turns(program, state);
+}
+
+/// Settles what ended turns have spent if the next kept turn would not fit
+/// beside it. Nothing is lost if that fails: a later change settles them.
+void program_ledger::settle_kept_turns(
+    program_id const& program, program_state& state)
+{
+    auto const next_fits =
+        state.used + state.in_flight + state.most_tokens <= state.reserved;
+    if (!state.is_kept || state.role != account_role::coordinator ||
+        !state.account || state.used == 0 || state.change_pending || next_fits)
+        return;
+    state.attempts = 0;
+    update_account(program, state);
 }
 
 /// \return true if the node should release its reservation for an idle program,
@@ -541,6 +577,10 @@
                                    options_.is_coordinator(program);
     if (!keeps_reservation)
         return quiet >= options_.idle_release_delay;
+    // Without the store, the next turn starts from the reservation.
+    if (state.is_kept && state.account)
+        return quiet >= options_.idle_release_delay &&
+               (!store_.answers || store_.answers(address(program).partition));
     // A program that started without the store has no account yet, and its
     // partition's lease is held until there is one.
     return !state.account && quiet >= options_.new_account_write_delay;
--- a/test/budget_after_losses-test.cpp
+++ b/test/budget_after_losses-test.cpp
@@ -1,6 +1,7 @@
 #include <walnutmill/program_ledger.hpp>
 #include <walnutmill/start_lease.hpp>
 
+#include "entry/partitions.hpp"
 #include "fake_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -248,6 +249,15 @@
 struct kept_turns_fixture : loss_fixture
 {
     kept_turns_fixture() { turns_are_kept = true; }
+
+    program_account account() const
+    {
+        auto const* row = store.find(
+            {program_ledger::table(), partition_of(program.str()),
+             program.str()});
+        return row == nullptr ? program_account()
+                              : decode_account(row->value).value();
+    }
 };
 
 // Guards against escrow for a node that died before the program began.
@@ -262,3 +272,45 @@
     CHECK(run_turns(node, budget, max_turn_tokens, 5) == 3);
     CHECK(request_turn(node, budget) == admission_answer::exhausted);
 }
+
+// Guards against reservations for turns ahead that are lost with their nodes.
+TEST_CASE_METHOD(
+    kept_turns_fixture,
+    "budget after losses: kept turns get the whole budget over four losses")
+{
+    auto const begins_after_loss = GENERATE(false, true);
+    INFO("begins after a loss: " << begins_after_loss);
+    if (begins_after_loss)
+        restart_all();
+    constexpr std::uint64_t budget = 8 * max_turn_tokens;
+    constexpr std::uint64_t spent = 400;
+    int turns = 0;
+    for (int losses = 0; losses <= 4; ++losses)
+        turns += run_turns(restart_all(), budget, spent, 1);
+    turns += run_turns(*nodes.back(), budget, spent, 100);
+    CHECK(turns == 1 + static_cast<int>((budget - max_turn_tokens) / spent));
+    CHECK(request_turn(*nodes.back(), budget) == admission_answer::exhausted);
+}
+
+TEST_CASE_METHOD(
+    kept_turns_fixture,
+    "budget after losses: escrow grows when a turn is not kept or larger")
+{
+    restart_all();
+    auto& node = restart_all();
+    constexpr std::uint64_t budget = 8 * max_turn_tokens;
+    constexpr std::uint64_t small_turn = 100;
+    auto const escrow = [this] { return account().reserved_by_others("n2"); };
+    REQUIRE(
+        request_turn(node, budget, account_role::coordinator, small_turn) ==
+        admission_answer::admitted);
+    CHECK(escrow() == small_turn);
+    REQUIRE(request_turn(node, budget) == admission_answer::admitted);
+    CHECK(escrow() == max_turn_tokens);
+    turns_are_kept = false;
+    REQUIRE(
+        request_turn(
+            node, budget, account_role::coordinator, 2 * max_turn_tokens) ==
+        admission_answer::admitted);
+    CHECK(escrow() == budget / 2);
+}
--- a/test/budget_service-test.cpp
+++ b/test/budget_service-test.cpp
@@ -310,6 +310,19 @@
     CHECK(reserved() == 4'500);
 }
 
+TEST_CASE_METHOD(
+    budget_service_fixture,
+    "budget desk: the coordinator is told that a turn is kept")
+{
+    auto answered = false;
+    requester.admit(
+        {program, 4'000, 572, false, false, true},
+        [&](admission_answer, budget_service::grant const&)
+        { answered = true; });
+    run_until([&] { return answered; });
+    CHECK(reserved() == 572);
+}
+
 TEST_CASE_METHOD(
     budget_service_fixture,
     "budget desk: the coordinator reports where a prompt is cached")
--- a/test/program_ledger-test.cpp
+++ b/test/program_ledger-test.cpp
@@ -27,6 +27,7 @@
     std::vector<std::unique_ptr<program_ledger>> nodes;
     int incarnations = 0;
     ledger_options options;
+    bool turns_are_kept = false;
 
     program_ledger& start_node()
     {
@@ -65,7 +66,7 @@
         auto answer = admission_answer::store_unavailable;
         int answers = 0;
         node.admit(
-            program, {budget, tokens},
+            program, {budget, tokens, false, turns_are_kept},
             [&](admission_answer one)
             {
                 answer = one;
@@ -432,6 +433,67 @@
     CHECK(account().spent == reserved);
 }
 
+TEST_CASE_METHOD(
+    ledger_fixture,
+    "ledger: the end of a kept turn is settled and the next turn reserved")
+{
+    turns_are_kept = true;
+    auto& coordinator = start_coordinator();
+    REQUIRE(request_turn(coordinator, 4'000) == admission_answer::admitted);
+    CHECK(account().reserved_by_others("") == max_turn_tokens);
+    coordinator.settle(program, max_turn_tokens, 100);
+    store.run();
+    CHECK(account().spent == 100);
+    CHECK(account().reserved_by_others("") == max_turn_tokens);
+    store.set_down(true);
+    CHECK(request_turn(coordinator, 4'000) == admission_answer::admitted);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture,
+    "ledger: an idle program of kept turns has nothing reserved")
+{
+    turns_are_kept = true;
+    auto& coordinator = start_coordinator();
+    REQUIRE(
+        run_turn(coordinator, 16 * max_turn_tokens, seconds(1)) ==
+        admission_answer::admitted);
+    CHECK(account().spent == 100);
+    CHECK(account().reserved_by_others("") == 0);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture,
+    "ledger: kept turns of a large budget are settled several at a time")
+{
+    turns_are_kept = true;
+    auto& coordinator = start_coordinator();
+    for (int i = 0; i < 5; ++i)
+    {
+        REQUIRE(
+            run_turn(coordinator, 16 * max_turn_tokens, milliseconds(200)) ==
+            admission_answer::admitted);
+    }
+    CHECK(store.commits() == 1);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture,
+    "ledger: a kept turn whose settlement failed is settled with the next one")
+{
+    turns_are_kept = true;
+    auto& coordinator = start_coordinator();
+    REQUIRE(request_turn(coordinator, 4'000) == admission_answer::admitted);
+    store.set_down(true);
+    coordinator.settle(program, max_turn_tokens, 100);
+    store.run();
+    store.set_down(false);
+    REQUIRE(request_turn(coordinator, 4'000) == admission_answer::admitted);
+    coordinator.settle(program, max_turn_tokens, 50);
+    store.run();
+    CHECK(account().spent == 150);
+}
+
 TEST_CASE_METHOD(
     ledger_fixture,
     "ledger: a node that shuts down settles recent programs only")
