call: request the budget once the history is loaded

Callers saw the same refusals after losses in series: a turn that a node had admitted and not yet sent to an engine when it died counts at its most for good.

Cause: the budget was requested before the turn's history was read, which takes longest just after a loss, when all caches are empty and reads are repeated.

Change: the history is loaded first. Red before: the ledger knew the program while its history was read.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -238,12 +238,31 @@
 {
     if (await_store(true, "the store that turns are kept in is away"))
         return;
+    if (has_budget() && route_->keeps_turns &&
+        should_refuse_in_outage(current_outage()))
+    {
+        refuse_without_store("the store that turns are kept in is away");
+        return;
+    }
+    load_history();
+}
+
+bool call_flow::has_budget() const
+{
     auto const& program = call_.program;
-    if (!program.token_budget || program.program.empty() || !service_->model)
+    return program.token_budget && !program.program.empty() && service_->model;
+}
+
+/// Requests the turn's tokens once nothing else keeps it from an engine: if
+/// this node fails, they count as spent.
+void call_flow::request_budget()
+{
+    if (!has_budget())
     {
-        load_history();
+        try_engine();
         return;
     }
+    auto const& program = call_.program;
     // The last event may hold fewer tokens but is counted as a full one.
     auto const per_event = tokens_per_event_;
     max_tokens_ =
@@ -257,11 +276,6 @@
     auto const pressure = node_.balancer.pressure(need_.service);
     if (pressure)
         log_fields_["pressure"] = *pressure;
-    if (route_->keeps_turns && should_refuse_in_outage(current_outage()))
-    {
-        refuse_without_store("the store that turns are kept in is away");
-        return;
-    }
     auto const now = node_.clock();
     node_.ranks.record_turn(route_rank(), now);
     auto const less_urgent_in_flight =
@@ -288,7 +302,7 @@
             if (self->done_)
                 self->settle_budget();
             else if (answer == admission_answer::admitted)
-                self->load_history();
+                self->try_engine();
             else if (answer == admission_answer::exhausted)
                 self->respond_locally(status_budget, "the budget is spent");
             else
@@ -345,7 +359,7 @@
     // The previous turn may have been stored when the route kept turns.
     if (!route_->streams || call_.program.previous_turn.empty())
     {
-        try_engine();
+        request_budget();
         return;
     }
     auto const try_unscoped_id =
@@ -381,12 +395,12 @@
             if (answer == history_answer::found)
             {
                 self->chain_ = std::move(chain);
-                self->try_engine();
+                self->request_budget();
             }
             else if (
                 answer == history_answer::unknown_turn &&
                 !self->route_->keeps_turns)
-                self->try_engine();
+                self->request_budget();
             else if (answer == history_answer::unknown_turn)
                 self->respond_locally(status_not_found, "no such turn is kept");
             else
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -214,6 +214,8 @@
     std::optional<prefix_cache_location> cached_prefix_location() const;
     void refuse_for_budget(admission_answer answer);
     void load_history();
+    bool has_budget() const;
+    void request_budget();
     void log_history_failure(history_failure const& failure);
     void load_turn(request_id const& previous, bool try_unscoped_id);
     void try_engine();
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -1277,6 +1277,29 @@
         std::string::npos);
 }
 
+TEST_CASE_METHOD(
+    call_flow_fixture,
+    "call: a turn has reserved nothing while its history is read")
+{
+    turn_history other(store.calls());
+    stored_turn before;
+    before.id = request_id("t0");
+    before.input = "earlier input;";
+    other.store_turn(std::move(before), seconds(1), [](bool) {});
+    store.run();
+    store_answers = false;
+    send(entry_world::turn(
+        "t1", "Program-Id: p1\r\nToken-Budget: 30\r\nPrevious-Turn: t0\r\n",
+        "/kept/"));
+    REQUIRE(run_until([&] { return accepted_calls == 1; }));
+    run_for(milliseconds(100));
+    CHECK(ledger.programs() == 0);
+    store_answers = true;
+    REQUIRE(run_until([&] { return caller_knows(); }));
+    CHECK(caller->status() == 200);
+    CHECK(ledger.programs() == 1);
+}
+
 TEST_CASE_METHOD(
     call_flow_fixture,
     "call: a turn whose coordinator has not noticed the store's return waits "
