program ledger: repeat a settlement that meets a conflict

Callers saw turns refused with 503 after losses in series although the budget held them.

Cause: a settlement or a release that conflicted with another node's change of the account was dropped until the program's next turn or its next idle check 0.7 s later. Nodes that have just started take themselves for the coordinator together, so that this is where conflicts are; what they kept claimed was lost with the next failure.

Change: it is repeated on the account that the conflict returned, as often as an admission is.

--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -376,6 +376,10 @@
             return;
         }
         process_queue(program, state);
+        if (state.releasing && state.queue.empty())
+            update_account(program, state);
+        else
+            settle_kept_turns(program, state);
         return;
     }
     handle_store_unavailable(program, state);
@@ -548,6 +552,8 @@
     state.in_flight -= std::min(state.in_flight, most_tokens);
     state.used += delivered_tokens;
     state.last_use = clock_();
+    if (!state.change_pending)
+        state.attempts = 0;
     settle_kept_turns(program, state);
 }
 
@@ -561,7 +567,6 @@
     if (!state.is_kept || state.role != account_role::coordinator ||
         !state.account || state.used == 0 || state.change_pending || next_fits)
         return;
-    state.attempts = 0;
     update_account(program, state);
 }
 
--- a/test/program_ledger-test.cpp
+++ b/test/program_ledger-test.cpp
@@ -494,6 +494,34 @@
     CHECK(account().spent == 150);
 }
 
+TEST_CASE_METHOD(
+    ledger_fixture,
+    "ledger: the settlement of a kept turn is repeated after a conflict")
+{
+    turns_are_kept = true;
+    auto& coordinator = start_coordinator();
+    REQUIRE(request_turn(coordinator, 4'000) == admission_answer::admitted);
+    REQUIRE(request_turn(start_node(), 4'000) == admission_answer::admitted);
+    coordinator.settle(program, max_turn_tokens, 100);
+    store.run();
+    CHECK(account().spent == 100);
+    CHECK(account().reserved.at("n1").tokens == 0);
+}
+
+TEST_CASE_METHOD(
+    ledger_fixture, "ledger: a release is repeated after a conflict")
+{
+    auto& first = start_node();
+    REQUIRE(request_turn(first, 4'000) == admission_answer::admitted);
+    first.settle(program, max_turn_tokens, 100);
+    REQUIRE(request_turn(start_node(), 4'000) == admission_answer::admitted);
+    clock.advance(seconds(1));
+    first.tick();
+    store.run();
+    CHECK(account().spent == 100);
+    CHECK(account().reserved.at("n1").tokens == 0);
+}
+
 TEST_CASE_METHOD(
     ledger_fixture,
     "ledger: a node that shuts down settles recent programs only")
