program ledger: hold an eighth of a large budget in escrow for kept turns

Change: the escrow is one turn or, if that is more, an eighth of the budget, the part that is reserved ahead as well. A program that begins after a loss of all nodes is kept from at most that eighth less one turn; budgets of up to eight turns are held whole, as before.

--- a/include/walnutmill/program_ledger.hpp
+++ b/include/walnutmill/program_ledger.hpp
@@ -30,9 +30,10 @@
 /// While the store is unavailable, a program without an account may spend the
 /// escrow of its partition's lease (start_lease.hpp). Turns that are kept have
 /// to be stored before their streams end, so a program of such turns cannot get
-/// beyond one of them, and its escrow is one turn. All of its budget is left
-/// for it if a holder died before the program began, since one turn may start
-/// beside a failed node's reservation.
+/// beyond one of them. Its escrow is one turn, or an eighth of a large budget
+/// for sends of that turn which could not be stored. The budget is left for it
+/// if a holder died before the program began, since one turn may start beside a
+/// failed node's reservation.
 
 #include <walnutmill/clock.hpp>
 #include <walnutmill/ids.hpp>
--- a/include/walnutmill/start_lease.hpp
+++ b/include/walnutmill/start_lease.hpp
@@ -48,7 +48,7 @@
 /// is written. This is half of the budget. 72 % of the programs never need more
 /// for their completed and running turns (38 % with a third), and a program
 /// whose coordinator failed has the other half left. The ledger grants a
-/// program whose turns are kept no more than one turn of it.
+/// program whose turns are kept a smaller part.
 std::uint64_t start_escrow(std::uint64_t budget);
 
 /// The durable lease on one partition.
--- a/src/entry/program_ledger.cpp
+++ b/src/entry/program_ledger.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr char const* table_name = "walnutmill-programs";
+/// The escrow of a program whose turns are kept is this part of its budget, or
+/// one turn if that is more.
+constexpr std::uint64_t kept_escrow_divisor = 8;
 
 /// \return the account assumed for a row that cannot be decoded: its budget is
 /// spent, so that no turn starts without a known balance.
@@ -193,7 +196,11 @@
 std::uint64_t program_ledger::escrow_of(program_state const& state)
 {
     auto const escrow = start_escrow(state.budget);
-    return state.is_kept ? std::min(escrow, state.most_tokens) : escrow;
+    if (!state.is_kept)
+        return escrow;
+    return std::min(
+        escrow,
+        std::max(state.most_tokens, state.budget / kept_escrow_divisor));
 }
 
 /// \return the account on which this node's next change is based. It holds in
--- a/test/start_lease-test.cpp
+++ b/test/start_lease-test.cpp
@@ -211,6 +211,27 @@
     CHECK(request_kept_turn() == admission_answer::store_unavailable);
 }
 
+TEST_CASE_METHOD(
+    lease_fixture,
+    "leases: a kept turn of a large budget is sent again without an account")
+{
+    constexpr std::uint64_t large_budget = 16 * max_turn_tokens;
+    auto& coordinator = start_coordinator("h.1");
+    store.set_down(true);
+    int admitted = 0;
+    for (int i = 0; i < 5; ++i)
+    {
+        coordinator.ledger.admit(
+            program, {large_budget, max_turn_tokens, false, true},
+            [&](admission_answer what)
+            { admitted += what == admission_answer::admitted ? 1 : 0; });
+        store.run();
+        if (admitted == i + 1)
+            coordinator.ledger.settle(program, max_turn_tokens, 400);
+    }
+    CHECK(admitted == 2);
+}
+
 TEST_CASE_METHOD(
     lease_fixture, "leases: a node without the lease starts no program")
 {
