--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -462,7 +462,7 @@
 
     try:
         broken = asyncio.run(whole())
-    except (CannotRun, TimeoutError, FileNotFoundError) as error:
+    except Exception as error:  # whatever it was, it says nothing of the rule
         print(f"the case could not run: {error!r}")
         return 2
     for one in broken:
