--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """The answer of a client that reads slowly is lost."""
 
 import asyncio
+import os
 import pathlib
 import socket
 import sys
@@ -134,4 +135,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(w.run(HERE, case))
+    # TROUBLE=0 plays the same without the disruption.
+    sys.exit(w.run(HERE, case, os.environ.get("TROUBLE", "1") != "0"))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -130,8 +130,8 @@
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             how = "ended early"
         ends[how] = ends.get(how, 0) + 1
-        world.record(f"client: {name} at {node.name}: {text.count(b'id: ')} "
-                     f"events, {how}")
+        world.record(
+            f"client {name} {node.name} {text.count(b'id: ')} {how}")
 
     tasks = []
     begin = w.now()
@@ -155,4 +155,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(w.run(HERE, case))
+    # TROUBLE=0 plays the same without the disruption.
+    sys.exit(w.run(HERE, case, os.environ.get("TROUBLE", "1") != "0"))
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -269,8 +269,8 @@
                 self.requests += 1
                 self.running += 1
                 self.record(
-                    f"engine {self.id} runs {headers.get('request-id')} "
-                    f"{method} {target} deadline={headers.get('deadline-ms')}")
+                    f"run {headers.get('request-id')} {self.id} "
+                    f"deadline={headers.get('deadline-ms')}")
                 try:
                     if await self.work(request, writer) is False:
                         break
@@ -442,10 +442,9 @@
     pass
 
 
-def run(folder, case):
+def run(folder, case, trouble):
     """Runs a case: 1 if it returns a list with broken rules, 0 if an empty one,
     2 if it could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def whole():
         # Connections that are open at the end are cancelled with their tasks.
