node stop: refuse calls whose limit exceeds the rest of the grace period

Cause: the last moment to take a call was a constant, 3.1 s before calls are ended, for routes of 3 s at most. Lines of the cut calls: "the node has to exit", 7.3 s after the signal.

Change: once the load balancer has noticed the stop (2.6 s), each call is judged by its own limit, of its caller and its route: it is taken if that ends before calls are ended, else refused at once with 503 and Connection: close. It works because such a call then ends by its deadline, not by the exit. The same holds for a call that is routed again while it waits for a newer configuration. The listening socket closes when the longest limit of a route no longer fits.

The fixture `call:` sets the new field where it cleared accepts_calls; nodes of the tests' worlds stop together.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -13,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// Upper bound for all calls, and the deadline where neither the caller nor
-/// the route sets one.
-constexpr milliseconds default_deadline{30'000};
 /// Retry delay while the store is unreachable, or the node has started without
 /// it. Outages last seconds, and a tool call that has used up its one or two
 /// retries ends its program, so an early retry is useless. Callers wait at most
@@ -113,15 +110,8 @@
         refuse("no configuration is known yet", retry_after_without_store);
         return;
     }
-    if (!node_.accepts_calls)
-    {
-        // The connection closes with this answer, so that the caller's retry
-        // reaches another node.
-        refuse("this node is about to stop", milliseconds(0));
-        return;
-    }
     log_fields_["configuration"] = table_->version;
-    if (!route_call())
+    if (!route_call() || !limit_call_time())
         return;
     // Weak, so that a call that nothing continues ends at once.
     link_->on_disconnect = [call = weak_from_this()]
@@ -129,7 +119,6 @@
         if (auto const self = call.lock())
             self->on_caller_disconnected();
     };
-    arm_deadline();
     check_identity();
 }
 
@@ -189,15 +178,11 @@
 
 /// Limits the call's time by its caller and by its route, as of the
 /// configuration that the call is routed by; later ones change nothing.
-void call_flow::arm_deadline()
+/// \return false if the node may exit before that, and the call was refused
+bool call_flow::limit_call_time()
 {
-    auto wait = default_deadline;
-    std::string_view limit = "default";
-    if (route_->timeout.count() > 0 && route_->timeout < wait)
-    {
-        wait = route_->timeout;
-        limit = "route";
-    }
+    auto wait = max_call_time(*route_);
+    std::string_view limit = wait == route_->timeout ? "route" : "default";
     if (call_.deadline && *call_.deadline - deadline_margin < wait)
     {
         deadline_reserve_ = std::min<duration>(
@@ -210,7 +195,16 @@
     deadline_at_ = arrived_ + wait;
     auto& longest = node_.max_call_times[route_->name];
     longest = std::max(longest, duration(wait));
+    if (node_.new_calls_end_by &&
+        deadline_at_ + deadline_reserve_ > *node_.new_calls_end_by)
+    {
+        // The connection closes with this answer, so that the caller's retry
+        // reaches another node.
+        refuse("this node is about to stop", milliseconds(0));
+        return false;
+    }
     await_deadline();
+    return true;
 }
 
 void call_flow::await_deadline()
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -79,8 +79,9 @@
     /// Nodes that share the engines' connections, this one included.
     std::uint32_t nodes = 1;
     bool stopping = false;
-    /// False once a new call could not complete before the process exits.
-    bool accepts_calls = true;
+    /// Time by which new calls must be able to end, because the process is
+    /// about to exit; empty: no bound.
+    std::optional<time_point> new_calls_end_by;
     std::size_t calls_in_flight = 0;
     /// Time since the store last answered any request; zero while it answers.
     std::function<duration()> store_outage_time;
@@ -197,7 +198,7 @@
     void return_quota();
     std::uint32_t route_rank() const;
     std::chrono::milliseconds retry_after_jitter() const;
-    void arm_deadline();
+    bool limit_call_time();
     void await_deadline();
     void extend_deadline();
     void begin_or_resume();
--- a/src/entry/call_identity.cpp
+++ b/src/entry/call_identity.cpp
@@ -172,9 +172,8 @@
     wait_.end();
     table_ = node_.table;
     log_fields_["configuration"] = table_->version;
-    if (!route_call())
+    if (!route_call() || !limit_call_time())
         return;
-    arm_deadline();
     check_identity();
 }
 
--- a/src/entry/call_limits.hpp
+++ b/src/entry/call_limits.hpp
@@ -5,13 +5,26 @@
 /// Time limits and HTTP statuses shared by the parts of class call_flow.
 
 #include <walnutmill/clock.hpp>
+#include <walnutmill/routing_table.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
 namespace walnutmill
 {
 
+/// Upper bound for all calls, and the deadline where neither the caller nor
+/// the route sets one.
+constexpr std::chrono::milliseconds default_deadline{30'000};
+
+/// \return the longest time that a call on the route may take
+inline std::chrono::milliseconds max_call_time(route const& one)
+{
+    return one.timeout.count() > 0 ? std::min(one.timeout, default_deadline)
+                                   : default_deadline;
+}
+
 /// The answer is sent this long before the caller's deadline, so that it
 /// arrives in time. The network path to a caller takes 1 to 3 ms, and the event
 /// loop of a slow node up to about 20 ms.
--- a/src/entry/entry_node.cpp
+++ b/src/entry/entry_node.cpp
@@ -184,7 +184,7 @@
           nullptr,
           1,
           false,
-          true,
+          std::nullopt,
           0,
           [this] { return store_.lost_for(); },
           {}},
--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -8,6 +8,8 @@
 
 #include "entry/entry_node.hpp"
 
+#include "entry/call_limits.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -29,11 +31,21 @@
 /// Time before the end of the grace period at which the process exits, even if
 /// not all answers have been sent.
 constexpr milliseconds exit_before_grace_end{400};
-/// Time before calls are ended at which the node stops accepting calls. The
-/// longest call on the configured routes takes 3 s.
-constexpr milliseconds last_accept_before_end{3'100};
 constexpr milliseconds stop_step_interval{50};
 
+/// \return the longest time that a call on any route may take; zero without a
+/// configuration
+milliseconds max_call_time(routing_table const* table)
+{
+    milliseconds longest{0};
+    if (table != nullptr)
+    {
+        for (auto const& one : table->routes)
+            longest = std::max(longest, max_call_time(one));
+    }
+    return longest;
+}
+
 } // namespace
 
 void entry_node::wait_for_signal()
@@ -124,9 +136,13 @@
     auto const end_calls_at = settings_.stop_grace - end_calls_before_grace_end;
     auto const ends_calls = since > end_calls_at;
     auto const last = since > settings_.stop_grace - exit_before_grace_end;
-    if (since > end_calls_at - last_accept_before_end)
+    auto const detected = since > balancer_detection_time || ends_calls;
+    // Until then most callers cannot reach another node, and calls seldom take
+    // as long as they may.
+    if (detected)
+        services_.new_calls_end_by = stop_began_ + end_calls_at;
+    if (detected && since > end_calls_at - max_call_time(services_.table.get()))
     {
-        services_.accepts_calls = false;
         boost::system::error_code ignored; // may be closed already
         caller_acceptor_.close(ignored);
     }
--- a/test/call_flow-test.cpp
+++ b/test/call_flow-test.cpp
@@ -226,7 +226,7 @@
         nullptr,
         1,
         false,
-        true,
+        std::nullopt,
         0,
         {},
         {}};
@@ -804,7 +804,7 @@
          [](call_flow_fixture& at)
          {
              at.services.stopping = true;
-             at.services.accepts_calls = false;
+             at.services.new_calls_end_by = at.clock();
          }},
         {"exit",
          [](call_flow_fixture& at) { end_calls_for_exit(at.services); }}};
--- a/test/entry_world.cpp
+++ b/test/entry_world.cpp
@@ -429,11 +429,14 @@
 entry_world::~entry_world()
 {
     store.set_down(false);
+    // All at once, since each of them waits for the load balancer.
+    for (auto& one : nodes)
+        one->process->request_stop();
     for (auto& one : nodes)
         stop_node(*one);
 }
 
-entry_world::node& entry_world::launch_node()
+entry_world::node& entry_world::launch_node(settings_fn const& adjust)
 {
     auto one = std::make_unique<node>();
     auto& settings = one->settings;
@@ -447,6 +450,8 @@
     settings.stop_grace = seconds(8);
     settings.min_stall_timeout = min_stall_timeout;
     settings.revoke_within = revoke;
+    if (adjust)
+        adjust(settings);
     one->process = std::make_unique<entry_node>(
         settings, [settings](findings&) { return settings; });
     one->thread =
@@ -455,9 +460,9 @@
     return *nodes.back();
 }
 
-entry_world::node& entry_world::start_node()
+entry_world::node& entry_world::start_node(settings_fn const& adjust)
 {
-    auto& started = launch_node();
+    auto& started = launch_node(adjust);
     auto const end = std::chrono::steady_clock::now() + startup_timeout;
     while (!is_ready(started))
     {
--- a/test/entry_world.hpp
+++ b/test/entry_world.hpp
@@ -253,10 +253,12 @@
         std::unique_ptr<entry_node> process;
         std::thread thread;
     };
+    using settings_fn = std::function<void(entry_settings&)>;
     /// Starts a node without waiting until it is ready.
-    node& launch_node();
+    /// \param adjust changes the settings before the start; may be null
+    node& launch_node(settings_fn const& adjust = {});
     /// Starts a node and waits until it is ready.
-    node& start_node();
+    node& start_node(settings_fn const& adjust = {});
     void stop_node(node& one);
     bool is_ready(node const& one) const;
     /// \return the value of a metric; empty if the node does not report it
