quota exchange: take over only once the predecessor sends requests on

Cause: time stood for knowledge. A joined node decided 7 s after its start, whether or not the node that decided before had learned of it: its row may be written or read late. And a coordinator that stops went on granting to those that had not learned of it, beside its successor.

Change: answers say whether their sender, and the node that decided, send requests to the asker. A node takes a group of workspaces over once its predecessor has said so for 3 s, in which it counts the grants; until then it grants nothing unless no node ranks below it. A node that stops leaves its decisions to the next one from the start of the stop. So one bucket decides whoever knows whom. Three nodes may join above the predecessor, and a forwarded request waits 15 ms less a hop in place of 50 ms in all. The element is passed over by the version before; where it is missing, time holds as before. Log event quota.takeover.

The cluster of the tests now lets the coordinating nodes learn last, and passes over nodes that do not run when it looks for a coordinator.

--- a/src/entry/entry_node_stop.cpp
+++ b/src/entry/entry_node_stop.cpp
@@ -108,6 +108,7 @@
          {"connections", caller_links_.size()}});
     // Their callers reach another node with the retry.
     awaiting_store_.stop();
+    quotas_.leave();
     stop_step();
 }
 
--- a/src/entry/entry_node_workspaces.cpp
+++ b/src/entry/entry_node_workspaces.cpp
@@ -129,6 +129,13 @@
             answers ? "quota.coordinator_back" : "quota.coordinator_silent",
             {{"coordinator", node}});
     };
+    to.on_takeover =
+        [this](std::string const& group, std::string const& predecessor)
+    {
+        log_.write(
+            log_priority::routine, "quota.takeover",
+            {{"group", group}, {"predecessor", predecessor}});
+    };
     return to;
 }
 
--- a/src/entry/program_coordinators.cpp
+++ b/src/entry/program_coordinators.cpp
@@ -60,8 +60,10 @@
     seeds_.clear();
     weights_.clear();
     rankings_.clear();
+    names_.clear();
     for (auto const& one : others_)
     {
+        names_.insert(one.node);
         seeds_.push_back(stable_hash(one.node));
         weights_.push_back(hash_weight(one.capacity_weight));
     }
@@ -166,6 +168,11 @@
         [&](std::uint32_t at) { return others_[at].node == node; });
 }
 
+bool program_coordinators::knows(std::string const& node) const
+{
+    return names_.count(node) > 0;
+}
+
 bool program_coordinators::is_top_ranked(std::string_view key) const
 {
     return cached_ranking(key).nodes.empty();
--- a/src/entry/program_coordinators.hpp
+++ b/src/entry/program_coordinators.hpp
@@ -25,6 +25,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace walnutmill
@@ -87,6 +88,9 @@
     /// and ranks above this one.
     bool ranks_above(std::string_view node, std::string_view key) const;
 
+    /// \return true if the node is among the others.
+    bool knows(std::string const& node) const;
+
     /// \return true if this node ranks first for the key among all nodes,
     /// including those that are skipped.
     bool is_top_ranked(std::string_view key) const;
@@ -122,6 +126,7 @@
     /// Hash of the name and hash weight of each node in \c others_.
     std::vector<std::uint64_t> seeds_;
     std::vector<double> weights_;
+    std::unordered_set<std::string> names_;
     bool knows_nodes_ = false;
     std::unordered_map<std::string, time_point> unresponsive_until_;
     mutable std::unordered_map<std::string, ranking> rankings_;
--- a/src/entry/quota_exchange.cpp
+++ b/src/entry/quota_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <walnutmill/hash.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace walnutmill
@@ -15,10 +16,10 @@
 /// Maximum number of times that a rate-limit request is forwarded: to the
 /// coordinator by a node that is falsely thought to be it, and down by nodes
 /// that have just started.
-constexpr std::uint32_t max_forwards = 3;
+constexpr std::uint32_t max_forwards = 4;
 /// Number of highest-ranked nodes that leave decisions to the next one while
 /// they have just started. It bounds the hops after all nodes restart.
-constexpr std::size_t max_deferring_nodes = 2;
+constexpr std::size_t max_deferring_nodes = 3;
 /// Retry-after time while no coordinator is reachable.
 constexpr std::chrono::milliseconds undecided_retry_after{150};
 
@@ -32,11 +33,16 @@
     return result;
 }
 
+/// \return the rendezvous hashing key that selects a group's coordinator.
+std::string group_key(std::uint64_t group)
+{
+    return "quota-" + std::to_string(group);
+}
+
 /// \return the rendezvous hashing key that selects the workspace's coordinator.
 std::string group_key(workspace_name const& owner)
 {
-    return "quota-" +
-           std::to_string(stable_hash(owner.str()) % coordinator_groups);
+    return group_key(stable_hash(owner.str()) % coordinator_groups);
 }
 
 quota_answer undecided()
@@ -105,11 +111,99 @@
     decide(std::move(message), options_.max_candidates, std::move(done));
 }
 
-/// \return true if the other nodes have had the time to learn of this one.
-bool quota_exchange::is_settled() const
+/// \return true if the other nodes have had the time to learn of this one
+bool quota_exchange::has_joined() const
 {
     return nodes_known_since_ &&
-           clock_() - *nodes_known_since_ >= options_.settle_time;
+           clock_() - *nodes_known_since_ >= options_.join_time;
+}
+
+bool quota_exchange::is_settled() const
+{
+    return has_joined() && clock_() - *nodes_known_since_ >=
+                               options_.join_time + options_.count_time;
+}
+
+/// \return true if this node leaves the decisions on the group's workspaces to
+/// the node ranked below it, although it ranks first
+bool quota_exchange::defers(std::string const& group) const
+{
+    if (leaving_ || !is_settled())
+        return true;
+    auto const found = handovers_.find(group);
+    return found != handovers_.end() && !found->second.is_complete;
+}
+
+/// \return true if all requests for the group's workspaces pass through this
+/// node, which does not decide them yet
+bool quota_exchange::observes(std::string const& group) const
+{
+    if (!has_joined() || leaving_ || !defers(group))
+        return false;
+    auto const found = handovers_.find(group);
+    return found == handovers_.end() || found->second.accepted.value_or(true);
+}
+
+/// Leaves the groups in which this node is among the first to the nodes ranked
+/// below it until those have learned of it, however long that takes.
+void quota_exchange::await_handovers()
+{
+    if (awaits_handovers_ || !has_joined())
+        return;
+    awaits_handovers_ = true;
+    for (std::uint64_t i = 0; i < coordinator_groups; ++i)
+    {
+        auto const group = group_key(i);
+        if (placement_.nodes_above(group) < max_deferring_nodes)
+            handovers_.try_emplace(group);
+    }
+}
+
+/// \param accepted whether the node sends the group's requests to this one
+void quota_exchange::record_handover(
+    std::string const& group, std::string const& node,
+    std::optional<bool> accepted)
+{
+    auto const found = handovers_.find(group);
+    if (found == handovers_.end() || found->second.is_complete ||
+        placement_.ranks_above(node, group))
+        return;
+    auto& one = found->second;
+    auto const now = clock_();
+    if (one.predecessor != node || one.accepted != accepted)
+    {
+        one.predecessor = node;
+        one.accepted = accepted;
+        one.since = now;
+    }
+    one.is_complete = accepted.value_or(true) && is_settled() &&
+                      now - one.since >= options_.count_time;
+    if (one.is_complete && hooks_.on_takeover)
+        hooks_.on_takeover(group, node);
+}
+
+/// \return whether requests for the group reach the asker from all nodes that
+/// know this one; empty if the asker is known to rank below this one
+std::optional<bool> quota_exchange::is_coordinator_for(
+    std::string const& asker, std::string const& group) const
+{
+    if (placement_.ranks_above(asker, group))
+    {
+        auto const found = handovers_.find(group);
+        return found == handovers_.end() || found->second.is_complete ||
+               found->second.accepted.value_or(true);
+    }
+    if (placement_.knows(asker))
+        return std::nullopt;
+    return false;
+}
+
+/// \return the timeout of a request, which is shorter than that of the node
+/// from which it was received
+duration quota_exchange::timeout_of(quota_message const& message) const
+{
+    auto const hops = std::min(message.hops, max_forwards - 1);
+    return options_.timeout - hops * options_.timeout_per_hop;
 }
 
 /// \return the node to ask for a decision; null if this one decides
@@ -122,8 +216,9 @@
         message.hops > 0 && placement_.ranks_above(message.node, key);
     auto const* coordinator =
         is_left_to_this ? nullptr : placement_.coordinator_of(key, now);
-    if (coordinator != nullptr || is_settled() ||
-        placement_.nodes_above(key) >= max_deferring_nodes)
+    auto const may_defer =
+        leaving_ || placement_.nodes_above(key) < max_deferring_nodes;
+    if (coordinator != nullptr || !may_defer || !defers(key))
         return coordinator;
     return placement_.next_below(key, now);
 }
@@ -141,17 +236,13 @@
     if (forward_limit_reached || candidates_left == 0 ||
         pending_.size() >= options_.max_pending)
     {
-        // A node that only leaves the decision to another one makes it if that
-        // fails, as with one that has no notion of it.
-        auto const leaves_it =
-            placement_.coordinator_of(
-                group_key(message.request.owner), clock_()) == nullptr;
-        done(leaves_it ? decide_locally(message) : undecided(), {});
+        // Also where this node only leaves the decision to another one, which
+        // may go on granting.
+        done(undecided(), {});
         return;
     }
     auto const request_id = ++last_request_id_;
-    auto const timeout =
-        message.hops > 0 ? options_.forwarded_timeout : options_.timeout;
+    auto const timeout = timeout_of(message);
     pending_.emplace(
         request_id, pending_request{
                         std::move(message), *coordinator, candidates_left - 1,
@@ -276,11 +367,14 @@
         ++forwarded.hops;
         decide(
             std::move(forwarded), options_.max_candidates,
-            [this, request_id = message->request_id,
+            [this, request_id = message->request_id, asker = message->node,
+             group = group_key(message->request.owner),
              reply](quota_answer const& answer, std::string const&)
             {
                 auto answer_message = make_message(quota_message_type::answer);
                 answer_message.request_id = request_id;
+                answer_message.asker_is_coordinator =
+                    is_coordinator_for(asker, group);
                 answer_message.answer = answer;
                 // A forwarded answer may have a use although this node is to
                 // send none.
@@ -325,6 +419,9 @@
     auto const pending = std::move(found->second);
     pending_.erase(found);
     mark_reachable(message.node);
+    record_handover(
+        group_key(pending.message.request.owner), message.node,
+        message.asker_is_coordinator);
     observe(pending, message.answer.decision);
     pending.done(message.answer, message.node);
 }
@@ -335,11 +432,9 @@
     pending_request const& pending, quota_decision decision)
 {
     auto const now = clock_();
-    auto const is_known =
-        nodes_known_since_ && now - *nodes_known_since_ >= options_.join_time;
     auto const& request = pending.message.request;
-    if (!is_known || is_settled() ||
-        placement_.coordinator_of(group_key(request.owner), now) != nullptr)
+    auto const group = group_key(request.owner);
+    if (!observes(group) || placement_.coordinator_of(group, now) != nullptr)
         return;
     coordinator_.observe(
         {request.owner, newer_limit(pending.message)}, decision, now,
@@ -349,9 +444,14 @@
 void quota_exchange::tick()
 {
     auto const now = clock_();
+    await_handovers();
     coordinator_.retire_if(
         [this, now](workspace_name const& owner)
-        { return placement_.coordinator_of(group_key(owner), now) != nullptr; },
+        {
+            auto const group = group_key(owner);
+            return placement_.coordinator_of(group, now) != nullptr ||
+                   (defers(group) && !observes(group));
+        },
         now);
     coordinator_.tick(now, hooks_.reachable_share());
     if (unreachable_.empty() || now - last_ping_ < options_.ping_interval)
--- a/src/entry/quota_exchange.hpp
+++ b/src/entry/quota_exchange.hpp
@@ -19,10 +19,13 @@
 /// so that one node's false suspicion does not create a second coordinator.
 /// Nodes learn of one that joins at different moments, and until then go on
 /// asking its predecessor. A node that has just started therefore leaves its
-/// decisions to the node ranked below it, which is that predecessor, until all
-/// others know it. A request from a higher-ranked node tells its receiver so.
-/// The last of these answers pass through the new node, which counts them in
-/// its own buckets and goes on from there.
+/// decisions to the node ranked below it, which is that predecessor, until the
+/// predecessor answers that it sends all requests to the new node. A request
+/// from a higher-ranked node tells its receiver that the decision is left to
+/// it. The last of these answers pass through the new node, which counts them
+/// in its own buckets and goes on from there. A node that is about to leave
+/// does the same for good, since others learn of that at different moments
+/// too.
 /// The alternative, a lease on a row of the store, is lost during outages of
 /// the store and takes seconds to move to another node.
 
@@ -51,19 +54,20 @@
     std::chrono::milliseconds resend_after{40};
     /// Timeout after which an unanswering coordinator is skipped.
     std::chrono::milliseconds timeout{110};
-    /// Timeout of a forwarded request; shorter than the timeout of its sender.
-    std::chrono::milliseconds forwarded_timeout{50};
+    /// By how much the timeout of a forwarded request is shorter than that of
+    /// its sender.
+    std::chrono::milliseconds timeout_per_hop{15};
     /// Maximum number of coordinators tried per request.
     int max_candidates = 3;
     /// Maximum number of pending rate-limit requests, own and forwarded.
     std::size_t max_pending = 4'096;
-    /// Time from a node's start until all others know it and ask it. They read
-    /// the members about every 3 s.
+    /// Time from a node's start until all others usually know it and ask it.
+    /// They read the members about every 3 s.
     std::chrono::milliseconds join_time{4'000};
-    /// Time from a node's start until it decides where it ranks first. It
-    /// counts the grants before for long enough to know the use, which takes
-    /// 2 s, and how full the buckets are.
-    std::chrono::milliseconds settle_time{7'000};
+    /// Time for which a node counts the grants of its predecessor before it
+    /// decides itself: long enough to know the use, which takes 2 s, and how
+    /// full the buckets are.
+    std::chrono::milliseconds count_time{3'000};
     /// Interval between pings to unreachable nodes.
     std::chrono::milliseconds ping_interval{500};
     /// How long an unreachable node is skipped if it answers no ping.
@@ -96,6 +100,11 @@
         /// may be null.
         std::function<void(std::string const& node, bool reachable)>
             on_reachability_change{};
+        /// Called when this node goes on from its predecessor as the
+        /// coordinator of a group of workspaces; may be null.
+        std::function<void(
+            std::string const& group, std::string const& predecessor)>
+            on_takeover{};
     };
 
     /// \param coordinator the node that decided; empty: this node
@@ -116,6 +125,9 @@
     /// \return true if this node comes first in the hash order of the
     /// workspace's coordinators.
     bool is_preferred_coordinator_of(workspace_name const& owner) const;
+    /// Leaves all further decisions to the nodes ranked below this one. To be
+    /// called before the others learn that this node leaves.
+    void leave() { leaving_ = true; }
     void set_bounds(quota_bounds bounds) { coordinator_.set_bounds(bounds); }
     /// Sets whether answers of this node report the use of the workspace.
     void set_reports_use(bool enabled)
@@ -150,7 +162,30 @@
         answer_fn done;
     };
 
+    /// What this node knows of its predecessor in a group of workspaces.
+    struct handover
+    {
+        /// Empty before the first answer.
+        std::string predecessor;
+        /// Whether it sends requests to this node; empty if it does not
+        /// report that.
+        std::optional<bool> accepted{};
+        /// Since when it has answered that.
+        time_point since{};
+        bool is_complete = false;
+    };
+
+    bool has_joined() const;
     bool is_settled() const;
+    bool defers(std::string const& group) const;
+    bool observes(std::string const& group) const;
+    void await_handovers();
+    void record_handover(
+        std::string const& group, std::string const& node,
+        std::optional<bool> accepted);
+    std::optional<bool> is_coordinator_for(
+        std::string const& asker, std::string const& group) const;
+    duration timeout_of(quota_message const& message) const;
     coordinator_candidate const*
     node_to_ask(quota_message const& message) const;
     void route_refund(quota_message message);
@@ -174,6 +209,11 @@
     quota_exchange_options options_;
     /// When the other nodes were first known.
     std::optional<time_point> nodes_known_since_;
+    /// Groups in which this node was among the first when the others had
+    /// learned of it.
+    std::map<std::string, handover> handovers_;
+    bool awaits_handovers_ = false;
+    bool leaving_ = false;
     std::uint64_t last_request_id_ = 0;
     std::unordered_map<std::uint64_t, pending_request> pending_;
     /// Addresses of unreachable nodes by node name.
--- a/src/entry/quota_message.cpp
+++ b/src/entry/quota_message.cpp
@@ -17,9 +17,9 @@
 /// are CBOR arrays that start with a boolean.
 constexpr char const* message_tag = "quota";
 constexpr std::int64_t max_retry_after_ms = 60'000;
-/// Position of the use, which is the last element and may be absent. Elements
-/// behind it are ignored.
+/// Positions of elements that may be absent. Elements behind them are ignored.
 constexpr std::size_t use_position = 11;
+constexpr std::size_t coordinator_position = 12;
 /// Upper bound of a use that counts, in thousandths.
 constexpr std::uint64_t max_use = 1'000'000;
 
@@ -53,6 +53,14 @@
     return static_cast<std::uint32_t>(use);
 }
 
+std::optional<bool> parse_coordinator(json const& body)
+{
+    if (body.size() <= coordinator_position ||
+        !body[coordinator_position].is_boolean())
+        return std::nullopt;
+    return body[coordinator_position].get<bool>();
+}
+
 quota_message parse_message(json const& body)
 {
     quota_message message;
@@ -71,6 +79,7 @@
     message.answer.retry_after =
         std::chrono::milliseconds(next().get<std::int64_t>());
     message.answer.use = parse_use(body);
+    message.asker_is_coordinator = parse_coordinator(body);
     return message;
 }
 
@@ -87,6 +96,12 @@
          message.answer.retry_after.count()});
     if (message.answer.use)
         body.push_back(*message.answer.use);
+    if (message.asker_is_coordinator)
+    {
+        if (!message.answer.use)
+            body.push_back(nullptr);
+        body.push_back(*message.asker_is_coordinator);
+    }
     auto const bytes = json::to_cbor(body);
     return {bytes.begin(), bytes.end()};
 }
--- a/src/entry/quota_message.hpp
+++ b/src/entry/quota_message.hpp
@@ -41,9 +41,14 @@
     /// Number of nodes that forwarded the request.
     std::uint32_t hops = 0;
     quota_answer answer;
+    /// In an answer: whether its sender, and the node that decided, send
+    /// requests for this workspace to the asker because it ranks above them.
+    /// Empty if the asker does not, or if the sender does not report it.
+    std::optional<bool> asker_is_coordinator{};
 };
 
-/// \return an array of 11 elements, or of 12 where the answer has a use.
+/// \return an array of 11 elements, or of up to 13 where the answer has a use
+/// or reports whether the asker is the coordinator.
 /// Decoders read by position and ignore further elements, so that nodes of
 /// different versions understand each other.
 std::string encode(quota_message const& message);
--- a/test/quota_cluster.cpp
+++ b/test/quota_cluster.cpp
@@ -136,9 +136,9 @@
     ++messages_;
     if (is_separated(from, index) || random_() < options_.loss)
         return;
-    auto const delay =
-        min_network_delay + duration(static_cast<std::int64_t>(
-                                random_() * network_delay_spread_us));
+    auto const delay = nodes_[index].added_delay + min_network_delay +
+                       duration(static_cast<std::int64_t>(
+                           random_() * network_delay_spread_us));
     schedule_at(
         clock_.now() + delay,
         [this, from, index, generation = nodes_[index].generation,
@@ -296,7 +296,8 @@
 {
     for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
-        if (nodes_[i].quotas->is_preferred_coordinator_of(owner))
+        if (nodes_[i].alive &&
+            nodes_[i].quotas->is_preferred_coordinator_of(owner))
             return i;
     }
     return 0;
@@ -330,9 +331,16 @@
 void quota_cluster::join(std::size_t index, duration spread)
 {
     start(index);
+    announce(index, spread);
+}
+
+void quota_cluster::announce(std::size_t index, duration spread)
+{
     for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
-        auto const part = static_cast<std::int64_t>(i + 1);
+        // The first nodes, which are the strong ones that coordinate, come
+        // last.
+        auto const part = static_cast<std::int64_t>(nodes_.size() - i);
         auto const delay =
             spread * part / static_cast<std::int64_t>(nodes_.size());
         schedule_at(
@@ -345,6 +353,30 @@
     }
 }
 
+void quota_cluster::leave(std::size_t index, duration spread)
+{
+    nodes_[index].quotas->leave();
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        if (i == index)
+            continue;
+        auto const part = static_cast<std::int64_t>(i + 1);
+        schedule_at(
+            clock_.now() +
+                spread * part / static_cast<std::int64_t>(nodes_.size()),
+            [this, i, index]
+            {
+                nodes_[i].unknown.insert(index);
+                update_members(i);
+            });
+    }
+}
+
+void quota_cluster::slow_down(std::size_t index, duration delay)
+{
+    nodes_[index].added_delay = delay;
+}
+
 void quota_cluster::freeze(std::size_t index)
 {
     nodes_[index].frozen = true;
--- a/test/quota_cluster.hpp
+++ b/test/quota_cluster.hpp
@@ -82,7 +82,7 @@
 
     std::size_t nodes() const { return nodes_.size(); }
     std::size_t messages() const { return messages_; }
-    /// \return the index of the workspace's preferred coordinator
+    /// \return the index of the workspace's preferred coordinator that runs
     std::size_t coordinator_of(workspace_name const& owner) const;
     void kill(std::size_t index);
     /// Restarts a killed node with empty memory.
@@ -92,6 +92,14 @@
     /// Starts a removed node. The others learn of it one after the other,
     /// spread evenly over \a spread.
     void join(std::size_t index, duration spread);
+    /// Lets the others learn of a started node one after the other, spread
+    /// evenly over \a spread.
+    void announce(std::size_t index, duration spread);
+    /// Lets a node leave: the others forget it one after the other, spread
+    /// evenly over \a spread, while it goes on answering.
+    void leave(std::size_t index, duration spread);
+    /// Delays all messages that a node receives.
+    void slow_down(std::size_t index, duration delay);
     void freeze(std::size_t index);
     void resume(std::size_t index);
     /// Forgets the uses reported so far.
@@ -113,6 +121,7 @@
         std::unique_ptr<quota_exchange> quotas;
         bool alive = true;
         bool frozen = false;
+        duration added_delay{0};
         /// Nodes that this one does not know as members.
         std::set<std::size_t> unknown;
         std::uint64_t generation = 0;
--- a/test/quota_exchange-test.cpp
+++ b/test/quota_exchange-test.cpp
@@ -147,6 +147,176 @@
     }
 }
 
+namespace
+{
+
+/// A tenant at many times its limit, while nodes that rank before all others
+/// for it are absent.
+struct joining_cluster
+{
+    quota_cluster cluster;
+    workspace_name const tenant{"tenant-joined"};
+    /// Absent nodes, in their order of rank.
+    std::vector<std::size_t> absent;
+
+    joining_cluster(
+        std::size_t nodes, std::uint64_t seed, std::size_t absent_nodes,
+        double demand = 750)
+        : cluster(cluster_options(nodes, seed))
+    {
+        for (std::size_t i = 0; i < absent_nodes; ++i)
+        {
+            absent.push_back(cluster.coordinator_of(tenant));
+            cluster.remove(absent.back());
+        }
+        cluster.add_load({tenant, {100, 100}, demand});
+        cluster.run_for(seconds(10));
+    }
+
+    void check_window() const
+    {
+        auto const& seen = cluster.result(tenant);
+        CHECK(
+            static_cast<double>(seen.max_in_window) <= seen.allowed_in_window);
+    }
+};
+
+} // namespace
+
+// Guards against a node whose row comes late, or is read late, and which by
+// then takes itself for known.
+TEST_CASE("quota exchange: a coordinator that the others learn of late grants "
+          "nothing beside its predecessor")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        for (auto const late : {seconds(6), seconds(12), seconds(40)})
+        {
+            INFO("seed " << seed << ", " << late.count() << " s");
+            joining_cluster at(12, seed, 1);
+            at.cluster.start(at.absent[0]);
+            at.cluster.run_for(late);
+            at.cluster.announce(at.absent[0], seconds(3));
+            at.cluster.run_for(seconds(12));
+            at.check_window();
+            CHECK(served_fraction(at.cluster, at.tenant) > 0.9);
+        }
+    }
+}
+
+// Guards against nodes that go on asking a predecessor which has not learned of
+// the new coordinator, while the others ask the new one.
+TEST_CASE("quota exchange: a predecessor that learns of a joined coordinator "
+          "last grants nothing beside it")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        INFO("seed " << seed);
+        joining_cluster at(12, seed, 1);
+        at.cluster.join(at.absent[0], seconds(20));
+        at.cluster.run_for(seconds(32));
+        at.check_window();
+        CHECK(served_fraction(at.cluster, at.tenant) > 0.9);
+    }
+}
+
+// Guards against a third node that decides although its predecessor is asked.
+TEST_CASE("quota exchange: coordinators that join together grant one limit")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        for (auto const gap : {milliseconds(0), milliseconds(1'300)})
+        {
+            INFO("seed " << seed << ", gap " << gap.count());
+            joining_cluster at(40, seed, 3);
+            for (auto one = at.absent.rbegin(); one != at.absent.rend(); ++one)
+            {
+                at.cluster.join(*one, seconds(3));
+                at.cluster.run_for(gap);
+            }
+            at.cluster.run_for(seconds(15));
+            at.check_window();
+            CHECK(served_fraction(at.cluster, at.tenant) > 0.9);
+        }
+    }
+}
+
+// Guards against a joined node that decides at the full rate because the
+// answers of its predecessor are later than it waits for them.
+TEST_CASE("quota exchange: a coordinator that joins above a slow one grants "
+          "nothing beside it")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        for (auto const delay :
+             {milliseconds(30), milliseconds(55), milliseconds(80)})
+        {
+            INFO("seed " << seed << ", delay " << delay.count());
+            joining_cluster at(12, seed, 1);
+            auto const predecessor = at.cluster.coordinator_of(at.tenant);
+            at.cluster.slow_down(predecessor, delay);
+            at.cluster.run_for(seconds(5));
+            at.cluster.join(at.absent[0], seconds(3));
+            at.cluster.run_for(seconds(12));
+            at.check_window();
+        }
+    }
+}
+
+// Guards against two coordinators while the predecessor stands still for a
+// moment, or ends, before the new one decides.
+TEST_CASE("quota exchange: a predecessor that fails while a joined coordinator "
+          "defers to it leaves one limit")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        for (auto const pause :
+             {milliseconds(150), milliseconds(700), milliseconds(2'500)})
+        {
+            INFO("seed " << seed << ", pause " << pause.count());
+            joining_cluster at(12, seed, 1);
+            auto const predecessor = at.cluster.coordinator_of(at.tenant);
+            at.cluster.join(at.absent[0], seconds(3));
+            at.cluster.run_for(milliseconds(800 * seed));
+            at.cluster.freeze(predecessor);
+            at.cluster.run_for(pause);
+            at.cluster.resume(predecessor);
+            at.cluster.run_for(seconds(12));
+            at.check_window();
+        }
+        INFO("seed " << seed << ", ends");
+        joining_cluster at(12, seed, 1);
+        auto const predecessor = at.cluster.coordinator_of(at.tenant);
+        at.cluster.join(at.absent[0], seconds(3));
+        at.cluster.run_for(milliseconds(800 * seed));
+        at.cluster.kill(predecessor);
+        at.cluster.run_for(seconds(12));
+        at.check_window();
+    }
+}
+
+// Guards against a coordinator that still grants to those that have not learned
+// that it leaves, while its successor grants to the others.
+TEST_CASE("quota exchange: a coordinator that leaves grants nothing beside its "
+          "successor")
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        for (auto const spread : {seconds(1), seconds(3), seconds(5)})
+        {
+            INFO("seed " << seed << ", spread " << spread.count());
+            joining_cluster at(12, seed, 0);
+            auto const leaving = at.cluster.coordinator_of(at.tenant);
+            at.cluster.leave(leaving, spread);
+            at.cluster.run_for(spread + seconds(1));
+            at.cluster.kill(leaving);
+            at.cluster.run_for(seconds(8));
+            at.check_window();
+            CHECK(served_fraction(at.cluster, at.tenant) > 0.9);
+        }
+    }
+}
+
 TEST_CASE("quota exchange: a joined coordinator refuses none below the limit")
 {
     for (std::uint64_t seed = 1; seed <= 6; ++seed)
@@ -420,6 +590,28 @@
     }
 }
 
+TEST_CASE("quota message: the report on the coordinator is a further element")
+{
+    for (auto const use :
+         {std::optional<std::uint32_t>(), std::optional<std::uint32_t>(630)})
+    {
+        for (auto const is_coordinator : {false, true})
+        {
+            auto message = answer_message();
+            message.answer.use = use;
+            message.asker_is_coordinator = is_coordinator;
+            auto const bytes = encode(message);
+            CHECK(first_elements(bytes) == first_elements(answer_without_use));
+            auto const got = decode_quota_message(bytes);
+            REQUIRE(got);
+            check_is_answer_message(*got);
+            CHECK(got->answer.use == use);
+            CHECK(got->asker_is_coordinator == is_coordinator);
+        }
+    }
+    CHECK_FALSE(decode_quota_message(answer_without_use)->asker_is_coordinator);
+}
+
 // Guards against messages that a later version extends in its own way.
 TEST_CASE("quota message: unknown further elements leave it readable")
 {
