caller link: let a slow caller leave its answer unread

Cause: TCP_USER_TIMEOUT of 1.5 s, set to find dead peers. No value is right for a slow reader.

Change: connections from callers and nodes do without the option. A link closes its connection itself if the peer's system has not acknowledged an answer once its call could have taken that long. A request to a server that exceeds the usual window is bounded by its exchange's limit alone.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -203,6 +203,9 @@
         refuse("this node is about to stop", milliseconds(0));
         return false;
     }
+    // The answer is of use to the caller until then.
+    link_->allow_unread_for(
+        std::chrono::duration_cast<milliseconds>(wait + deadline_reserve_));
     await_deadline();
     return true;
 }
--- a/src/entry/caller_link.cpp
+++ b/src/entry/caller_link.cpp
@@ -25,6 +25,11 @@
 /// Bytes of pipelined requests that are buffered while one is answered. Past
 /// this the link stops reading, and TCP flow control holds back the caller.
 constexpr std::size_t max_read_ahead_bytes = 65'536;
+/// The least time for which an answer may stay unread. It lies above the time
+/// that retransmitting a lost packet takes.
+constexpr milliseconds min_unread_limit{1'500};
+/// Unsent bytes that are reported as a backlog. Few answers are that long.
+constexpr std::size_t backlog_bytes = 65'536;
 /// How long a closing link waits for the caller to close its side, so that a
 /// reset does not discard the last bytes of the answer.
 constexpr milliseconds close_timeout{1'000};
@@ -46,6 +51,7 @@
 constexpr std::string_view cut_by_exit = "answer cut by the exit";
 constexpr std::string_view rest_of_refused = "rest of a refused request";
 constexpr std::string_view process_exit = "process exit";
+constexpr std::string_view not_acknowledged = "not read by its caller";
 
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
@@ -67,7 +73,8 @@
 
 caller_link::caller_link(asio::ip::tcp::socket socket, hooks to)
     : socket_(std::move(socket)), timer_(socket_.get_executor()),
-      input_timer_(socket_.get_executor()), hooks_(std::move(to))
+      input_timer_(socket_.get_executor()), hooks_(std::move(to)),
+      unread_limit_(min_unread_limit)
 {
 }
 
@@ -97,7 +104,18 @@
 void caller_link::await_request()
 {
     idle_since_ = clock::now();
-    arm_timer(idle_close_at() - idle_since_);
+    arm_timer(std::min<clock::duration>(
+        idle_close_at() - idle_since_, unread_limit_));
+}
+
+/// Starts the time after which the connection closes if its caller has not
+/// taken the last answer. TCP_USER_TIMEOUT would also end callers that are
+/// alive and read slowly; without it the system keeps a dead one for many
+/// minutes.
+void caller_link::await_acknowledgement()
+{
+    idle_since_ = clock::now();
+    arm_timer(unread_limit_);
 }
 
 /// \return false while bytes that arrive could not be answered.
@@ -269,6 +287,8 @@
         return;
     outgoing_.append(bytes);
     flush();
+    if (unsent() > backlog_bytes && hooks_.on_backlog)
+        hooks_.on_backlog();
 }
 
 void caller_link::flush()
@@ -312,6 +332,8 @@
     {
         if (unsent() == 0)
             end_gracefully();
+        else
+            await_acknowledgement();
         return;
     }
     await_request();
@@ -381,7 +403,10 @@
     // missing end of the answer.
     closes_after_answer_ = true;
     if (unsent() > 0)
+    {
+        await_acknowledgement();
         return;
+    }
     // Closing with unread input would reset the connection and discard what
     // the caller has not received yet.
     if (unread_bytes() > 0)
@@ -414,6 +439,23 @@
     close_socket();
 }
 
+void caller_link::allow_unread_for(milliseconds limit)
+{
+    unread_limit_ = std::max(unread_limit_, limit);
+}
+
+void caller_link::drop_unread(std::string_view why)
+{
+    if (ended_)
+        return;
+    report_unanswered(
+        std::max(unacknowledged_bytes().value_or(0), unsent()), why);
+    // What the system still holds for the caller is discarded too.
+    error_code ignored; // the connection is abandoned anyway
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    handle_disconnect();
+}
+
 std::size_t caller_link::unread_bytes() const
 {
     error_code error;
@@ -421,12 +463,20 @@
     return error ? 0 : bytes;
 }
 
+/// \return the number of bytes that the caller's system has not acknowledged;
+/// empty if the system does not tell
+std::optional<std::size_t> caller_link::unacknowledged_bytes()
+{
+    int bytes = 0;
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) != 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
 /// \return true if the caller's system has acknowledged everything sent.
 bool caller_link::all_acknowledged()
 {
-    int bytes = 0;
-    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 &&
-           bytes == 0;
+    return unacknowledged_bytes() == std::size_t{0};
 }
 
 void caller_link::drop_read_ahead(std::string_view why)
@@ -465,6 +515,10 @@
         close_leaving_unread();
     else if (head_begun_)
         refuse_request(status_timeout, "the request came too slowly");
+    else if (
+        clock::now() - idle_since_ >= unread_limit_ &&
+        unacknowledged_bytes().value_or(0) > 0)
+        drop_unread(not_acknowledged);
     else
         close_if_idle();
 }
--- a/src/entry/caller_link.hpp
+++ b/src/entry/caller_link.hpp
@@ -57,6 +57,8 @@
         /// Called when bytes of requests get no answer; may be null.
         std::function<void(std::size_t bytes, std::string_view why)>
             on_unanswered{};
+        /// Called when many bytes are unsent; may be null.
+        std::function<void()> on_backlog{};
     };
 
     caller_link(boost::asio::ip::tcp::socket socket, hooks to);
@@ -98,6 +100,13 @@
     void end_for_exit();
     /// Closes the connection at once because the process exits.
     void close_for_exit();
+    /// Lets the caller leave an answer unread for this long after its end
+    /// before the connection is closed. A longer time that was set before stays
+    /// in force.
+    void allow_unread_for(std::chrono::milliseconds limit);
+    /// Closes the connection although the caller has not read all of its
+    /// answer.
+    void drop_unread(std::string_view why);
 
 private:
     using error_code = boost::system::error_code;
@@ -122,11 +131,13 @@
     void timed_out();
     clock::time_point idle_close_at();
     void close_if_idle();
+    void await_acknowledgement();
     void end_gracefully();
     void handle_disconnect();
     void close_leaving_unread();
     void close_socket();
     std::size_t unread_bytes() const;
+    std::optional<std::size_t> unacknowledged_bytes();
     bool all_acknowledged();
     void drop_read_ahead(std::string_view why);
     void report_unanswered(std::size_t bytes, std::string_view why) const;
@@ -143,6 +154,8 @@
     clock::time_point idle_since_{};
     /// Longest idle timeout in force during the connection.
     std::chrono::milliseconds idle_timeout_{0};
+    /// How long an answer may stay unread after its end.
+    std::chrono::milliseconds unread_limit_;
     /// Bytes of the request that is being read or answered.
     std::size_t request_bytes_ = 0;
     /// Bytes dropped because the request before them was refused.
--- a/src/entry/entry_node.hpp
+++ b/src/entry/entry_node.hpp
@@ -91,6 +91,7 @@
     void stop_step();
     void end_connections();
     bool is_answering_nodes() const;
+    void limit_unsent_answers();
     void tick();
     start_leases::hooks lease_hooks();
     quota_exchange::hooks quota_hooks();
@@ -170,6 +171,7 @@
     std::unordered_set<std::string> live_incarnations_;
     time_point started_{};
     time_point stop_began_{};
+    bool checks_unsent_answers_ = false;
     bool left_cluster_ = false;
     bool leave_started_ = false;
     std::uint64_t ticks_ = 0;
--- a/src/entry/entry_node_answers.cpp
+++ b/src/entry/entry_node_answers.cpp
@@ -5,6 +5,11 @@
 
 #include "entry/entry_node.hpp"
 
+#include "entry/byte_limits.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
 #include <utility>
 
 namespace walnutmill
@@ -62,9 +67,34 @@
     to.on_end = [this](caller_link* link) { caller_links_.erase(link); };
     to.on_unanswered = [this](std::size_t bytes, std::string_view why)
     { report_unanswered("callers", bytes, why); };
+    // Deferred, because the call that writes goes on.
+    to.on_backlog = [this]
+    {
+        if (!std::exchange(checks_unsent_answers_, true))
+            boost::asio::post(io_, [this] { limit_unsent_answers(); });
+    };
     return to;
 }
 
+/// Bounds the memory for callers that read slowly or not at all. The longest
+/// unsent answer gives way, so that those of other callers do not.
+void entry_node::limit_unsent_answers()
+{
+    checks_unsent_answers_ = false;
+    std::size_t unsent = 0;
+    for (auto const* link : caller_links_)
+        unsent += link->unsent();
+    while (unsent > max_unsent_answer_bytes)
+    {
+        auto* const longest = *std::max_element(
+            caller_links_.begin(), caller_links_.end(),
+            [](caller_link const* a, caller_link const* b)
+            { return a->unsent() < b->unsent(); });
+        unsent -= longest->unsent();
+        longest->drop_unread("no room for unsent answers");
+    }
+}
+
 caller_limits entry_node::limits_for_callers() const
 {
     auto limits = services_.table ? services_.table->limits : caller_limits();
--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <limits>
 #include <utility>
@@ -25,6 +26,9 @@
 /// connection. It is below the two seconds after which callers abandon a silent
 /// stream, and above the time that retransmitting a lost packet takes.
 constexpr int unacknowledged_timeout_ms = 1'500;
+/// The receive window that a server usually has before it reads anything. A
+/// request that fits into it is left unacknowledged by dead servers only.
+constexpr std::size_t usual_window_bytes = 65'536;
 /// Seconds without traffic before the first keepalive probe, and between
 /// probes. An unresponsive peer is detected within about three seconds.
 constexpr int keepalive_interval_s = 1;
@@ -59,8 +63,6 @@
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_interval_s);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set_option(
-        socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
 }
 
 http_link::http_link(
@@ -149,6 +151,7 @@
 void http_link::send()
 {
     writing_ = true;
+    limit_silence(outgoing_.size() <= usual_window_bytes);
     asio::async_write(
         socket_, asio::buffer(outgoing_),
         [self = shared_from_this()](error_code const& error, std::size_t sent)
@@ -171,6 +174,19 @@
         });
 }
 
+/// Linux also counts the time for which a live peer keeps its window closed, on
+/// some connections that of earlier times. A server may be slow to read a long
+/// request, so the time limit of its exchange bounds that one.
+void http_link::limit_silence(bool enabled)
+{
+    if (limits_silence_ == enabled)
+        return;
+    limits_silence_ = enabled;
+    set_option(
+        socket_, IPPROTO_TCP, TCP_USER_TIMEOUT,
+        enabled ? unacknowledged_timeout_ms : 0);
+}
+
 void http_link::read()
 {
     socket_.async_read_some(
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -99,7 +99,8 @@
 endpoint_of(std::string_view text);
 
 /// Sets the socket options that detect a peer that stops responding without a
-/// reset. Options that the kernel lacks are ignored.
+/// reset while nothing is sent to it. Options that the kernel lacks are
+/// ignored.
 void enable_dead_peer_detection(boost::asio::ip::tcp::socket& socket);
 
 /// Client side of one HTTP/1.1 connection.
@@ -175,6 +176,7 @@
     void connect();
     void handle_connect(error_code const& error);
     void send();
+    void limit_silence(bool enabled);
     void read();
     void handle_read(error_code const& error, std::size_t size);
     void parse();
@@ -206,6 +208,8 @@
     /// Shared, so that a handler may end the exchange that called it.
     std::shared_ptr<handlers> handlers_;
     bool connected_ = false;
+    /// The system closes a connection whose peer acknowledges nothing.
+    bool limits_silence_ = false;
     bool refused_ = false;
     bool busy_ = false;
     bool not_reusable_ = false;
--- a/test/caller_link-test.cpp
+++ b/test/caller_link-test.cpp
@@ -407,3 +407,21 @@
     CHECK(requests == 2);
     CHECK(refusals == 0);
 }
+
+// Guards against connections that a caller which never reads holds for good.
+TEST_CASE_METHOD(
+    link_fixture,
+    "caller link: an answer that is not read is given up after the time "
+    "allowed")
+{
+    limits.idle_timeout = milliseconds(15'000);
+    caller.set_option(tcp::socket::receive_buffer_size(4'096));
+    link->allow_unread_for(milliseconds(2'400));
+    send_request();
+    link->write(std::string(buffered_answer_bytes, 'x'));
+    link->finish_answer();
+    run_for(milliseconds(2'000));
+    CHECK_FALSE(ended);
+    CHECK(run_until([&] { return ended; }));
+    CHECK(unanswered_why == "not read by its caller");
+}
