call: write one head for an answer, and only streams behind events

Cause: deliver() wrote a head without looking whether one had been written; only 5xx were checked. And a success counted as the rest of the stream whatever its type, so that a 204 ended the stream as complete before its last event.

Change: one function begins an answer, and does so once a call. An answer that cannot follow forwarded events is a failure of its engine like a 5xx: the stream goes on elsewhere within the route's limit, or is broken off.

--- a/src/entry/call_attempts.cpp
+++ b/src/entry/call_attempts.cpp
@@ -209,9 +209,12 @@
     if (attempt->answer.idle_timeout)
         attempt->link->idle_timeout = *attempt->answer.idle_timeout;
     attempt->accepted_by_engine = !attempt->answer.not_run;
+    // Only a stream can go on with a begun one. Before that, the type of a
+    // success is left to its engine.
     attempt->streams = route_->streams && attempt->accepted_by_engine &&
                        attempt->answer.status < status_success_end &&
-                       attempt->answer.signed_by_engine;
+                       attempt->answer.signed_by_engine &&
+                       (!head_written_ || platform::is_event_stream(head));
     if (attempt->streams)
         attempt->link->lift_body_limit();
 }
@@ -290,16 +293,13 @@
     else
         ++attempt->idle_events;
     record_origin(attempt);
-    if (!head_written_)
+    if (auto const head = begin_answer(attempt->answer, std::nullopt))
     {
-        head_written_ = true;
         log_fields_["first_ms"] = ms_count(node_.clock() - arrived_);
         node_.counters.observe(
             "walnutmill_first_event_seconds",
             std::chrono::duration<double>(node_.clock() - arrived_).count());
-        platform::answer_framing framing;
-        framing.close = link_->begin_answer();
-        link_->write(platform::encode_answer_head(attempt->answer, framing));
+        link_->write(*head);
         extend_deadline();
     }
     if (event.id)
@@ -442,8 +442,10 @@
         attempt_interrupted(attempt);
         return;
     }
-    auto const failed = status >= status_server_error;
-    if (!failed && route_->streams && status < status_success_end)
+    // An answer of another kind cannot follow events that were forwarded.
+    auto const failed =
+        status >= status_server_error || (head_written_ && !attempt->streams);
+    if (attempt->streams)
     {
         if (attempt->events.partial())
         {
@@ -561,17 +563,33 @@
         });
 }
 
+/// Decides whether the connection closes after the answer, once per call.
+/// \param length of the body; empty if it comes in chunks
+/// \return the head to be written; empty if a head was written before
+std::optional<std::string> call_flow::begin_answer(
+    engine_answer const& answer, std::optional<std::size_t> length)
+{
+    if (std::exchange(head_written_, true))
+        return std::nullopt;
+    platform::answer_framing framing;
+    framing.length = length;
+    framing.close = link_->begin_answer();
+    return platform::encode_answer_head(answer, framing);
+}
+
 void call_flow::deliver(attempt_ptr const& attempt)
 {
     if (done_)
         return;
-    platform::answer_framing framing;
-    framing.length = attempt->body.text().size();
-    framing.close = link_->begin_answer();
-    auto answer = platform::encode_answer_head(attempt->answer, framing);
-    answer.append(attempt->body.text());
+    auto answer = begin_answer(attempt->answer, attempt->body.text().size());
+    if (!answer)
+    {
+        abort_call("the engine answered a begun stream otherwise");
+        return;
+    }
+    answer->append(attempt->body.text());
     attempt->body.clear();
-    link_->write(answer);
+    link_->write(*answer);
     log_fields_["status"] = attempt->answer.status;
     finish("answered", attempt->answer.status >= status_server_error);
 }
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -522,6 +522,7 @@
     answer.message = std::string(why);
     answer.retry_after = retry_after;
     answer.id = call_.id;
+    head_written_ = true;
     link_->write(platform::encode_local_answer(answer, link_->begin_answer()));
     log_fields_["status"] = status;
     log_fields_["why"] = why;
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -161,7 +161,7 @@
         engine_answer answer;
         held_answer body;
         event_splitter events;
-        /// The answer is a stream of events.
+        /// The answer is a stream of events, which may go on with a begun one.
         bool streams = false;
         /// Bytes and events since the last new event of the stream.
         std::size_t idle_bytes = 0;
@@ -269,6 +269,8 @@
     forward_event(attempt_ptr const& attempt, server_sent_event const& event);
     void stream_completed();
     void deliver(attempt_ptr const& attempt);
+    std::optional<std::string> begin_answer(
+        engine_answer const& answer, std::optional<std::size_t> length);
 
     void on_deadline();
     void end_unanswered(
