http link: reject statuses outside HTTP, and answers half closed while sending

Tried here: the reset alone was noticed; an engine that closed its side first and reset then was not (5 of 5 complete). Status 000 to 199 counted as interim, so that the call waited for another answer, and 600 to 999 were passed on.

Change: an answer without a length that ends while its request is still being sent is complete once that has been sent, and broken if it fails: an engine that reads on is believed, one that resets is not. A status outside 100 to 599, or 101, is no answer: a call that may be repeated goes elsewhere, another gets 502.

The server of the tests opens its window again when it reads on, and waits for 200 ms without a byte.

--- a/src/entry/http_link.cpp
+++ b/src/entry/http_link.cpp
@@ -161,17 +161,7 @@
             return asio::transfer_all()(error, sent);
         },
         [self = shared_from_this()](error_code const& error, std::size_t)
-        {
-            self->writing_ = false;
-            // An answer may have arrived before the failure, so the read
-            // side ends the exchange.
-            if (!error || self->closed_)
-                return;
-            self->not_reusable_ = true;
-            // The system reports a reset once, to reading or to writing. A
-            // broken pipe follows an orderly close.
-            self->reset_ = error != asio::error::broken_pipe;
-        });
+        { self->handle_sent(error); });
 }
 
 /// Linux also counts the time for which a live peer keeps its window closed, on
@@ -187,6 +177,24 @@
         enabled ? unacknowledged_timeout_ms : 0);
 }
 
+void http_link::handle_sent(error_code const& error)
+{
+    writing_ = false;
+    if (closed_)
+        return;
+    if (error)
+    {
+        not_reusable_ = true;
+        // The system reports a reset once, to reading or to writing. A broken
+        // pipe follows an orderly close.
+        reset_ = error != asio::error::broken_pipe;
+    }
+    // Otherwise the read side ends the exchange: an answer may have arrived
+    // before the failure.
+    if (ends_after_sending_ && busy_)
+        end_with_connection(!error);
+}
+
 void http_link::read()
 {
     socket_.async_read_some(
@@ -205,15 +213,12 @@
         // orderly close makes it complete, since bytes may be missing after
         // a reset.
         auto const orderly_close = error == asio::error::eof && !reset_;
-        close_socket();
-        if (busy_ && orderly_close && may_end_with_connection())
-        {
-            error_code at_end;
-            parser_->put_eof(at_end);
-            finish(at_end ? link_end::broken : link_end::complete);
-            return;
-        }
-        finish(link_end::broken);
+        // A server that closes its side before it has read the request may
+        // read on, or reset the connection next.
+        if (busy_ && orderly_close && may_end_with_connection() && writing_)
+            ends_after_sending_ = true;
+        else
+            end_with_connection(orderly_close);
         return;
     }
     incoming_.append(chunk_.data(), size);
@@ -232,6 +237,19 @@
         read();
 }
 
+void http_link::end_with_connection(bool orderly_close)
+{
+    close_socket();
+    if (busy_ && orderly_close && may_end_with_connection())
+    {
+        error_code at_end;
+        parser_->put_eof(at_end);
+        finish(at_end ? link_end::broken : link_end::complete);
+        return;
+    }
+    finish(link_end::broken);
+}
+
 /// \return true if the connection's end completes the answer. A success without
 /// a length and a body may be one whose engine ended in its head, behind a part
 /// that lacks the length.
@@ -320,8 +338,19 @@
 /// or if the exchange has ended.
 bool http_link::process_head()
 {
+    constexpr unsigned first_status = 100;
+    constexpr unsigned switching_protocols = 101;
     constexpr unsigned first_final_status = 200;
-    if (parser_->get().result_int() < first_final_status)
+    constexpr unsigned status_end = 600;
+    auto const status = parser_->get().result_int();
+    // No request asks for another protocol.
+    if (status < first_status || status >= status_end ||
+        status == switching_protocols)
+    {
+        fail(link_end::malformed);
+        return false;
+    }
+    if (status < first_final_status)
     {
         start_parser();
         return false;
--- a/src/entry/http_link.hpp
+++ b/src/entry/http_link.hpp
@@ -177,6 +177,7 @@
     void handle_connect(error_code const& error);
     void send();
     void limit_silence(bool enabled);
+    void handle_sent(error_code const& error);
     void read();
     void handle_read(error_code const& error, std::size_t size);
     void parse();
@@ -186,6 +187,7 @@
     void start_parser();
     bool process_head();
     bool may_end_with_connection() const;
+    void end_with_connection(bool orderly_close);
     void deliver_body();
     void finish_answer();
     void finish(link_end how);
@@ -220,6 +222,9 @@
     bool writing_ = false;
     /// Writing has failed because the connection was reset or timed out.
     bool reset_ = false;
+    /// The server has closed its side of the connection while the request was
+    /// still being sent.
+    bool ends_after_sending_ = false;
 };
 
 } // namespace walnutmill
--- a/test/cut_answer-test.cpp
+++ b/test/cut_answer-test.cpp
@@ -215,6 +215,55 @@
     }
 }
 
+// Guards against taking the first half of such a close for the end of a whole
+// answer.
+TEST_CASE_METHOD(
+    cut_link_fixture,
+    "cut answer: one without a length that ends while the request is sent is "
+    "complete only if the server reads on")
+{
+    std::string const long_body(8'000'000, 'x');
+    auto const answer = head_begin + "\r\n" + plain_text;
+    for (int i = 0; i < 5; ++i)
+    {
+        auto const cut =
+            exchange({answer, cut_kind::close_then_reset, true}, long_body);
+        REQUIRE(cut.end);
+        CHECK(*cut.end == link_end::broken);
+        CHECK_FALSE(cut.reusable);
+    }
+    auto const whole = exchange({answer, cut_kind::close, true}, long_body);
+    REQUIRE(whole.end);
+    CHECK(*whole.end == link_end::complete);
+    CHECK(whole.body == plain_text);
+    CHECK_FALSE(whole.reusable);
+}
+
+// Guards against a server in trouble whose status counts as a success because
+// it is below 300, or as an interim one because it is below 200.
+TEST_CASE_METHOD(
+    cut_link_fixture, "cut answer: a status that is none in HTTP is no answer")
+{
+    for (std::string const status :
+         {"000", "001", "099", "101", "600", "700", "999"})
+    {
+        for (std::string const rest :
+             {"Content-Length: 11\r\n\r\ndone by cut",
+              "Content-Length: 0\r\n\r\n", "\r\ndone by cut"})
+        {
+            auto bytes = "HTTP/1.1 " + status;
+            bytes += " X\r\nRequest-Id: $id\r\nResponse-Stamp: s\r\n";
+            bytes += rest;
+            auto const got = exchange({bytes, cut_kind::close});
+            INFO(status << ", " << rest);
+            REQUIRE(got.end);
+            CHECK(*got.end == link_end::malformed);
+            CHECK(got.status == 0);
+            CHECK(got.body.empty());
+        }
+    }
+}
+
 TEST_CASE_METHOD(
     cut_link_fixture,
     "cut answer: an error without a length or a body is complete")
@@ -366,6 +415,29 @@
     CHECK(whole.body == plain_text);
 }
 
+// Guards against a status of a server in trouble that is passed on as an
+// answer.
+TEST_CASE_METHOD(
+    cut_call_fixture,
+    "cut answer: an order that is answered with no status of HTTP gets a 502")
+{
+    begin(false);
+    auto& node = start_node();
+    for (std::string const status : {"000", "099", "101", "600", "999"})
+    {
+        INFO(status);
+        auto const began = std::chrono::steady_clock::now();
+        auto const got = call(
+            node, "/orders/",
+            {"HTTP/1.1 " + status +
+             " X\r\nRequest-Id: $id\r\nResponse-Stamp: s\r\n"
+             "Content-Length: 0\r\n\r\n"});
+        CHECK(got.status == 502);
+        CHECK(got.headers.count("Response-Stamp") == 0);
+        CHECK(std::chrono::steady_clock::now() - began < seconds(2));
+    }
+}
+
 // Guards against a short body that is framed as whole.
 TEST_CASE_METHOD(
     cut_call_fixture,
--- a/test/cut_server.hpp
+++ b/test/cut_server.hpp
@@ -29,7 +29,9 @@
 {
     /// Orderly: all bytes arrive, then the end of the connection.
     close,
-    reset
+    reset,
+    /// Orderly, then a reset of what the peer still sends.
+    close_then_reset
 };
 
 /// What the server sends after a request, and how it then ends the connection.
@@ -149,6 +151,17 @@
             return;
         }
         socket.shutdown(tcp::socket::shutdown_send, error);
+        if (answer.end == cut_kind::close_then_reset)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+            socket.close(error);
+            return;
+        }
+        constexpr int large_buffer_bytes = 4'194'304;
+        socket.set_option(
+            boost::asio::socket_base::receive_buffer_size(large_buffer_bytes),
+            error);
         await_close(socket);
     }
 
@@ -156,15 +169,20 @@
     /// connection.
     void await_close(tcp::socket& socket)
     {
-        auto const end =
-            std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+        constexpr std::chrono::milliseconds patience{200};
+        auto end = std::chrono::steady_clock::now() + patience;
         std::array<char, 4'096> chunk{};
         boost::system::error_code error;
         socket.non_blocking(true, error);
         while (!stopping_ && std::chrono::steady_clock::now() < end)
         {
             socket.read_some(boost::asio::buffer(chunk), error);
-            if (error && error != boost::asio::error::would_block)
+            if (!error)
+            {
+                end = std::chrono::steady_clock::now() + patience;
+                continue;
+            }
+            if (error != boost::asio::error::would_block)
                 return;
             std::this_thread::sleep_for(std::chrono::microseconds(100));
         }
