soak: round the end of an attempt once

Cause: the end was the sum of the rounded time of the beginning and the rounded time that the attempt took, up to 2 ms before the true end. The system closes a killed process's connections sooner than that, so that the attempt seemed to end before the kill was recorded to begin.

Change: the sum is rounded, not its parts. The check itself is unchanged, and compares exact milliseconds now.

--- a/support/soak_kept_callers.cpp
+++ b/support/soak_kept_callers.cpp
@@ -51,10 +51,9 @@
            std::end(list);
 }
 
-std::int64_t unix_ms()
+std::int64_t unix_ms(std::chrono::system_clock::time_point when)
 {
-    return std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
+    return std::chrono::duration_cast<milliseconds>(when.time_since_epoch())
         .count();
 }
 
@@ -94,7 +93,7 @@
 
 std::int64_t soak_world::now_ms()
 {
-    return unix_ms();
+    return unix_ms(std::chrono::system_clock::now());
 }
 
 /// Sends a request on a kept connection, or on a new one where the node has
@@ -116,8 +115,9 @@
     auto const is_kept = connection != nullptr;
     exchange_result got;
     got.end = attempt_end::not_connected;
-    to.began_ms = unix_ms();
+    auto const began_at = std::chrono::system_clock::now();
     auto const began = clock::now();
+    to.began_ms = unix_ms(began_at);
     try
     {
         if (!connection)
@@ -132,9 +132,12 @@
     }
     if (got.ended_at == clock::time_point())
         got.ended_at = clock::now();
-    to.ended_ms =
-        to.began_ms +
-        std::chrono::duration_cast<milliseconds>(got.ended_at - began).count();
+    // Rounded once: a sum of two rounded times may lie before the fault that
+    // ended the attempt.
+    to.ended_ms = unix_ms(
+        began_at +
+        std::chrono::duration_cast<std::chrono::system_clock::duration>(
+            got.ended_at - began));
     to.end = got.end;
     to.status = got.status;
     to.whole = got.whole;
